--- /dev/null
+++ b/core/endpoint.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/outcome.hpp"
+
+#include <boost/describe/class.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace savorydock {
+
+/// An IP number and a port.
+struct endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+
+    bool operator==(const endpoint&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(endpoint, (), (address, port))
+
+/// Reads "a.b.c.d:port" or "[v6]:port". Names are refused: processes talk by
+/// IP numbers. Errors: `invalid_document`. Thread safe.
+[[nodiscard]] outcome<endpoint> parse_endpoint(std::string_view text);
+
+/// Returns the text that `parse_endpoint` reads. Thread safe.
+[[nodiscard]] std::string to_text(const endpoint& target);
+
+} // namespace savorydock
--- /dev/null
+++ b/core/log_event.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace savorydock {
+
+/// Numbered log events. The numbers are part of the operators' interface:
+/// never renumber one. docs/LOG_EVENTS.md has the catalogue, which a test
+/// compares with `all_log_events`.
+enum class log_event : std::uint16_t {
+    instance_started = 1000,
+    instance_stopped = 1001,
+    drain_started = 1002,
+    drain_finished = 1003,
+    settings_invalid = 1004,
+    listener_failed = 1005,
+
+    request_finished = 2000,
+    request_refused = 2001,
+    request_retried = 2002,
+    request_resumed = 2003,
+    request_suspected = 2004,
+    request_cleared = 2005,
+    request_outcome_unknown = 2006,
+
+    step_started = 2100,
+    step_finished = 2101,
+    sample_discarded = 2102,
+    step_taken_over = 2103,
+
+    configuration_in_force = 3000,
+    configuration_refused = 3001,
+    configuration_stale_ignored = 3002,
+    configuration_published = 3003,
+
+    platform_unreachable = 3100,
+    platform_reachable = 3101,
+    lease_acquired = 3102,
+    lease_lost = 3103,
+
+    peer_suspected = 3200,
+    peer_alive = 3201,
+    peer_dead = 3202,
+    peer_frame_refused = 3203,
+    zone_cut_suspected = 3204,
+    zone_cut_ended = 3205,
+
+    upstream_suspected = 3300,
+    upstream_healthy = 3301,
+    upstream_leaving = 3302,
+    upstream_crash_counted = 3303,
+
+    order_sent = 3400,
+    order_done = 3401,
+    order_refused = 3402,
+    order_outcome_unknown = 3403,
+    rollout_started = 3410,
+    rollout_finished = 3411,
+    rollout_stopped = 3412,
+    rollout_skipped = 3413,
+
+    limit_share_changed = 3500,
+};
+
+/// How urgent an event is.
+enum class log_level : std::uint8_t { debug, info, warning, error };
+
+/// One row of the catalogue.
+struct log_event_entry {
+    log_event event;
+    log_level level;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+/// Returns the row of an event. Precondition: it is listed. Thread safe.
+[[nodiscard]] const log_event_entry& describe(log_event event);
+
+/// Returns all rows in the order of their numbers. Thread safe.
+[[nodiscard]] std::span<const log_event_entry> all_log_events();
+
+} // namespace savorydock
--- /dev/null
+++ b/core/logger.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "core/log_event.hpp"
+
+#include <string_view>
+
+namespace savorydock {
+
+/// Where numbered events go. Implementations are thread safe.
+class logger {
+public:
+    virtual ~logger() = default;
+
+    /// Writes one event; `detail` is one line of "name=value" pairs.
+    virtual void write(log_event event, std::string_view detail) = 0;
+};
+
+/// A logger that drops everything, for tools and tests.
+class null_logger final : public logger {
+public:
+    void write(log_event, std::string_view) override {}
+};
+
+} // namespace savorydock
--- /dev/null
+++ b/servers/configuration/configuration_view.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "core/service_document.hpp"
+
+#include <map>
+#include <memory>
+
+namespace savorydock {
+
+/// One service in force, with the revision that brought it.
+struct service_in_force {
+    store_revision revision = 0;
+    std::shared_ptr<const service_document> document;
+};
+
+/// All services in force on an instance. Immutable, hence thread safe:
+/// control publishes a new view, traffic keeps the one it began with.
+class configuration_view {
+public:
+    configuration_view() = default;
+    configuration_view(std::map<service_name, service_in_force> services,
+                       store_revision complete_through)
+        : services_(std::move(services))
+        , complete_through_(complete_through) {}
+
+    /// The service of that name, or null.
+    [[nodiscard]] const service_in_force* find(const service_name& name) const {
+        const auto found = services_.find(name);
+        return found == services_.end() ? nullptr : &found->second;
+    }
+
+    [[nodiscard]] const std::map<service_name, service_in_force>&
+    services() const {
+        return services_;
+    }
+
+    /// Every revision up to this one is in the view.
+    [[nodiscard]] store_revision complete_through() const {
+        return complete_through_;
+    }
+
+private:
+    std::map<service_name, service_in_force> services_;
+    store_revision complete_through_ = 0;
+};
+
+} // namespace savorydock
--- /dev/null
+++ b/servers/platform/platform_message.cpp
@@ -0,0 +1,1 @@
+#include "servers/platform/platform_message.hpp"
--- /dev/null
+++ b/tests/core/wire_codec_test.cpp
@@ -0,0 +1,45 @@
+#include "core/wire_codec.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace savorydock {
+
+struct inner_message {
+    instance_id name;
+    std::optional<std::uint64_t> number;
+};
+BOOST_DESCRIBE_STRUCT(inner_message, (), (name, number))
+
+struct outer_message {
+    result_code code = result_code::ok;
+    std::vector<inner_message> list;
+    std::map<std::string, double> shares;
+    std::chrono::milliseconds age{0};
+};
+BOOST_DESCRIBE_STRUCT(outer_message, (), (code, list, shares, age))
+
+TEST(wire_codec_test, described_struct_survives_the_round_trip) {
+    outer_message sent{
+        .code = result_code::not_found,
+        .list = {{instance_id("a"), 7}, {instance_id("b"), {}}},
+        .shares = {{"x", 0.5}},
+        .age = std::chrono::milliseconds(12),
+    };
+    const auto got = wire::decode<outer_message>(wire::encode(sent));
+    ASSERT_TRUE(got) << got.reason().detail;
+    EXPECT_EQ(got->code, sent.code);
+    ASSERT_EQ(got->list.size(), 2U);
+    EXPECT_EQ(got->list[0].number, 7U);
+    EXPECT_FALSE(got->list[1].number);
+    EXPECT_EQ(got->shares, sent.shares);
+    EXPECT_EQ(got->age, sent.age);
+}
+
+RC_GTEST_PROP(wire_codec_test, any_bytes_never_throw, ()) {
+    const auto bytes = *rc::gen::arbitrary<std::string>();
+    const auto got = wire::decode<outer_message>(bytes);
+    RC_ASSERT(got.has_value() || got.reason().code == result_code::bad_frame);
+}
+
+} // namespace savorydock
