Add the HTTP server and client over Beast coroutines

Cause: every path between processes needs HTTP; errors must tell whether a byte was handed to a socket, since 'not run' hangs on that. Conclusion: drivers and fakes can share one server and one client.

--- /dev/null
+++ b/drivers/http/http_client.cpp
@@ -0,0 +1,294 @@
+#include "drivers/http/http_client.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <map>
+#include <optional>
+#include <sys/socket.h>
+#include <vector>
+
+namespace savorydock {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto await = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t read_buffer_bytes = 16 * 1024;
+constexpr std::size_t max_idle_connections = 64;
+constexpr std::uint64_t max_answer_bytes = 256ULL * 1024 * 1024;
+
+/// One connection to an address and what was read ahead on it.
+struct connection {
+    explicit connection(asio::io_context& context)
+        : stream(context) {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+};
+
+using connection_pointer = std::unique_ptr<connection>;
+
+/// An idle connection with something to read was closed by its other end.
+bool is_still_idle(connection& idle) {
+    char byte = 0;
+    const auto received = ::recv(idle.stream.socket().native_handle(), &byte, 1,
+                                 MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+failure failed_before_write(const beast::error_code& error) {
+    const bool is_timeout = error == beast::error::timeout;
+    return {is_timeout ? result_code::not_run_deadline
+                       : result_code::not_run_no_upstream,
+            error.message()};
+}
+
+failure failed_after_write(const beast::error_code& error) {
+    const bool is_timeout = error == beast::error::timeout;
+    return {is_timeout ? result_code::unknown_deadline
+                       : result_code::unknown_upstream_lost,
+            error.message()};
+}
+
+http::request<http::string_body> convert(const endpoint& address,
+                                         http_request&& source) {
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(source.method);
+    message.target(source.target);
+    for (const http_header& header : source.headers) {
+        message.set(header.name, header.value);
+    }
+    message.set(http::field::host, to_text(address));
+    message.body() = std::move(source.body);
+    message.prepare_payload();
+    return message;
+}
+
+} // namespace
+
+struct http_client::pool {
+    explicit pool(asio::io_context& used_context)
+        : context(used_context) {}
+
+    connection_pointer take_idle(const std::string& key) {
+        auto& list = idle[key];
+        while (!list.empty()) {
+            connection_pointer candidate = std::move(list.back());
+            list.pop_back();
+            if (is_still_idle(*candidate)) {
+                return candidate;
+            }
+        }
+        return nullptr;
+    }
+
+    void keep(const std::string& key, connection_pointer used) {
+        auto& list = idle[key];
+        if (list.size() < max_idle_connections) {
+            used->stream.expires_never();
+            list.push_back(std::move(used));
+        }
+    }
+
+    asio::awaitable<outcome<connection_pointer>> connect(endpoint address,
+                                                         steady_time deadline) {
+        auto fresh = std::make_unique<connection>(context);
+        beast::error_code error;
+        const auto ip = asio::ip::make_address(address.address, error);
+        if (error) {
+            co_return failed_before_write(error);
+        }
+        fresh->stream.expires_at(deadline);
+        const tcp::endpoint remote(ip, address.port);
+        std::tie(error) = co_await fresh->stream.async_connect(remote, await);
+        if (error) {
+            co_return failed_before_write(error);
+        }
+        fresh->stream.socket().set_option(tcp::no_delay(true), error);
+        co_return std::move(fresh);
+    }
+
+    asio::io_context& context;
+    std::map<std::string, std::vector<connection_pointer>> idle;
+};
+
+class http_client::stream final : public http_stream {
+public:
+    stream(std::shared_ptr<pool> owner, std::string key,
+           connection_pointer used)
+        : pool_(std::move(owner))
+        , key_(std::move(key))
+        , connection_(std::move(used)) {
+        parser_.body_limit(max_answer_bytes);
+    }
+
+    unsigned status() const override { return parser_.get().result_int(); }
+    const http_headers& headers() const override { return headers_; }
+
+    asio::awaitable<outcome<done>> read_header(steady_time deadline) {
+        connection_->stream.expires_at(deadline);
+        const auto [error, size] = co_await http::async_read_header(
+            connection_->stream, connection_->buffer, parser_, await);
+        if (error) {
+            co_return failed_after_write(error);
+        }
+        for (const auto& field : parser_.get()) {
+            headers_.push_back(
+                {std::string(field.name_string()), std::string(field.value())});
+        }
+        co_return done{};
+    }
+
+    asio::awaitable<outcome<std::string>>
+    read_some(steady_time deadline) override {
+        while (!parser_.is_done()) {
+            auto& body = parser_.get().body();
+            body.data = bytes_.data();
+            body.size = bytes_.size();
+            body.more = true;
+            connection_->stream.expires_at(deadline);
+            auto [error, size] = co_await http::async_read_some(
+                connection_->stream, connection_->buffer, parser_, await);
+            if (error == http::error::need_buffer) {
+                error = {};
+            }
+            if (error) {
+                co_return failed_while_reading(error);
+            }
+            const std::size_t count = bytes_.size() - body.size;
+            if (count > 0) {
+                co_return std::string(bytes_.data(), count);
+            }
+        }
+        if (parser_.need_eof()) {
+            co_return failure{result_code::failed_truncated,
+                              "the answer has no length or end mark"};
+        }
+        release();
+        co_return std::string();
+    }
+
+private:
+    static failure failed_while_reading(const beast::error_code& error) {
+        if (error == beast::error::timeout) {
+            return {result_code::unknown_deadline, error.message()};
+        }
+        return {result_code::failed_truncated, error.message()};
+    }
+
+    void release() {
+        if (connection_ && parser_.get().keep_alive()) {
+            pool_->keep(key_, std::move(connection_));
+        }
+    }
+
+    std::shared_ptr<pool> pool_;
+    std::string key_;
+    connection_pointer connection_;
+    http::response_parser<http::buffer_body> parser_;
+    http_headers headers_;
+    std::array<char, read_buffer_bytes> bytes_{};
+};
+
+http_client::http_client(asio::io_context& context)
+    : pool_(std::make_shared<pool>(context)) {}
+
+http_client::~http_client() = default;
+
+asio::awaitable<outcome<std::unique_ptr<http_stream>>>
+http_client::open(endpoint address, http_request request, steady_time deadline,
+                  connection_use use) {
+    const std::string key = to_text(address);
+    connection_pointer used;
+    if (use == connection_use::reuse) {
+        used = pool_->take_idle(key);
+    }
+    if (!used) {
+        auto fresh = co_await pool_->connect(address, deadline);
+        if (!fresh) {
+            co_return fresh.reason();
+        }
+        used = std::move(*fresh);
+    }
+    if (std::chrono::steady_clock::now() >= deadline) {
+        co_return failure{result_code::not_run_deadline, "no time is left"};
+    }
+    const auto message = convert(address, std::move(request));
+    used->stream.expires_at(deadline);
+    const auto [error, size] =
+        co_await http::async_write(used->stream, message, await);
+    if (error) {
+        co_return failed_after_write(error);
+    }
+    auto answer = std::make_unique<stream>(pool_, key, std::move(used));
+    const auto header = co_await answer->read_header(deadline);
+    if (!header) {
+        co_return header.reason();
+    }
+    co_return std::unique_ptr<http_stream>(std::move(answer));
+}
+
+asio::awaitable<outcome<http_response>> http_client::call(endpoint address,
+                                                          http_request request,
+                                                          steady_time deadline,
+                                                          connection_use use) {
+    auto opened =
+        co_await open(std::move(address), std::move(request), deadline, use);
+    if (!opened) {
+        co_return opened.reason();
+    }
+    http_stream& answer = **opened;
+    http_response response{.status = answer.status(),
+                           .headers = answer.headers()};
+    while (true) {
+        auto part = co_await answer.read_some(deadline);
+        if (!part) {
+            co_return part.reason();
+        }
+        if (part->empty()) {
+            co_return response;
+        }
+        response.body += *part;
+    }
+}
+
+namespace {
+
+asio::awaitable<void> call_into(http_client& client, endpoint address,
+                                http_request request, steady_time deadline,
+                                std::optional<outcome<http_response>>& result) {
+    result =
+        co_await client.call(std::move(address), std::move(request), deadline);
+}
+
+} // namespace
+
+outcome<http_response> call_blocking(const endpoint& address,
+                                     http_request request,
+                                     std::chrono::milliseconds timeout) {
+    asio::io_context context(1);
+    http_client client(context);
+    std::optional<outcome<http_response>> result;
+    asio::co_spawn(context,
+                   call_into(client, address, std::move(request),
+                             std::chrono::steady_clock::now() + timeout,
+                             result),
+                   asio::detached);
+    context.run();
+    return result.value_or(
+        failure{result_code::unknown_upstream_lost, "the call was dropped"});
+}
+
+} // namespace savorydock
--- /dev/null
+++ b/drivers/http/http_message.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace savorydock {
+
+struct http_header {
+    std::string name;
+    std::string value;
+};
+
+using http_headers = std::vector<http_header>;
+
+/// Returns the value of the first header of that name (case does not
+/// matter), or an empty text. Thread safe.
+[[nodiscard]] std::string_view find_header(const http_headers& headers,
+                                           std::string_view name);
+
+struct http_request {
+    std::string method = "GET";
+    /// Path and query.
+    std::string target = "/";
+    http_headers headers;
+    std::string body;
+
+    [[nodiscard]] std::string_view header(std::string_view name) const {
+        return find_header(headers, name);
+    }
+    /// The target without its query.
+    [[nodiscard]] std::string_view path() const {
+        return std::string_view(target).substr(0, target.find('?'));
+    }
+};
+
+struct http_response {
+    unsigned status = 200;
+    http_headers headers;
+    std::string body;
+
+    [[nodiscard]] std::string_view header(std::string_view name) const {
+        return find_header(headers, name);
+    }
+};
+
+} // namespace savorydock
--- /dev/null
+++ b/drivers/http/http_server.cpp
@@ -0,0 +1,328 @@
+#include "drivers/http/http_server.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <sys/socket.h>
+
+namespace savorydock {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto await = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view bad_request_body =
+    R"({"code":104,"name":"not_run_bad_request","detail":"malformed HTTP"})";
+constexpr std::string_view too_large_body =
+    R"({"code":113,"name":"not_run_too_large","detail":"over the limit"})";
+
+using string_request = http::request<http::string_body>;
+
+http_request convert(string_request&& source) {
+    http_request request{
+        .method = std::string(source.method_string()),
+        .target = std::string(source.target()),
+        .body = std::move(source.body()),
+    };
+    for (const auto& field : source) {
+        request.headers.push_back(
+            {std::string(field.name_string()), std::string(field.value())});
+    }
+    return request;
+}
+
+bool is_over_limit(const beast::error_code& error) {
+    return error == http::error::body_limit ||
+           error == http::error::header_limit;
+}
+
+/// One request on a connection.
+class connection_exchange final : public http_exchange {
+public:
+    connection_exchange(beast::tcp_stream& stream, string_request&& request,
+                        std::size_t worker, std::chrono::milliseconds timeout)
+        : stream_(stream)
+        , is_keep_alive_(request.keep_alive())
+        , request_(convert(std::move(request)))
+        , worker_(worker)
+        , timeout_(timeout) {}
+
+    const http_request& request() const override { return request_; }
+    std::size_t worker() const override { return worker_; }
+    bool has_begun() const override { return has_begun_; }
+
+    /// Whether the connection may carry another request.
+    bool is_reusable() const { return is_complete_ && is_keep_alive_; }
+    bool is_complete() const { return is_complete_; }
+    void forbid_reuse() { is_keep_alive_ = false; }
+
+    bool is_caller_gone() override {
+        char byte = 0;
+        const auto received = ::recv(stream_.socket().native_handle(), &byte, 1,
+                                     MSG_PEEK | MSG_DONTWAIT);
+        return received == 0 || (received < 0 && errno != EAGAIN);
+    }
+
+    asio::awaitable<bool> respond(http_response response) override {
+        has_begun_ = true;
+        http::response<http::string_body> message(
+            static_cast<http::status>(response.status), 11);
+        set_headers(message, response.headers);
+        message.body() = std::move(response.body);
+        message.prepare_payload();
+        stream_.expires_after(timeout_);
+        const auto [error, size] =
+            co_await http::async_write(stream_, message, await);
+        is_complete_ = !error;
+        co_return is_complete_;
+    }
+
+    asio::awaitable<bool> begin_stream(unsigned status,
+                                       http_headers headers) override {
+        has_begun_ = true;
+        http::response<http::empty_body> message(
+            static_cast<http::status>(status), 11);
+        set_headers(message, headers);
+        message.chunked(true);
+        http::response_serializer<http::empty_body> serializer(message);
+        stream_.expires_after(timeout_);
+        const auto [error, size] =
+            co_await http::async_write_header(stream_, serializer, await);
+        co_return !error;
+    }
+
+    asio::awaitable<bool> write_chunk(std::string chunk) override {
+        if (chunk.empty()) {
+            co_return true;
+        }
+        stream_.expires_after(timeout_);
+        const auto [error, size] = co_await asio::async_write(
+            stream_, http::make_chunk(asio::buffer(chunk)), await);
+        co_return !error;
+    }
+
+    asio::awaitable<bool> end_stream() override {
+        stream_.expires_after(timeout_);
+        const auto [error, size] =
+            co_await asio::async_write(stream_, http::make_chunk_last(), await);
+        is_complete_ = !error;
+        co_return is_complete_;
+    }
+
+private:
+    template <class Message>
+    void set_headers(Message& message, const http_headers& headers) {
+        for (const http_header& header : headers) {
+            message.set(header.name, header.value);
+        }
+        message.keep_alive(is_keep_alive_);
+    }
+
+    beast::tcp_stream& stream_;
+    bool is_keep_alive_;
+    http_request request_;
+    std::size_t worker_;
+    std::chrono::milliseconds timeout_;
+    bool has_begun_ = false;
+    bool is_complete_ = false;
+};
+
+/// Closes with a reset, so that a cut answer never looks whole.
+void reset_connection(beast::tcp_stream& stream) {
+    beast::error_code ignored;
+    stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    stream.socket().close(ignored);
+}
+
+} // namespace
+
+struct http_server::state : std::enable_shared_from_this<state> {
+    state(traffic_pool& used_pool, caller_limits used_limits,
+          http_handler used_handler)
+        : pool(used_pool)
+        , limits(used_limits)
+        , handler(std::move(used_handler))
+        , acceptor(used_pool.context(0)) {}
+
+    asio::awaitable<void> accept_all();
+    asio::awaitable<void> serve(tcp::socket socket, std::size_t worker);
+    asio::awaitable<bool> serve_one(beast::tcp_stream& stream,
+                                    beast::flat_buffer& buffer,
+                                    std::size_t worker);
+    asio::awaitable<void> handle(connection_exchange& exchange);
+    asio::awaitable<void> refuse(beast::tcp_stream& stream,
+                                 beast::error_code error);
+
+    traffic_pool& pool;
+    caller_limits limits;
+    http_handler handler;
+    tcp::acceptor acceptor;
+    std::atomic<bool> is_stopping{false};
+    std::atomic<std::size_t> active{0};
+    std::atomic<std::size_t> connections{0};
+};
+
+asio::awaitable<void> http_server::state::accept_all() {
+    const auto self = shared_from_this();
+    for (std::size_t next = 0; !is_stopping; ++next) {
+        const std::size_t worker = next % pool.size();
+        auto [error, socket] =
+            co_await acceptor.async_accept(pool.context(worker), await);
+        if (error == asio::error::operation_aborted || is_stopping) {
+            co_return;
+        }
+        if (error || connections >= limits.max_connections) {
+            continue;
+        }
+        ++connections;
+        asio::co_spawn(
+            pool.context(worker), self->serve(std::move(socket), worker),
+            [self](const std::exception_ptr&) { --self->connections; });
+    }
+}
+
+asio::awaitable<void> http_server::state::serve(tcp::socket socket,
+                                                std::size_t worker) {
+    const auto self = shared_from_this();
+    beast::tcp_stream stream(std::move(socket));
+    beast::error_code ignored;
+    stream.socket().set_option(tcp::no_delay(true), ignored);
+    beast::flat_buffer buffer;
+    bool is_open = true;
+    while (is_open && !is_stopping) {
+        is_open = co_await serve_one(stream, buffer, worker);
+    }
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+asio::awaitable<bool> http_server::state::serve_one(beast::tcp_stream& stream,
+                                                    beast::flat_buffer& buffer,
+                                                    std::size_t worker) {
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(limits.max_header_bytes);
+    parser.body_limit(limits.max_body_bytes);
+    stream.expires_after(limits.io_timeout);
+    const auto [error, size] =
+        co_await http::async_read(stream, buffer, parser, await);
+    if (error) {
+        co_await refuse(stream, error);
+        co_return false;
+    }
+    stream.expires_never();
+    connection_exchange exchange(stream, parser.release(), worker,
+                                 limits.io_timeout);
+    ++active;
+    co_await handle(exchange);
+    --active;
+    if (!exchange.is_complete()) {
+        reset_connection(stream);
+        co_return false;
+    }
+    co_return exchange.is_reusable();
+}
+
+asio::awaitable<void>
+http_server::state::handle(connection_exchange& exchange) {
+    bool has_thrown = false;
+    try {
+        co_await handler(exchange);
+    } catch (const std::exception&) {
+        has_thrown = true;
+    }
+    if (has_thrown && !exchange.has_begun()) {
+        exchange.forbid_reuse();
+        http_response response{.status = 500};
+        co_await exchange.respond(std::move(response));
+    }
+}
+
+asio::awaitable<void> http_server::state::refuse(beast::tcp_stream& stream,
+                                                 beast::error_code error) {
+    const bool is_malformed =
+        error.category() ==
+            make_error_code(http::error::bad_method).category() &&
+        error != http::error::end_of_stream &&
+        error != http::error::partial_message;
+    if (!is_malformed) {
+        co_return;
+    }
+    const bool is_too_large = is_over_limit(error);
+    http::response<http::string_body> message(
+        is_too_large ? http::status::payload_too_large
+                     : http::status::bad_request,
+        11);
+    message.set(http::field::content_type, "application/json");
+    message.set("Savorydock-Result", is_too_large ? "113" : "104");
+    message.keep_alive(false);
+    message.body() = is_too_large ? too_large_body : bad_request_body;
+    message.prepare_payload();
+    stream.expires_after(limits.io_timeout);
+    co_await http::async_write(stream, message, await);
+}
+
+http_server::http_server(traffic_pool& pool, caller_limits limits,
+                         http_handler handler)
+    : state_(std::make_shared<state>(pool, limits, std::move(handler))) {}
+
+http_server::~http_server() {
+    stop_accepting();
+}
+
+outcome<endpoint> http_server::listen(const endpoint& address) {
+    beast::error_code error;
+    const auto ip = asio::ip::make_address(address.address, error);
+    const tcp::endpoint local(ip, address.port);
+    tcp::acceptor& acceptor = state_->acceptor;
+    if (!error) {
+        acceptor.open(local.protocol(), error);
+    }
+    if (!error) {
+        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor.bind(local, error);
+    }
+    if (!error) {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return failure{result_code::invalid_settings,
+                       "can't listen on " + to_text(address) + ": " +
+                           error.message()};
+    }
+    asio::co_spawn(state_->pool.context(0), state_->accept_all(),
+                   asio::detached);
+    return endpoint{.address = address.address,
+                    .port = acceptor.local_endpoint().port()};
+}
+
+void http_server::stop_accepting() {
+    if (state_->is_stopping.exchange(true)) {
+        return;
+    }
+    asio::post(state_->pool.context(0), [self = state_] {
+        beast::error_code ignored;
+        self->acceptor.close(ignored);
+    });
+}
+
+std::size_t http_server::active_requests() const {
+    return state_->active;
+}
+
+std::size_t http_server::open_connections() const {
+    return state_->connections;
+}
+
+} // namespace savorydock
--- /dev/null
+++ b/tests/drivers/http/http_test.cpp
@@ -0,0 +1,97 @@
+#include "drivers/http/http_client.hpp"
+#include "drivers/http/http_server.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <gtest/gtest.h>
+
+namespace savorydock {
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+class http_test : public ::testing::Test {
+protected:
+    endpoint serve(http_handler handler, caller_limits limits = {}) {
+        server_.emplace(pool_, limits, std::move(handler));
+        const auto address = server_->listen({"127.0.0.1", 0});
+        EXPECT_TRUE(address) << address.reason().detail;
+        return *address;
+    }
+
+    traffic_pool pool_{2};
+    std::optional<http_server> server_;
+};
+
+TEST_F(http_test, whole_answer_is_delivered) {
+    const auto address =
+        serve([](http_exchange& exchange) -> asio::awaitable<void> {
+            http_response response{.body = exchange.request().body + "!"};
+            co_await exchange.respond(std::move(response));
+        });
+    const auto answer = call_blocking(
+        address, {.method = "POST", .target = "/x", .body = "hello"}, 5s);
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->body, "hello!");
+}
+
+TEST_F(http_test, stream_without_an_end_is_truncated) {
+    const auto address =
+        serve([](http_exchange& exchange) -> asio::awaitable<void> {
+            http_headers headers;
+            co_await exchange.begin_stream(200, std::move(headers));
+            std::string chunk = "part";
+            co_await exchange.write_chunk(std::move(chunk));
+        });
+    const auto answer = call_blocking(address, {}, 5s);
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.reason().code, result_code::failed_truncated);
+}
+
+TEST_F(http_test, stream_with_an_end_is_whole) {
+    const auto address =
+        serve([](http_exchange& exchange) -> asio::awaitable<void> {
+            http_headers headers;
+            co_await exchange.begin_stream(200, std::move(headers));
+            std::string chunk = "part";
+            co_await exchange.write_chunk(std::move(chunk));
+            co_await exchange.end_stream();
+        });
+    const auto answer = call_blocking(address, {}, 5s);
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->body, "part");
+}
+
+TEST_F(http_test, refused_connection_is_not_run) {
+    const auto answer = call_blocking({"127.0.0.1", 1}, {}, 5s);
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.reason().code, result_code::not_run_no_upstream);
+}
+
+TEST_F(http_test, silent_server_is_unknown_at_the_deadline) {
+    const auto address =
+        serve([](http_exchange& exchange) -> asio::awaitable<void> {
+            asio::steady_timer timer(co_await asio::this_coro::executor, 400ms);
+            co_await timer.async_wait(asio::use_awaitable);
+            http_response response;
+            co_await exchange.respond(std::move(response));
+        });
+    const auto answer = call_blocking(address, {}, 50ms);
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.reason().code, result_code::unknown_deadline);
+}
+
+TEST_F(http_test, body_over_the_limit_is_refused) {
+    const auto address = serve(
+        [](http_exchange& exchange) -> asio::awaitable<void> {
+            http_response response;
+            co_await exchange.respond(std::move(response));
+        },
+        {.max_body_bytes = 1024});
+    const auto answer = call_blocking(
+        address, {.method = "POST", .body = std::string(4096, 'x')}, 5s);
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->status, 413U);
+}
+
+} // namespace savorydock
