Add the platform's store client and its stand-in

The runtime needs compare-and-swap, leases and watches of the platform's service before anything can be published. The client speaks the published JSON gateway form of the etcd v3 API; codec and transport are two files, so that a differently spoken platform costs one adapter. An answer lost after bytes were sent is platform_unreachable, never a failure of the write; only an address that saw no byte is passed over within one call. read_range gains min_modified (etcd's min_mod_revision), so that a reader pays for what changed and not for the whole range.

The stand-in keeps one linearizable map with revisions, history, leases and compaction; faults (delay, lost answer after effect, refusal, watch gap) are set while it runs by POST /faults, calls are counted at GET /counts.

--- /dev/null
+++ b/drivers/platform_kv/base64.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "core/outcome.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace savorydock {
+
+/// Returns the padded base64 form. Thread safe.
+[[nodiscard]] std::string to_base64(std::string_view bytes);
+
+/// Reads padded base64. Errors: `bad_frame`. Thread safe.
+[[nodiscard]] outcome<std::string> from_base64(std::string_view text);
+
+} // namespace savorydock
--- a/servers/platform/platform_message.hpp
+++ b/servers/platform/platform_message.hpp
@@ -21,14 +21,17 @@
     std::uint64_t lease = 0;
 };
 
-/// Reads the key, or with `is_prefix` all keys that begin with it.
+/// Reads the key, or with `is_prefix` all keys that begin with it. Values last
+/// modified before `min_modified` are left out.
 struct read_range {
     std::string key;
     bool is_prefix = false;
+    store_revision min_modified = 0;
 };
 
 /// Writes `value` if the key's last revision is `expected` (0: no such key).
-/// With a lease the key vanishes when the lease ends.
+/// With a lease the key vanishes when the lease ends. The answer's revision is
+/// that of the write; if it did not take effect, `values` has the current one.
 struct compare_and_swap {
     std::string key;
     store_revision expected = 0;
