Give orders an end of validity, a method and a time limit

An order may only be handed to the socket while its holder's lease lasts, and the check on the control thread is not the last moment before the write, so the order now carries not_after for the runtime to check there. Read-back of an upstream's state uses the same command with another method.

The document may name rollback_from and fetches_at_once. Versions otherwise only grow; a generation number was weighed and ruled out, because someone would have to remember the generation of each upstream, and the upstreams read back only a version. rollback_from bounds what may be lowered without any memory. The new document test fails when the check is removed (seen).

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -97,6 +97,9 @@
                     "a roll-out made upstreams fail and was stopped"},
     log_event_entry{rollout_skipped, info, "rollout_skipped",
                     "a version was overtaken by a newer one"},
+    log_event_entry{rollout_upstream_left_out, error,
+                    "rollout_upstream_left_out",
+                    "an upstream failed to swap too often; it is left out"},
     log_event_entry{limit_share_changed, debug, "limit_share_changed",
                     "this instance's share of a limit changed"},
 };
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -60,6 +60,7 @@
     rollout_finished = 3411,
     rollout_stopped = 3412,
     rollout_skipped = 3413,
+    rollout_upstream_left_out = 3414,
 
     limit_share_changed = 3500,
 };
--- a/core/service_document.cpp
+++ b/core/service_document.cpp
@@ -88,9 +88,13 @@
 }
 
 weights_rule read_weights(object_reader& reader) {
-    return {
+    weights_rule rule{
         .version = static_cast<weight_version>(
             reader.integer("version", version_range_limits, 0)),
+        .rollback_from = static_cast<weight_version>(
+            reader.integer("rollback_from", version_range_limits, 0)),
+        .fetches_at_once = static_cast<std::uint32_t>(
+            reader.integer("fetches_at_once", any_uint32, 0)),
         .store =
             reader.has("store") ? read_endpoint(reader, "store") : endpoint{},
         .staleness_bound = static_cast<std::uint32_t>(
@@ -98,6 +102,10 @@
         .idle_weight = reader.fraction("idle_weight", 0, 1, 0.5),
         .capacity_floor = reader.fraction("capacity_floor", 0, 1, 0.5),
     };
+    if (rule.rollback_from != 0 && rule.rollback_from <= rule.version) {
+        reader.complain("rollback_from", "a version above `version`");
+    }
+    return rule;
 }
 
 retry_rule read_retries(object_reader& reader) {
--- a/core/service_document.hpp
+++ b/core/service_document.hpp
@@ -70,6 +70,12 @@
 struct weights_rule {
     /// The version that upstreams should run; 0 leaves them alone.
     weight_version version = 0;
+    /// Upstreams at up to this version may be ordered back to `version`; 0
+    /// never orders any back.
+    weight_version rollback_from = 0;
+    /// Fetches that the store takes at once, all upstreams together; 0 means
+    /// it is not known.
+    std::uint32_t fetches_at_once = 0;
     endpoint store;
     /// Versions that a sample may lag behind the newest at hand-over.
     std::uint32_t staleness_bound = 1;
--- a/servers/control_server.hpp
+++ b/servers/control_server.hpp
@@ -7,6 +7,8 @@
 #include "core/outcome.hpp"
 #include "servers/platform/platform_message.hpp"
 
+#include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -56,9 +58,22 @@
     std::chrono::microseconds latency{0};
 };
 
+/// Whether a call to an upstream orders something or only reads its state.
+enum class order_method : std::uint8_t {
+    /// POST with the body.
+    give,
+    /// GET without a body.
+    read_state,
+};
+
 /// An order to an upstream: absolute ("be at this state"), never relative.
+///
+/// The runtime compares `not_after` with the clock right before it hands the
+/// bytes to the socket and drops an order that is past it, because the lease
+/// that allows the order ends then.
 struct upstream_order {
     std::uint64_t ticket = 0;
+    order_method method = order_method::give;
     service_name service;
     upstream_id upstream;
     endpoint address;
@@ -66,9 +81,17 @@
     /// The path and the JSON body of the order.
     std::string path;
     std::string body;
+    /// The last moment at which bytes may be handed to the socket.
+    steady_time not_after{};
+    /// How long the runtime waits for the answer after that.
+    std::chrono::milliseconds timeout{0};
 };
 
 /// What became of an order; `answer` is the JSON that the upstream sent.
+/// Failures: `lease_not_held` if the runtime dropped it past `not_after`,
+/// `not_run_no_upstream` if no connection came about, `fencing_refused` with
+/// the body of a 409, `failed_by_upstream` with the body of any other refusal,
+/// `order_unknown` if bytes were sent and no whole answer came.
 struct order_reply {
     std::uint64_t ticket = 0;
     outcome<std::string> answer;
--- a/tests/core/service_document_test.cpp
+++ b/tests/core/service_document_test.cpp
@@ -58,4 +58,14 @@
     }
 }
 
+TEST_F(service_document_test, rollback_from_a_lower_version_is_refused) {
+    const auto document = parse_service_document(
+        R"({"service": "m", "kind": "model", "classes": [], "callers": [],
+            "upstreams": [], "weights": {"version": 9, "rollback_from": 9}})");
+    ASSERT_FALSE(document);
+    EXPECT_NE(document.reason().detail.find("weights.rollback_from:"),
+              std::string::npos)
+        << document.reason().detail;
+}
+
 } // namespace savorydock
