--- /dev/null
+++ b/tests/fakes/fake_service_main.cpp
@@ -0,0 +1,18 @@
+#include "tests/fakes/fake_answer.hpp"
+#include "tests/fakes/fake_service.hpp"
+
+#include <gflags/gflags.h>
+
+DEFINE_string(listen, "127.0.0.1:0", "Address to listen on");
+DEFINE_uint64(delay_ms, 0, "Time a call takes");
+DEFINE_uint64(lost_answers, 0, "Calls that run and lose their answer");
+
+int main(int argc, char** argv) {
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    savorydock::fake_service service(
+        {.delay = std::chrono::milliseconds(FLAGS_delay_ms),
+         .lost_answers = static_cast<std::uint32_t>(FLAGS_lost_answers)});
+    return savorydock::run_fake(FLAGS_listen, [&](const auto& address) {
+        return service.listen(address);
+    });
+}
