--- a/core/result_code.hpp
+++ b/core/result_code.hpp
@@ -42,6 +42,8 @@
     sample_too_old = 303,
     cancelled_by_caller = 304,
     step_superseded = 305,
+    answer_not_kept = 306,
+    step_incomplete = 307,
 
     publish_conflict = 400,
     publish_unknown = 401,
