--- /dev/null
+++ b/servers/routing/snapshot_router.cpp
@@ -0,0 +1,89 @@
+#include "servers/routing/snapshot_router.hpp"
+
+#include <utility>
+
+namespace savorydock {
+
+namespace {
+
+std::size_t index_of(routing_policy_kind kind) {
+    return static_cast<std::size_t>(kind);
+}
+
+} // namespace
+
+snapshot_router::snapshot_router(availability_zone home, std::uint64_t seed)
+    : builder_(std::move(home))
+    , snapshot_(std::make_shared<const routing_snapshot>()) {
+    for (std::size_t kind = 0; kind < policy_kind_count; ++kind) {
+        policies_[kind] = make_routing_policy(
+            static_cast<routing_policy_kind>(kind), mix_bits(seed));
+    }
+}
+
+void snapshot_router::replace_policy(routing_policy_kind kind,
+                                     std::unique_ptr<routing_policy> policy) {
+    policies_[index_of(kind)] = std::move(policy);
+}
+
+outcome<route_choice> snapshot_router::pick(const route_query& query,
+                                            steady_time now) {
+    const auto snapshot = snapshot_.load(std::memory_order_acquire);
+    const routed_service* const service =
+        snapshot->find(query.service.document->service);
+    if (service == nullptr) {
+        return no_upstream_reason();
+    }
+    const routing_policy_kind kind = service->layout->document->routing;
+    return policies_[index_of(kind)]->choose(*service, query, now);
+}
+
+void snapshot_router::begin(const service_name& service,
+                            const upstream_id& upstream) {
+    const auto snapshot = snapshot_.load(std::memory_order_acquire);
+    const routed_service* const routed = snapshot->find(service);
+    if (routed == nullptr) {
+        return;
+    }
+    const auto found = routed->layout->by_name.find(upstream);
+    if (found != routed->layout->by_name.end()) {
+        found->second->begin();
+    }
+}
+
+void snapshot_router::finish(const service_name& service,
+                             const upstream_id& upstream,
+                             upstream_evidence evidence,
+                             std::chrono::microseconds latency) {
+    const auto snapshot = snapshot_.load(std::memory_order_acquire);
+    const routed_service* const routed = snapshot->find(service);
+    if (routed == nullptr) {
+        return;
+    }
+    const auto found = routed->layout->by_name.find(upstream);
+    if (found != routed->layout->by_name.end()) {
+        found->second->finish(evidence, latency);
+    }
+}
+
+void snapshot_router::learn_prefix(const service_name& service,
+                                   const upstream_id& upstream,
+                                   std::uint64_t prefix_hash, steady_time now) {
+    const auto snapshot = snapshot_.load(std::memory_order_acquire);
+    const routed_service* const routed = snapshot->find(service);
+    if (routed == nullptr) {
+        return;
+    }
+    const auto found = routed->layout->positions.find(upstream);
+    if (found != routed->layout->positions.end()) {
+        routed->layout->directory->learn(prefix_hash, found->second, now);
+    }
+}
+
+void snapshot_router::publish(
+    std::shared_ptr<const configuration_view> view,
+    std::shared_ptr<const upstream_state_map> states) {
+    snapshot_.store(builder_.build(*view, *states), std::memory_order_release);
+}
+
+} // namespace savorydock
--- /dev/null
+++ b/servers/routing/upstream_counters.cpp
@@ -0,0 +1,91 @@
+#include "servers/routing/upstream_counters.hpp"
+
+namespace savorydock {
+
+namespace {
+
+/// The newest observation's part in a moving average is 1/8.
+constexpr std::int64_t smoothing_divisor = 8;
+
+/// Control hears of a leaving upstream within this many publications.
+constexpr std::uint32_t leaving_hold_publications = 3;
+
+bool is_answer(upstream_evidence evidence) {
+    return evidence == upstream_evidence::answered ||
+           evidence == upstream_evidence::answered_slowly;
+}
+
+/// Refusals to take work are no faults; only these count as failures.
+bool is_failure(upstream_evidence evidence) {
+    return evidence == upstream_evidence::refused_connection ||
+           evidence == upstream_evidence::connection_lost ||
+           evidence == upstream_evidence::timed_out;
+}
+
+} // namespace
+
+void upstream_counters::begin() {
+    in_flight_.fetch_add(1, std::memory_order_relaxed);
+}
+
+void upstream_counters::finish(upstream_evidence evidence,
+                               std::chrono::microseconds latency) {
+    std::uint32_t held = in_flight_.load(std::memory_order_relaxed);
+    while (held > 0 && !in_flight_.compare_exchange_weak(
+                           held, held - 1, std::memory_order_relaxed)) {
+    }
+    if (evidence == upstream_evidence::said_leaving) {
+        leaving_publications_.store(leaving_hold_publications,
+                                    std::memory_order_relaxed);
+    }
+    // Two threads may lose one of two updates; an average bears that.
+    if (is_failure(evidence)) {
+        failure_streak_.fetch_add(1, std::memory_order_relaxed);
+        const double rate = failure_rate_.load(std::memory_order_relaxed);
+        failure_rate_.store(rate + (1 - rate) / smoothing_divisor,
+                            std::memory_order_relaxed);
+    }
+    if (!is_answer(evidence)) {
+        return;
+    }
+    failure_streak_.store(0, std::memory_order_relaxed);
+    const double rate = failure_rate_.load(std::memory_order_relaxed);
+    failure_rate_.store(rate - rate / smoothing_divisor,
+                        std::memory_order_relaxed);
+    const std::int64_t old =
+        latency_microseconds_.load(std::memory_order_relaxed);
+    const std::int64_t seen = latency.count();
+    latency_microseconds_.store(
+        old == 0 ? seen : old + (seen - old) / smoothing_divisor,
+        std::memory_order_relaxed);
+}
+
+std::uint32_t upstream_counters::in_flight() const {
+    return in_flight_.load(std::memory_order_relaxed);
+}
+
+std::chrono::microseconds upstream_counters::latency() const {
+    return std::chrono::microseconds(
+        latency_microseconds_.load(std::memory_order_relaxed));
+}
+
+double upstream_counters::failure_rate() const {
+    return failure_rate_.load(std::memory_order_relaxed);
+}
+
+std::uint32_t upstream_counters::failure_streak() const {
+    return failure_streak_.load(std::memory_order_relaxed);
+}
+
+bool upstream_counters::has_said_leaving() const {
+    return leaving_publications_.load(std::memory_order_relaxed) > 0;
+}
+
+void upstream_counters::on_publication() {
+    std::uint32_t left = leaving_publications_.load(std::memory_order_relaxed);
+    while (left > 0 && !leaving_publications_.compare_exchange_weak(
+                           left, left - 1, std::memory_order_relaxed)) {
+    }
+}
+
+} // namespace savorydock
--- a/servers/routing/upstream_router.hpp
+++ b/servers/routing/upstream_router.hpp
@@ -32,7 +32,8 @@
 
 /// The upstream chosen and why, for the decision record.
 struct route_choice {
-    upstream_rule upstream;
+    /// Never null; keeps the document it is part of alive.
+    std::shared_ptr<const upstream_rule> upstream;
     std::uint32_t candidates = 0;
     /// Age of the newest load report that was weighed.
     std::chrono::milliseconds report_age{0};
@@ -53,11 +54,21 @@
     /// Counts a request in flight on an upstream. Pair it with `finish`.
     virtual void begin(const service_name& service,
                        const upstream_id& upstream) = 0;
+    /// `latency` must be comparable between the upstreams of the service:
+    /// time to the first byte of a plain call, time per token of a stream.
     virtual void finish(const service_name& service,
                         const upstream_id& upstream, upstream_evidence evidence,
                         std::chrono::microseconds latency) = 0;
 
-    /// Takes what control knows. Called on the control thread.
+    /// Takes a hint, late and perhaps wrong, that an upstream holds a prompt
+    /// prefix in its cache.
+    virtual void learn_prefix(const service_name& service,
+                              const upstream_id& upstream,
+                              std::uint64_t prefix_hash, steady_time now) = 0;
+
+    /// Takes what control knows. Called on the control thread, at each change
+    /// and at least once a second, since weights by latency are set here.
+    /// Precondition: neither pointer is null.
     virtual void publish(std::shared_ptr<const configuration_view> view,
                          std::shared_ptr<const upstream_state_map> states) = 0;
 };
