Look counters up in one place

One private method finds them now. It returns a shared pointer, so the counters stay valid if a publication drops them between.

--- a/servers/routing/snapshot_router.cpp
+++ b/servers/routing/snapshot_router.cpp
@@ -38,16 +38,22 @@
     return policies_[index_of(kind)]->choose(*service, query, now);
 }
 
-void snapshot_router::begin(const service_name& service,
-                            const upstream_id& upstream) {
+std::shared_ptr<upstream_counters>
+snapshot_router::counters_of(const service_name& service,
+                             const upstream_id& upstream) const {
     const auto snapshot = snapshot_.load(std::memory_order_acquire);
     const routed_service* const routed = snapshot->find(service);
     if (routed == nullptr) {
-        return;
+        return nullptr;
     }
     const auto found = routed->layout->by_name.find(upstream);
-    if (found != routed->layout->by_name.end()) {
-        found->second->begin();
+    return found == routed->layout->by_name.end() ? nullptr : found->second;
+}
+
+void snapshot_router::begin(const service_name& service,
+                            const upstream_id& upstream) {
+    if (const auto counters = counters_of(service, upstream)) {
+        counters->begin();
     }
 }
 
@@ -55,14 +61,8 @@
                              const upstream_id& upstream,
                              upstream_evidence evidence,
                              std::chrono::microseconds latency) {
-    const auto snapshot = snapshot_.load(std::memory_order_acquire);
-    const routed_service* const routed = snapshot->find(service);
-    if (routed == nullptr) {
-        return;
-    }
-    const auto found = routed->layout->by_name.find(upstream);
-    if (found != routed->layout->by_name.end()) {
-        found->second->finish(evidence, latency);
+    if (const auto counters = counters_of(service, upstream)) {
+        counters->finish(evidence, latency);
     }
 }
 
--- a/servers/routing/snapshot_router.hpp
+++ b/servers/routing/snapshot_router.hpp
@@ -38,6 +38,9 @@
 private:
     static constexpr std::size_t policy_kind_count = 3;
 
+    [[nodiscard]] std::shared_ptr<upstream_counters>
+    counters_of(const service_name& service, const upstream_id& upstream) const;
+
     routing_snapshot_builder builder_;
     std::array<std::unique_ptr<routing_policy>, policy_kind_count> policies_;
     std::atomic<std::shared_ptr<const routing_snapshot>> snapshot_;
