--- a/core/result_code.cpp
+++ b/core/result_code.cpp
@@ -54,6 +54,8 @@
                       "another instance claimed the key; no outcome is known"},
     result_code_entry{unknown_in_progress, "unknown_in_progress",
                       "the earlier attempt is still running"},
+    result_code_entry{unknown_earlier_sending, "unknown_earlier_sending",
+                      "this sending did not run; an earlier one may have"},
     result_code_entry{failed_by_upstream, "failed_by_upstream",
                       "the upstream answered with an error"},
     result_code_entry{failed_truncated, "failed_truncated",
@@ -150,6 +152,8 @@
     case unknown_claimed_elsewhere:
     case unknown_attempt_not_remembered:
         return 409;
+    case unknown_earlier_sending:
+        return 503;
     case unknown_deadline:
         return 504;
     default:
--- a/core/result_code.hpp
+++ b/core/result_code.hpp
@@ -35,6 +35,7 @@
     unknown_attempt_not_remembered = 202,
     unknown_claimed_elsewhere = 203,
     unknown_in_progress = 204,
+    unknown_earlier_sending = 205,
 
     failed_by_upstream = 300,
     failed_truncated = 301,
--- a/servers/delivery/key_ledger.cpp
+++ b/servers/delivery/key_ledger.cpp
@@ -114,20 +114,18 @@
                         steady_time now) {
     shard& where = shard_of(key);
     const std::scoped_lock guard(where.lock);
-    entry* const known = find_entry(where, key, key_state::running);
-    if (known == nullptr) {
-        return;
+    if (entry* const known = find_entry(where, key, key_state::running)) {
+        keep_answer(where, *known, std::move(answer), now);
     }
-    if (answer.body.size() > options_.max_one_answer_bytes) {
-        answer.body.clear();
-        answer.code = result_code::answer_not_kept;
+}
+
+void key_ledger::adopt(const call_key& key, recorded_answer answer,
+                       steady_time now) {
+    shard& where = shard_of(key);
+    const std::scoped_lock guard(where.lock);
+    if (entry* const known = find_entry(where, key, key_state::asking)) {
+        keep_answer(where, *known, std::move(answer), now);
     }
-    known->record.state = key_state::finished;
-    known->record.answer =
-        std::make_shared<const recorded_answer>(std::move(answer));
-    where.answer_bytes += kept_bytes(known->record);
-    touch(where, key, now);
-    static_cast<void>(make_room(where, now));
 }
 
 void key_ledger::fail(const call_key& key, result_code code, steady_time now) {
@@ -154,12 +152,15 @@
         return {};
     }
     key_record& record = known->record;
+    // A claim names its record; without one only a later attempt may ask.
     const bool is_asker_later =
-        claim.empty() ? attempt > record.attempt : claim == record.claim;
+        claim == record.claim && (!claim.empty() || attempt > record.attempt);
     if (record.state == key_state::not_run && is_asker_later) {
         record.state = key_state::transferred;
         record.transferred_to = ask;
         record.attempt = attempt;
+        // The claim in the store still names us; we must not act on it again.
+        record.claim.clear();
         touch(where, key, now);
     }
     return record;
@@ -201,6 +202,20 @@
     return known != nullptr && known->record.state == state ? known : nullptr;
 }
 
+void key_ledger::keep_answer(shard& where, entry& known, recorded_answer answer,
+                             steady_time now) const {
+    if (answer.body.size() > options_.max_one_answer_bytes) {
+        answer.body.clear();
+        answer.code = result_code::answer_not_kept;
+    }
+    known.record.state = key_state::finished;
+    known.record.answer =
+        std::make_shared<const recorded_answer>(std::move(answer));
+    where.answer_bytes += kept_bytes(known.record);
+    touch(where, known.key, now);
+    static_cast<void>(make_room(where, now));
+}
+
 void key_ledger::touch(shard& where, const call_key& key,
                        steady_time now) const {
     const auto position = where.index.find(key)->second;
--- a/servers/delivery/key_ledger.hpp
+++ b/servers/delivery/key_ledger.hpp
@@ -117,6 +117,9 @@
     void refuse(const call_key& key, result_code code, bool right_is_here,
                 steady_time now);
 
+    /// Ends `asking` with the answer that another instance has on record.
+    void adopt(const call_key& key, recorded_answer answer, steady_time now);
+
     /// Notes the nonce that claims the key in the platform's store.
     void note_claim(const call_key& key, std::string nonce);
 
@@ -159,6 +162,8 @@
     [[nodiscard]] entry* find_entry(shard& where, const call_key& key) const;
     [[nodiscard]] entry* find_entry(shard& where, const call_key& key,
                                     key_state state) const;
+    void keep_answer(shard& where, entry& known, recorded_answer answer,
+                     steady_time now) const;
     void touch(shard& where, const call_key& key, steady_time now) const;
     [[nodiscard]] bool make_room(shard& where, steady_time now) const;
     void erase(shard& where, entry_list::iterator position) const;
