Carry messages between instances as HTTP/2 streams

Instances need a way to talk that copes with loss, strangers and 1,900 possible peers. The link sends one nghttp2 stream a message over one connection per peer in touch; sends are fire and forget, so that no control decision ever waits on a peer. Queues, bodies, connections and remembered failures are bounded; whatever does not fit is dropped and counted. Retrying inside the link was ruled out: gossip repeats itself, and a resent old message is worth less than the next one.

A violated protocol shows only after nghttp2 has sent its GOAWAY; checking before that let a bad frame hang the connection without a count.

--- /dev/null
+++ b/drivers/peer/peer_link.cpp
@@ -0,0 +1,542 @@
+#include "drivers/peer/peer_link.hpp"
+
+#include "core/random_source.hpp"
+#include "core/secret.hpp"
+#include "core/wire_codec.hpp"
+#include "drivers/peer/peer_connection.hpp"
+#include "drivers/peer/peer_envelope.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace savorydock {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr unsigned status_taken = 204;
+constexpr unsigned status_bad_envelope = 400;
+constexpr unsigned status_wrong_key = 403;
+constexpr unsigned status_wrong_receiver = 421;
+constexpr std::chrono::milliseconds sweep_period{500};
+constexpr std::chrono::milliseconds accept_pause{100};
+constexpr std::chrono::seconds refusal_log_period{1};
+/// Zones of peers that the fault switch has to know.
+constexpr std::size_t max_known_zones = 4'096;
+/// Peers whose last failed connection is remembered.
+constexpr std::size_t max_known_failures = 4'096;
+
+bool is_known(peer_topic topic) {
+    const auto number = static_cast<std::size_t>(topic);
+    return number > 0 && number < peer_counters::topic_count;
+}
+
+outcome<tcp::endpoint> resolve(const endpoint& target) {
+    error_code error;
+    const auto address = asio::ip::make_address(target.address, error);
+    if (error) {
+        return failure{result_code::peer_unreachable,
+                       target.address + ": " + error.message()};
+    }
+    return tcp::endpoint(address, target.port);
+}
+
+} // namespace
+
+class peer_link::impl : public std::enable_shared_from_this<impl> {
+public:
+    impl(asio::io_context& context, peer_link_options options, logger& log)
+        : context_(context)
+        , options_(std::move(options))
+        , log_(log)
+        , random_(options_.seed)
+        , acceptor_(context)
+        , sweep_timer_(context)
+        , accept_timer_(context) {}
+    ~impl() { close_connections(); }
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+
+    outcome<endpoint> start();
+    void stop();
+    void send(const peer_message& message, const endpoint& to);
+
+    void set_handler(message_handler handler) { handler_ = std::move(handler); }
+    [[nodiscard]] peer_counters counters() const {
+        const std::lock_guard lock(counters_mutex_);
+        return counters_;
+    }
+    [[nodiscard]] peer_fault_switch& faults() { return faults_; }
+
+private:
+    using connection_ptr = std::shared_ptr<peer_connection>;
+
+    /// Why a peer is not tried just now.
+    struct backoff {
+        steady_time retry_at;
+        std::chrono::milliseconds delay{0};
+    };
+
+    template <class Change>
+    void count(Change change) {
+        const std::lock_guard lock(counters_mutex_);
+        change(counters_);
+    }
+
+    void close_connections();
+    void accept();
+    void accept_later();
+    void adopt(tcp::socket socket);
+    void sweep_later();
+    void sweep();
+    void forget_old_failures(steady_time now);
+    void deliver(std::string bytes, peer_topic topic, const endpoint& to);
+    connection_ptr connection_to(const endpoint& to);
+    connection_ptr open(const endpoint& to);
+    [[nodiscard]] bool make_room();
+    void note_failure(const std::string& key, const failure& reason);
+    unsigned take(const std::string& bytes);
+    void refuse(const failure& reason);
+    void remember_zone(const peer_envelope& envelope);
+    [[nodiscard]] availability_zone zone_of(const instance_id& instance) const;
+    [[nodiscard]] http2_limits limits() const;
+    void publish_open_counts();
+
+    asio::io_context& context_;
+    const peer_link_options options_;
+    logger& log_;
+    seeded_random_source random_;
+    message_handler handler_;
+    peer_fault_switch faults_;
+    tcp::acceptor acceptor_;
+    asio::steady_timer sweep_timer_;
+    asio::steady_timer accept_timer_;
+    bool is_stopped_ = false;
+    std::unordered_map<std::string, connection_ptr> outgoing_;
+    std::unordered_map<std::string, backoff> failures_;
+    std::set<connection_ptr> incoming_;
+    steady_time last_refusal_log_{};
+    std::uint64_t refusals_since_log_ = 0;
+    mutable std::mutex zones_mutex_;
+    std::unordered_map<instance_id, availability_zone> zones_;
+    mutable std::mutex counters_mutex_;
+    peer_counters counters_;
+};
+
+outcome<endpoint> peer_link::impl::start() {
+    const auto address = resolve(options_.listen);
+    if (!address) {
+        return address.reason();
+    }
+    error_code error;
+    acceptor_.open(address->protocol(), error);
+    if (!error) {
+        acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+        acceptor_.bind(*address, error);
+    }
+    if (!error) {
+        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return failure{result_code::peer_unreachable,
+                       to_text(options_.listen) + ": " + error.message()};
+    }
+    const auto bound = acceptor_.local_endpoint(error);
+    asio::post(context_, [self = shared_from_this()] {
+        self->accept();
+        self->sweep_later();
+    });
+    return endpoint{bound.address().to_string(), bound.port()};
+}
+
+void peer_link::impl::stop() {
+    asio::post(context_, [self = shared_from_this()] {
+        self->is_stopped_ = true;
+        error_code ignored;
+        self->acceptor_.close(ignored);
+        self->sweep_timer_.cancel();
+        self->accept_timer_.cancel();
+        self->close_connections();
+        self->publish_open_counts();
+    });
+}
+
+void peer_link::impl::close_connections() {
+    for (const auto& [key, connection] : outgoing_) {
+        connection->close();
+    }
+    for (const auto& connection : incoming_) {
+        connection->close();
+    }
+    outgoing_.clear();
+    incoming_.clear();
+}
+
+void peer_link::impl::accept() {
+    acceptor_.async_accept([self = shared_from_this()](const error_code& error,
+                                                       tcp::socket socket) {
+        if (self->is_stopped_) {
+            return;
+        }
+        if (error) {
+            // Usually out of descriptors: a pause, or the loop would spin.
+            self->accept_later();
+            return;
+        }
+        self->adopt(std::move(socket));
+        self->accept();
+    });
+}
+
+void peer_link::impl::accept_later() {
+    accept_timer_.expires_after(accept_pause);
+    accept_timer_.async_wait(
+        [self = shared_from_this()](const error_code& error) {
+            if (!error && !self->is_stopped_) {
+                self->accept();
+            }
+        });
+}
+
+void peer_link::impl::adopt(tcp::socket socket) {
+    if (incoming_.size() >= options_.max_accepted) {
+        refuse({result_code::bad_frame, "too many connections"});
+        return;
+    }
+    // The connection is known to its handlers by a weak pointer only.
+    auto holder = std::make_shared<std::weak_ptr<peer_connection>>();
+    const auto connection = std::make_shared<peer_connection>(
+        std::move(socket),
+        peer_connection_options{
+            .role = http2_role::server,
+            .limits = limits(),
+            .handlers = {
+                .on_request =
+                    [this](const std::string& body) { return take(body); },
+                .on_refused = [this](const failure& reason) { refuse(reason); },
+                .on_response = {}},
+            .on_closed =
+                [this, holder](const failure& reason) {
+                    if (reason.code == result_code::bad_frame) {
+                        refuse(reason);
+                    }
+                    incoming_.erase(holder->lock());
+                    publish_open_counts();
+                },
+        });
+    *holder = connection;
+    incoming_.insert(connection);
+    connection->start();
+    publish_open_counts();
+}
+
+void peer_link::impl::sweep_later() {
+    sweep_timer_.expires_after(sweep_period);
+    sweep_timer_.async_wait(
+        [self = shared_from_this()](const error_code& error) {
+            if (!error && !self->is_stopped_) {
+                self->sweep();
+                self->sweep_later();
+            }
+        });
+}
+
+void peer_link::impl::sweep() {
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<std::pair<std::string, std::string>> stuck;
+    for (auto entry = outgoing_.begin(); entry != outgoing_.end();) {
+        const peer_connection& connection = *entry->second;
+        const auto since_heard = now - connection.last_heard();
+        const bool waits = connection.open_streams() > 0;
+        if (!connection.is_connected() &&
+            since_heard > options_.connect_timeout) {
+            stuck.emplace_back(entry->first, "no connection in time");
+        } else if (waits && since_heard > options_.answer_timeout &&
+                   now - connection.last_used() < options_.idle_timeout) {
+            stuck.emplace_back(entry->first, "no answer in time");
+        }
+        if (!waits && now - connection.last_used() > options_.idle_timeout) {
+            entry->second->close();
+            entry = outgoing_.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+    for (const auto& [key, why] : stuck) {
+        note_failure(key, {result_code::peer_unreachable, why});
+    }
+    // Peers close idle connections first; this ends those of dead peers.
+    std::erase_if(incoming_, [&](const connection_ptr& connection) {
+        if (now - connection->last_used() <= 2 * options_.idle_timeout) {
+            return false;
+        }
+        connection->close();
+        return true;
+    });
+    forget_old_failures(now);
+    publish_open_counts();
+}
+
+void peer_link::impl::forget_old_failures(steady_time now) {
+    std::erase_if(failures_, [&](const auto& entry) {
+        return now - entry.second.retry_at > options_.max_backoff;
+    });
+}
+
+void peer_link::impl::send(const peer_message& message, const endpoint& to) {
+    if (faults_.is_cut(message.to, zone_of(message.to))) {
+        count([](peer_counters& all) { ++all.cut; });
+        return;
+    }
+    auto bytes = wire::encode(peer_envelope{
+        .from = options_.instance,
+        .to = message.to,
+        .zone = options_.zone,
+        .topic = message.topic,
+        .body = message.body,
+        .secret = options_.peer_key,
+    });
+    asio::post(context_, [self = shared_from_this(), bytes = std::move(bytes),
+                          topic = message.topic, to]() mutable {
+        self->deliver(std::move(bytes), topic, to);
+    });
+}
+
+void peer_link::impl::deliver(std::string bytes, peer_topic topic,
+                              const endpoint& to) {
+    const std::size_t size = bytes.size();
+    const connection_ptr connection =
+        is_stopped_ || !is_known(topic) ? nullptr : connection_to(to);
+    if (!connection || !connection->submit(std::move(bytes))) {
+        count([](peer_counters& all) { ++all.dropped; });
+        return;
+    }
+    count([&](peer_counters& all) {
+        auto& entry = all.topics.at(static_cast<std::size_t>(topic));
+        ++entry.messages_out;
+        entry.bytes_out += size;
+    });
+}
+
+peer_link::impl::connection_ptr
+peer_link::impl::connection_to(const endpoint& to) {
+    const std::string key = to_text(to);
+    const auto found = outgoing_.find(key);
+    if (found != outgoing_.end()) {
+        return found->second;
+    }
+    const auto failed = failures_.find(key);
+    const bool must_wait =
+        failed != failures_.end() &&
+        std::chrono::steady_clock::now() < failed->second.retry_at;
+    if (must_wait || !make_room()) {
+        return nullptr;
+    }
+    return open(to);
+}
+
+bool peer_link::impl::make_room() {
+    if (outgoing_.size() < options_.max_connections) {
+        return true;
+    }
+    auto oldest = outgoing_.end();
+    for (auto entry = outgoing_.begin(); entry != outgoing_.end(); ++entry) {
+        const bool is_idle = entry->second->open_streams() == 0;
+        if (is_idle &&
+            (oldest == outgoing_.end() ||
+             entry->second->last_used() < oldest->second->last_used())) {
+            oldest = entry;
+        }
+    }
+    if (oldest == outgoing_.end()) {
+        return false;
+    }
+    oldest->second->close();
+    outgoing_.erase(oldest);
+    return true;
+}
+
+peer_link::impl::connection_ptr peer_link::impl::open(const endpoint& to) {
+    const auto address = resolve(to);
+    if (!address) {
+        return nullptr;
+    }
+    const std::string key = to_text(to);
+    const auto connection = std::make_shared<peer_connection>(
+        tcp::socket(context_),
+        peer_connection_options{
+            .role = http2_role::client,
+            .limits = limits(),
+            .handlers = {.on_request = {},
+                         .on_refused = {},
+                         .on_response =
+                             [this, key](unsigned status) {
+                                 if (status == status_taken) {
+                                     failures_.erase(key);
+                                     return;
+                                 }
+                                 count([](peer_counters& all) { ++all.lost; });
+                             }},
+            .on_closed =
+                [this, key](const failure& reason) {
+                    note_failure(key, reason);
+                },
+        });
+    outgoing_.emplace(key, connection);
+    count([](peer_counters& all) { ++all.connects; });
+    publish_open_counts();
+    connection->connect(*address);
+    return connection;
+}
+
+void peer_link::impl::note_failure(const std::string& key,
+                                   const failure& reason) {
+    static_cast<void>(reason);
+    const auto found = outgoing_.find(key);
+    if (found == outgoing_.end()) {
+        return;
+    }
+    const std::uint64_t lost = found->second->open_streams();
+    const bool was_connected = found->second->is_connected();
+    found->second->close();
+    outgoing_.erase(found);
+    count([&](peer_counters& all) {
+        all.lost += lost;
+        all.connect_failures += was_connected ? 0 : 1;
+    });
+    publish_open_counts();
+    if (failures_.size() >= max_known_failures && !failures_.contains(key)) {
+        return;
+    }
+    backoff& entry = failures_[key];
+    entry.delay =
+        std::clamp(entry.delay * 2, options_.min_backoff, options_.max_backoff);
+    const auto half = static_cast<std::uint64_t>(entry.delay.count()) / 2;
+    const std::chrono::milliseconds jittered(half + random_.below(half + 1));
+    entry.retry_at = std::chrono::steady_clock::now() + jittered;
+}
+
+unsigned peer_link::impl::take(const std::string& bytes) {
+    const auto envelope = wire::decode<peer_envelope>(bytes);
+    if (!envelope) {
+        refuse(envelope.reason());
+        return status_bad_envelope;
+    }
+    if (!is_same_secret(envelope->secret, options_.peer_key)) {
+        refuse({result_code::bad_frame, "wrong peer key"});
+        return status_wrong_key;
+    }
+    if (envelope->to != options_.instance) {
+        refuse({result_code::bad_frame, "for instance " + envelope->to.text()});
+        return status_wrong_receiver;
+    }
+    if (envelope->from.is_empty() || !is_known(envelope->topic)) {
+        refuse({result_code::bad_frame, "no sender or no such topic"});
+        return status_bad_envelope;
+    }
+    remember_zone(*envelope);
+    if (faults_.is_cut(envelope->from, envelope->zone)) {
+        count([](peer_counters& all) { ++all.cut; });
+        return status_taken;
+    }
+    count([&](peer_counters& all) {
+        auto& entry = all.topics.at(static_cast<std::size_t>(envelope->topic));
+        ++entry.messages_in;
+        entry.bytes_in += bytes.size();
+    });
+    if (handler_) {
+        handler_({.from = envelope->from,
+                  .to = envelope->to,
+                  .topic = envelope->topic,
+                  .body = envelope->body});
+    }
+    return status_taken;
+}
+
+void peer_link::impl::refuse(const failure& reason) {
+    count([](peer_counters& all) { ++all.refused; });
+    ++refusals_since_log_;
+    const auto now = std::chrono::steady_clock::now();
+    if (now - last_refusal_log_ < refusal_log_period) {
+        return;
+    }
+    last_refusal_log_ = now;
+    log_.write(log_event::peer_frame_refused,
+               "count=" + std::to_string(refusals_since_log_) + " reason=\"" +
+                   reason.detail + '"');
+    refusals_since_log_ = 0;
+}
+
+void peer_link::impl::remember_zone(const peer_envelope& envelope) {
+    const std::lock_guard lock(zones_mutex_);
+    if (zones_.size() < max_known_zones || zones_.contains(envelope.from)) {
+        zones_[envelope.from] = envelope.zone;
+    }
+}
+
+availability_zone peer_link::impl::zone_of(const instance_id& instance) const {
+    const std::lock_guard lock(zones_mutex_);
+    const auto found = zones_.find(instance);
+    return found == zones_.end() ? availability_zone() : found->second;
+}
+
+http2_limits peer_link::impl::limits() const {
+    return {.max_body_bytes = options_.max_message_bytes,
+            .max_buffered_bytes = 4 * options_.max_message_bytes,
+            .max_streams = options_.max_queued};
+}
+
+void peer_link::impl::publish_open_counts() {
+    count([&](peer_counters& all) {
+        all.open_out = outgoing_.size();
+        all.open_in = incoming_.size();
+    });
+}
+
+peer_link::peer_link(asio::io_context& context, peer_link_options options,
+                     logger& log)
+    : impl_(std::make_shared<impl>(context, std::move(options), log)) {}
+
+peer_link::~peer_link() {
+    stop();
+}
+
+void peer_link::on_message(message_handler handler) {
+    impl_->set_handler(std::move(handler));
+}
+
+outcome<endpoint> peer_link::start() {
+    return impl_->start();
+}
+
+void peer_link::stop() {
+    impl_->stop();
+}
+
+void peer_link::send(const peer_message& message, const endpoint& to) {
+    impl_->send(message, to);
+}
+
+peer_counters peer_link::counters() const {
+    return impl_->counters();
+}
+
+peer_fault_switch& peer_link::faults() {
+    return impl_->faults();
+}
+
+} // namespace savorydock
