--- a/servers/routing/snapshot_router.cpp
+++ b/servers/routing/snapshot_router.cpp
@@ -80,6 +80,25 @@
     }
 }
 
+fleet_load snapshot_router::load(const service_name& service) const {
+    const auto snapshot = snapshot_.load(std::memory_order_acquire);
+    const routed_service* const routed = snapshot->find(service);
+    fleet_load total;
+    if (routed == nullptr) {
+        return total;
+    }
+    for (std::size_t at = 0; at < routed->upstreams.size(); ++at) {
+        const routed_upstream& upstream = routed->upstreams[at];
+        const std::uint32_t own = routed->layout->counters[at]->in_flight();
+        total.own_in_flight += own;
+        if (upstream.condition == upstream_condition::serving) {
+            total.slots += upstream.slots;
+            total.load += own + upstream.load_by_others;
+        }
+    }
+    return total;
+}
+
 void snapshot_router::publish(
     std::shared_ptr<const configuration_view> view,
     std::shared_ptr<const upstream_state_map> states) {
--- a/servers/routing/snapshot_router.hpp
+++ b/servers/routing/snapshot_router.hpp
@@ -27,6 +27,7 @@
                 std::chrono::microseconds latency) override;
     void learn_prefix(const service_name& service, const upstream_id& upstream,
                       std::uint64_t prefix_hash, steady_time now) override;
+    [[nodiscard]] fleet_load load(const service_name& service) const override;
     void publish(std::shared_ptr<const configuration_view> view,
                  std::shared_ptr<const upstream_state_map> states) override;
 
--- a/servers/routing/upstream_router.hpp
+++ b/servers/routing/upstream_router.hpp
@@ -6,6 +6,7 @@
 #include "core/service_document.hpp"
 #include "servers/configuration/configuration_view.hpp"
 #include "servers/control_server.hpp"
+#include "servers/routing/fleet_load.hpp"
 #include "servers/routing/upstream_state.hpp"
 
 #include <chrono>
@@ -66,6 +67,11 @@
                               const upstream_id& upstream,
                               std::uint64_t prefix_hash, steady_time now) = 0;
 
+    /// The load of a service; all zero if it is not known. Looks at every
+    /// upstream: call it on ticks, not for each request.
+    [[nodiscard]] virtual fleet_load
+    load(const service_name& service) const = 0;
+
     /// Takes what control knows. Called on the control thread, at each change
     /// and at least once a second, since weights by latency are set here.
     /// Precondition: neither pointer is null.
--- a/tests/servers/routing/snapshot_router_test.cpp
+++ b/tests/servers/routing/snapshot_router_test.cpp
@@ -116,6 +116,21 @@
     EXPECT_EQ(choice->upstream->name, name);
 }
 
+TEST_P(snapshot_router_test, load_counts_own_requests_once) {
+    fixture_.state(0).condition = upstream_condition::swapping;
+    fixture_.publish(router_);
+    for (int step = 0; step < 3; ++step) {
+        router_.begin(service_, routing_fixture::name(1));
+    }
+    fixture_.state(1).reported_load = 5;
+    fixture_.state(1).reported_at = now_;
+    fixture_.publish(router_);
+    const fleet_load load = router_.load(service_);
+    EXPECT_EQ(load.slots, 7 * 16U);
+    EXPECT_EQ(load.load, 5U);
+    EXPECT_EQ(load.own_in_flight, 3U);
+}
+
 TEST_P(snapshot_router_test, picks_beside_publications_stay_valid) {
     fixture_.publish(router_);
     std::vector<std::thread> threads;
