Wire the thin path: callers, upstreams, operators, entry instance

Cause: the parts existed apart. After: the caller API routes plain calls, completions and steps; keyed calls run under the key ledger; cut streams are resumed elsewhere; one library class starts an instance; explain asks all peers.

--- /dev/null
+++ b/drivers/caf_runtime/control_runtime.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "core/logger.hpp"
+#include "drivers/caf_runtime/control_executor.hpp"
+#include "servers/configuration/configuration_view.hpp"
+#include "servers/control_server.hpp"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace savorydock {
+
+struct control_runtime_options {
+    std::chrono::milliseconds tick{100};
+};
+
+/// The control thread: one detached CAF actor that owns all control servers,
+/// hands them events one at a time and has their commands carried out.
+///
+/// `post_*` and `post` are thread safe and never block. The executor and the
+/// logger must outlive the runtime.
+class control_runtime {
+public:
+    control_runtime(control_runtime_options options, control_executor& executor,
+                    logger& log);
+    ~control_runtime();
+    control_runtime(const control_runtime&) = delete;
+    control_runtime& operator=(const control_runtime&) = delete;
+
+    /// Adds a server. Precondition: not started. The server must outlive the
+    /// runtime.
+    void add(control_server& server);
+
+    /// Starts the control thread.
+    void start();
+
+    /// Ends the control thread; events posted after that are dropped.
+    /// Idempotent.
+    void stop();
+
+    void post_peer_message(peer_message message);
+    void post_observation(upstream_observation observation);
+    void post_configuration(std::shared_ptr<const configuration_view> view);
+
+    /// Runs a task on the control thread, between two events.
+    void post(std::function<void(steady_time, command_list&)> task);
+
+    /// Events handled so far. Thread safe.
+    [[nodiscard]] std::uint64_t handled_events() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace savorydock
--- /dev/null
+++ b/drivers/caller_http/caller_api.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "drivers/caller_http/traffic_services.hpp"
+#include "drivers/http/http_server.hpp"
+
+namespace savorydock {
+
+/// The callers' interface:
+///
+///   POST /v1/completions             one completion of a model service
+///   POST /v1/steps                   a trainer's step of samples
+///   ANY  /v1/services/NAME/PATH      a call of a plain service
+///
+/// Returns a handler for an http_server. `services` must outlive it.
+[[nodiscard]] http_handler make_caller_api(traffic_services& services);
+
+} // namespace savorydock
--- /dev/null
+++ b/drivers/caller_http/generation_run.cpp
@@ -0,0 +1,124 @@
+#include "drivers/caller_http/generation_run.hpp"
+
+#include <boost/container_hash/hash.hpp>
+
+#include <algorithm>
+
+namespace savorydock {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t hashed_prefix_bytes = 256;
+
+generation_call make_call(const generation_order& order,
+                          const caller_request& request,
+                          const answer_assembler& answer) {
+    return {
+        .stream = order.stream,
+        .attempt = answer.attempt(),
+        .prompt = order.prompt,
+        .max_tokens = order.max_tokens,
+        .resume_from = answer.next_token(),
+        .resume_text = answer.text(),
+        .priority = request.service_class->priority,
+    };
+}
+
+failure judge(const answer_assembler& answer, const failure& ended) {
+    switch (answer.verdict()) {
+    case answer_verdict::whole:
+        return {};
+    case answer_verdict::crossed:
+        return {result_code::failed_by_upstream,
+                "the stream carried another request's answer"};
+    case answer_verdict::doubled:
+        return {result_code::failed_by_upstream,
+                "the stream carried tokens twice"};
+    default:
+        break;
+    }
+    return ended.code == result_code::ok
+               ? failure{result_code::failed_truncated,
+                         "the answer has no finish mark"}
+               : ended;
+}
+
+/// One attempt on one upstream.
+asio::awaitable<failure>
+run_once(const generation_order& order, const caller_request& request,
+         endpoint address, std::size_t worker, answer_assembler& answer,
+         traffic_services& services, call_evidence& seen) {
+    auto sink = [&](const stream_event& event) -> asio::awaitable<bool> {
+        if (!answer.accept(event)) {
+            co_return answer.verdict() == answer_verdict::open;
+        }
+        co_return co_await order.sink(event);
+    };
+    upstream_client& client = *services.clients[worker];
+    upstream_client::event_sink event_sink = sink;
+    generation_call call = make_call(order, request, answer);
+    const auto result =
+        co_await client.generate(std::move(address), std::move(call),
+                                 request.deadline, std::move(event_sink), seen);
+    answer.end_stream();
+    co_return judge(answer, result.reason());
+}
+
+bool is_final(const failure& reason) {
+    return reason.code == result_code::ok ||
+           reason.code == result_code::cancelled_by_caller ||
+           reason.code == result_code::unknown_deadline ||
+           reason.code == result_code::not_run_deadline;
+}
+
+} // namespace
+
+std::uint64_t hash_prefix(const std::string& prompt) {
+    const std::size_t length = std::min(prompt.size(), hashed_prefix_bytes);
+    return boost::hash_range(
+        prompt.begin(), prompt.begin() + static_cast<std::ptrdiff_t>(length));
+}
+
+asio::awaitable<outcome<done>> run_generation(const generation_order& order,
+                                              const caller_request& request,
+                                              std::size_t worker,
+                                              answer_assembler& answer,
+                                              traffic_services& services) {
+    const retry_rule& rule = request.service->document->retries;
+    upstream_attempt attempt(services, request);
+    failure last{result_code::not_run_no_upstream, "nobody was tried"};
+    while (attempt.count() < rule.max_attempts) {
+        const auto choice =
+            attempt.begin(order.prefix_hash, order.expected_tokens);
+        if (!choice) {
+            co_return attempt.count() == 0 ? choice.reason() : last;
+        }
+        call_evidence seen;
+        const endpoint address = choice->upstream->address;
+        last = co_await run_once(order, request, address, worker, answer,
+                                 services, seen);
+        attempt.finish(seen, false);
+        if (last.code == result_code::ok) {
+            co_return done{};
+        }
+        if (is_final(last)) {
+            break;
+        }
+        const attempt_number next = order.next_attempt();
+        if (next == 0 || !answer.resume(next)) {
+            break;
+        }
+        services.decisions.add(
+            request.id.text(),
+            {.kind = decision_kind::resumed,
+             .code = last.code,
+             .detail = "stream=" + order.stream +
+                       " from_token=" + std::to_string(answer.next_token())},
+            std::chrono::steady_clock::now());
+    }
+    co_return last;
+}
+
+} // namespace savorydock
--- /dev/null
+++ b/drivers/caller_http/traffic_services.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "core/logger.hpp"
+#include "drivers/upstream_http/upstream_client.hpp"
+#include "servers/configuration/configuration_view.hpp"
+#include "servers/control_server.hpp"
+#include "servers/delivery/key_ledger.hpp"
+#include "servers/delivery/step_charts.hpp"
+#include "servers/explain/decision_log.hpp"
+#include "servers/routing/upstream_router.hpp"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace savorydock {
+
+/// What the traffic threads of one instance share. Every member is thread
+/// safe, or belongs to one traffic thread by its index.
+struct traffic_services {
+    instance_id instance;
+    upstream_router& router;
+    key_ledger& keys;
+    decision_log& decisions;
+    logger& log;
+    std::shared_ptr<const step_charts> charts;
+    /// Tells control what traffic saw of an upstream.
+    std::function<void(upstream_observation)> observe;
+    /// The I/O context of each traffic thread.
+    std::vector<std::reference_wrapper<boost::asio::io_context>> contexts;
+    /// One client a traffic thread.
+    std::vector<std::unique_ptr<upstream_client>> clients;
+
+    std::atomic<std::shared_ptr<const configuration_view>> configuration;
+    std::atomic<bool> is_draining{false};
+    std::atomic<std::uint64_t> next_request{1};
+    /// Makes request ids of successive processes distinct.
+    std::string incarnation;
+};
+
+} // namespace savorydock
--- /dev/null
+++ b/drivers/entry/entry_executor.cpp
@@ -0,0 +1,104 @@
+#include "drivers/entry/entry_executor.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace savorydock {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::seconds watch_deadline{10};
+constexpr std::chrono::seconds call_deadline{5};
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_conflict = 409;
+
+failure judge_refusal(const http_response& answer) {
+    return {answer.status == status_conflict ? result_code::fencing_refused
+                                             : result_code::failed_by_upstream,
+            answer.body};
+}
+
+failure judge_loss(const failure& reason) {
+    if (classify(reason.code) == result_class::not_run) {
+        return {result_code::not_run_no_upstream, reason.detail};
+    }
+    return {result_code::order_unknown, reason.detail};
+}
+
+} // namespace
+
+entry_executor::entry_executor(asio::io_context& context, peer_transport& peers,
+                               platform_store& platform)
+    : context_(context)
+    , peers_(peers)
+    , platform_(platform)
+    , client_(context) {}
+
+void entry_executor::set_addresses(std::map<instance_id, endpoint> addresses) {
+    const std::lock_guard lock(mutex_);
+    addresses_ = std::move(addresses);
+}
+
+void entry_executor::send_to_peer(const peer_message& message) {
+    endpoint target;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = addresses_.find(message.to);
+        if (found == addresses_.end()) {
+            return;
+        }
+        target = found->second;
+    }
+    peers_.send(message, target);
+}
+
+void entry_executor::call_platform(platform_call call,
+                                   std::function<void(platform_reply)> answer) {
+    const bool is_watch = std::holds_alternative<watch_prefix>(call.request);
+    const steady_time now = std::chrono::steady_clock::now();
+    platform_.submit(
+        call.request, now + (is_watch ? watch_deadline : call_deadline),
+        [ticket = call.ticket,
+         answer = std::move(answer)](outcome<platform_answer> result) {
+            answer({.ticket = ticket, .answer = std::move(result)});
+        });
+}
+
+void entry_executor::give_order(upstream_order order,
+                                std::function<void(order_reply)> answer) {
+    asio::co_spawn(context_, send_order(std::move(order), std::move(answer)),
+                   asio::detached);
+}
+
+asio::awaitable<void>
+entry_executor::send_order(upstream_order order,
+                           std::function<void(order_reply)> answer) {
+    const bool is_read = order.method == order_method::read_state;
+    http_request request{
+        .method = is_read ? "GET" : "POST",
+        .target = order.path,
+        .headers = {{"Content-Type", "application/json"}},
+        .body = order.body,
+    };
+    // The lease that allows the order ends at `not_after`; checked last.
+    if (std::chrono::steady_clock::now() >= order.not_after) {
+        answer({.ticket = order.ticket,
+                .answer = failure{result_code::lease_not_held,
+                                  "the order is past its time"}});
+        co_return;
+    }
+    const steady_time deadline = order.not_after + order.timeout;
+    const auto result = co_await client_.call(order.address, std::move(request),
+                                              deadline, connection_use::fresh);
+    if (!result) {
+        answer({.ticket = order.ticket, .answer = judge_loss(result.reason())});
+    } else if (result->status != status_ok) {
+        answer({.ticket = order.ticket, .answer = judge_refusal(*result)});
+    } else {
+        answer({.ticket = order.ticket, .answer = result->body});
+    }
+}
+
+} // namespace savorydock
--- /dev/null
+++ b/drivers/entry/entry_instance.cpp
@@ -0,0 +1,297 @@
+#include "drivers/entry/entry_instance.hpp"
+
+#include "drivers/caf_runtime/control_runtime.hpp"
+#include "drivers/caller_http/caller_api.hpp"
+#include "drivers/entry/entry_executor.hpp"
+#include "drivers/entry/status_json.hpp"
+#include "drivers/logging/log4cxx_logger.hpp"
+#include "drivers/operator_http/operator_api.hpp"
+#include "drivers/peer/peer_link.hpp"
+#include "drivers/platform_kv/etcd_gateway_client.hpp"
+#include "servers/configuration/configuration_server.hpp"
+#include "servers/explain/explain_server.hpp"
+#include "servers/routing/snapshot_router.hpp"
+
+#include <boost/json/object.hpp>
+
+#include <random>
+#include <sstream>
+#include <thread>
+
+namespace savorydock {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds drain_check{20};
+
+std::uint64_t draw_seed() {
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+std::string to_hex(std::uint64_t number) {
+    std::ostringstream text;
+    text << std::hex << number;
+    return text.str();
+}
+
+std::vector<known_instance> known_from(const instance_settings& settings) {
+    std::vector<known_instance> known;
+    for (const peer_rule& peer : settings.peers) {
+        known.push_back(
+            {.instance = peer.name, .zone = peer.zone, .is_alive = true});
+    }
+    return known;
+}
+
+} // namespace
+
+/// The parts in the order of their construction. Control and traffic stop
+/// before what they use is destroyed, see `stop`.
+struct entry_instance::parts {
+    parts(instance_settings used, std::shared_ptr<const step_charts> charts)
+        : settings(std::move(used))
+        , seed(draw_seed())
+        , random(seed)
+        , log(settings.log_file, settings.log_level, settings.instance.text())
+        , control_io(1)
+        , traffic_io(settings.traffic_threads)
+        , platform(control_io.context(0), settings.platform)
+        , peers(control_io.context(0),
+                {.instance = settings.instance,
+                 .zone = settings.zone,
+                 .listen = settings.peer_listen,
+                 .peer_key = settings.peer_key,
+                 .seed = seed},
+                log)
+        , executor(control_io.context(0), peers, platform)
+        , runtime({}, executor, log)
+        , router(settings.zone, seed)
+        , keys(key_ledger_options{})
+        , decisions(decision_log_options{})
+        , configuration(
+              {.instance = settings.instance,
+               .zone = settings.zone,
+               .on_view = [this](auto view) { take_view(std::move(view)); }},
+              random)
+        , explanations({.instance = settings.instance}, decisions)
+        , traffic{.instance = settings.instance,
+                  .router = router,
+                  .keys = keys,
+                  .decisions = decisions,
+                  .log = log,
+                  .charts = std::move(charts),
+                  .observe =
+                      [this](upstream_observation seen) {
+                          runtime.post_observation(std::move(seen));
+                      }}
+        , caller_server(traffic_io, settings.limits, make_caller_api(traffic))
+        , operator_server(control_io, settings.limits,
+                          make_operator_api(operators)) {
+        traffic.incarnation = to_hex(seed);
+        for (std::size_t i = 0; i < traffic_io.size(); ++i) {
+            traffic.contexts.emplace_back(traffic_io.context(i));
+            traffic.clients.push_back(
+                std::make_unique<upstream_client>(traffic_io.context(i)));
+        }
+        set_up_operators();
+    }
+
+    ~parts() { stop(); }
+
+    outcome<done> start();
+    void stop();
+    void take_view(std::shared_ptr<const configuration_view> view);
+    void set_up_operators();
+    void introduce_peers();
+    json::object make_status(steady_time now) const;
+
+    instance_settings settings;
+    std::uint64_t seed;
+    seeded_random_source random;
+    log4cxx_logger log;
+    traffic_pool control_io;
+    traffic_pool traffic_io;
+    etcd_gateway_client platform;
+    peer_link peers;
+    entry_executor executor;
+    control_runtime runtime;
+    snapshot_router router;
+    key_ledger keys;
+    decision_log decisions;
+    configuration_server configuration;
+    explain_server explanations;
+    operator_services operators;
+    traffic_services traffic;
+    http_server caller_server;
+    http_server operator_server;
+    std::atomic<bool> is_drain_wanted{false};
+    steady_time started = std::chrono::steady_clock::now();
+    endpoint caller_address;
+    endpoint operator_address;
+    endpoint peer_address;
+};
+
+void entry_instance::parts::take_view(
+    std::shared_ptr<const configuration_view> view) {
+    router.publish(view, std::make_shared<const upstream_state_map>());
+    traffic.configuration.store(view);
+    runtime.post_configuration(std::move(view));
+}
+
+void entry_instance::parts::introduce_peers() {
+    std::map<instance_id, endpoint> addresses;
+    std::vector<instance_id> names;
+    for (const peer_rule& peer : settings.peers) {
+        addresses.emplace(peer.name, peer.address);
+        names.push_back(peer.name);
+    }
+    executor.set_addresses(std::move(addresses));
+    runtime.post([this, names](steady_time now, command_list&) {
+        explanations.set_peers(names);
+        configuration.on_instances(known_from(settings), now);
+    });
+}
+
+json::object entry_instance::parts::make_status(steady_time now) const {
+    return {
+        {"instance", settings.instance.text()},
+        {"zone", settings.zone.text()},
+        {"version", SAVORYDOCK_VERSION},
+        {"draining", traffic.is_draining.load()},
+        {"uptime_ms",
+         std::chrono::duration_cast<std::chrono::milliseconds>(now - started)
+             .count()},
+        {"active_requests", caller_server.active_requests()},
+        {"open_connections", caller_server.open_connections()},
+        {"configuration", to_json(configuration.status(now))},
+        {"peers", to_json(peers.counters())},
+    };
+}
+
+void entry_instance::parts::set_up_operators() {
+    operators.operator_key = settings.operator_key;
+    operators.read_status = [this](auto answer) {
+        runtime.post([this, answer](steady_time now, command_list&) {
+            answer(make_status(now));
+        });
+    };
+    operators.explain = [this](std::string subject, auto answer) {
+        runtime.post([this, subject = std::move(subject),
+                      answer](steady_time now, command_list& out) {
+            explanations.ask(
+                subject,
+                [answer](const explanation& found) { answer(to_json(found)); },
+                now, out);
+        });
+    };
+    operators.write_metrics = [this] {
+        return "savorydock_active_requests " +
+               std::to_string(caller_server.active_requests()) + "\n";
+    };
+    operators.start_drain = [this] { is_drain_wanted = true; };
+    operators.clear_suspect = [](const std::string&, auto answer) {
+        answer({{"cleared", false}});
+    };
+    operators.is_ready = [this] {
+        return !traffic.is_draining && traffic.configuration.load() != nullptr;
+    };
+}
+
+outcome<done> entry_instance::parts::start() {
+    peers.on_message([this](const peer_message& message) {
+        runtime.post_peer_message(message);
+    });
+    const auto peer = peers.start();
+    if (!peer) {
+        return peer.reason();
+    }
+    runtime.add(configuration);
+    runtime.add(explanations);
+    runtime.start();
+    introduce_peers();
+    const auto operator_used = operator_server.listen(settings.operator_listen);
+    if (!operator_used) {
+        return operator_used.reason();
+    }
+    const auto caller = caller_server.listen(settings.caller_listen);
+    if (!caller) {
+        return caller.reason();
+    }
+    peer_address = *peer;
+    operator_address = *operator_used;
+    caller_address = *caller;
+    log.write(log_event::instance_started,
+              "zone=" + settings.zone.text() +
+                  " caller=" + to_text(caller_address) + " operator=" +
+                  to_text(operator_address) + " peer=" + to_text(peer_address));
+    return done{};
+}
+
+void entry_instance::parts::stop() {
+    caller_server.stop_accepting();
+    operator_server.stop_accepting();
+    peers.stop();
+    traffic_io.stop();
+    control_io.stop();
+    runtime.stop();
+    log.write(log_event::instance_stopped, "");
+}
+
+entry_instance::entry_instance(std::unique_ptr<parts> made)
+    : parts_(std::move(made)) {}
+
+entry_instance::~entry_instance() = default;
+
+outcome<std::unique_ptr<entry_instance>>
+entry_instance::start(const instance_settings& settings) {
+    auto charts = step_charts::load(settings.chart_folder);
+    if (!charts) {
+        return charts.reason();
+    }
+    auto made = std::make_unique<parts>(
+        settings, std::make_shared<const step_charts>(std::move(*charts)));
+    const auto started = made->start();
+    if (!started) {
+        made->log.write(log_event::listener_failed, started.reason().detail);
+        return started.reason();
+    }
+    return std::unique_ptr<entry_instance>(new entry_instance(std::move(made)));
+}
+
+bool entry_instance::drain() {
+    parts_->traffic.is_draining = true;
+    const auto& server = parts_->caller_server;
+    parts_->log.write(log_event::drain_started,
+                      "active=" + std::to_string(server.active_requests()));
+    const steady_time deadline =
+        std::chrono::steady_clock::now() + parts_->settings.drain_timeout;
+    while (server.active_requests() > 0 &&
+           std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(drain_check);
+    }
+    const std::size_t left = server.active_requests();
+    parts_->log.write(log_event::drain_finished,
+                      "left=" + std::to_string(left));
+    return left == 0;
+}
+
+bool entry_instance::is_drain_wanted() const {
+    return parts_->is_drain_wanted;
+}
+
+const endpoint& entry_instance::caller_address() const {
+    return parts_->caller_address;
+}
+
+const endpoint& entry_instance::operator_address() const {
+    return parts_->operator_address;
+}
+
+const endpoint& entry_instance::peer_address() const {
+    return parts_->peer_address;
+}
+
+} // namespace savorydock
--- /dev/null
+++ b/drivers/logging/log4cxx_logger.cpp
@@ -0,0 +1,80 @@
+#include "drivers/logging/log4cxx_logger.hpp"
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+namespace savorydock {
+
+namespace {
+
+log4cxx::LevelPtr to_level(log_level level) {
+    switch (level) {
+    case log_level::debug:
+        return log4cxx::Level::getDebug();
+    case log_level::info:
+        return log4cxx::Level::getInfo();
+    case log_level::warning:
+        return log4cxx::Level::getWarn();
+    case log_level::error:
+        break;
+    }
+    return log4cxx::Level::getError();
+}
+
+log4cxx::LevelPtr to_level(const std::string& name) {
+    if (name == "debug") {
+        return log4cxx::Level::getDebug();
+    }
+    if (name == "warning") {
+        return log4cxx::Level::getWarn();
+    }
+    return name == "error" ? log4cxx::Level::getError()
+                           : log4cxx::Level::getInfo();
+}
+
+} // namespace
+
+struct log4cxx_logger::state {
+    log4cxx::LoggerPtr target;
+};
+
+log4cxx_logger::log4cxx_logger(const std::string& file,
+                               const std::string& level,
+                               const std::string& instance)
+    : state_(std::make_unique<state>()) {
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(
+        "%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %-5p " + instance + " %m%n");
+    log4cxx::AppenderPtr appender;
+    if (file == "-") {
+        appender = std::make_shared<log4cxx::ConsoleAppender>(
+            layout, log4cxx::ConsoleAppender::getSystemErr());
+    } else {
+        appender = std::make_shared<log4cxx::FileAppender>(layout, file, true);
+    }
+    state_->target = log4cxx::Logger::getLogger("savorydock." + instance);
+    state_->target->setAdditivity(false);
+    state_->target->setLevel(to_level(level));
+    state_->target->addAppender(appender);
+}
+
+log4cxx_logger::~log4cxx_logger() {
+    state_->target->removeAllAppenders();
+}
+
+void log4cxx_logger::write(log_event event, std::string_view detail) {
+    const log_event_entry& entry = describe(event);
+    const log4cxx::LevelPtr level = to_level(entry.level);
+    if (!state_->target->isEnabledFor(level)) {
+        return;
+    }
+    std::string line = std::to_string(static_cast<unsigned>(event)) + ' ' +
+                       std::string(entry.name);
+    if (!detail.empty()) {
+        line += ' ' + std::string(detail);
+    }
+    state_->target->forcedLog(level, line, LOG4CXX_LOCATION);
+}
+
+} // namespace savorydock
--- /dev/null
+++ b/drivers/operator_http/operator_command.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace savorydock {
+
+/// The operators' command line as it was given.
+struct operator_command_line {
+    /// The subcommand and its arguments.
+    std::vector<std::string> arguments;
+    std::string operator_address;
+    std::string operator_key;
+    std::string platform;
+    std::string operator_name;
+    bool is_json = false;
+    bool is_waiting = false;
+    std::chrono::seconds timeout{30};
+};
+
+/// What a newcomer reads with --help.
+[[nodiscard]] std::string operator_usage();
+
+/// Runs one subcommand; prints to the standard streams. Returns the exit
+/// code, see docs/OPERATING.md. Blocks.
+[[nodiscard]] int run_operator_command(const operator_command_line& line);
+
+} // namespace savorydock
--- /dev/null
+++ b/main/savorydock.cpp
@@ -0,0 +1,29 @@
+#include "drivers/operator_http/operator_command.hpp"
+
+#include <gflags/gflags.h>
+
+DEFINE_string(operator_address, "",
+              "Operators' address of any instance, as 127.0.0.1:9000");
+DEFINE_string(operator_key, "", "The operators' key of the deployment");
+DEFINE_string(platform, "",
+              "Addresses of the platform's store, separated by commas");
+DEFINE_string(operator_name, "", "Who publishes; default is $USER");
+DEFINE_bool(json, false, "Print JSON instead of text");
+DEFINE_bool(wait, false, "publish: wait until the instances have it in force");
+DEFINE_int32(timeout_s, 30, "How long a command may take, in seconds");
+
+int main(int argc, char** argv) {
+    gflags::SetUsageMessage(savorydock::operator_usage());
+    gflags::SetVersionString(SAVORYDOCK_VERSION);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    return savorydock::run_operator_command({
+        .arguments = {argv + 1, argv + argc},
+        .operator_address = FLAGS_operator_address,
+        .operator_key = FLAGS_operator_key,
+        .platform = FLAGS_platform,
+        .operator_name = FLAGS_operator_name,
+        .is_json = FLAGS_json,
+        .is_waiting = FLAGS_wait,
+        .timeout = std::chrono::seconds(FLAGS_timeout_s),
+    });
+}
--- /dev/null
+++ b/servers/explain/explain_server.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "servers/control_server.hpp"
+#include "servers/explain/decision_log.hpp"
+
+#include <boost/describe.hpp>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace savorydock {
+
+/// Asks an instance for its record of a subject, or answers with it.
+struct explain_message {
+    std::uint64_t question = 0;
+    bool is_answer = false;
+    std::string subject;
+    decision_record record;
+};
+BOOST_DESCRIBE_STRUCT(explain_message, (),
+                      (question, is_answer, subject, record))
+
+/// The records of one subject from all instances that answered.
+struct explanation {
+    std::string subject;
+    std::map<instance_id, decision_record> records;
+    /// Instances that answered, with or without a record.
+    std::vector<instance_id> answered;
+    std::vector<instance_id> silent;
+};
+
+struct explain_options {
+    instance_id instance;
+    /// How long peers are waited for.
+    std::chrono::milliseconds timeout{1'000};
+};
+
+/// Finds the decisions about a subject on whichever instance has them. The
+/// log must outlive the server.
+class explain_server final : public control_server {
+public:
+    using answer_handler = std::function<void(explanation)>;
+
+    explain_server(explain_options options, const decision_log& decisions)
+        : options_(std::move(options))
+        , decisions_(decisions) {}
+
+    [[nodiscard]] peer_topic topic() const override {
+        return peer_topic::explain;
+    }
+
+    /// Takes the instances that may be asked.
+    void set_peers(std::vector<instance_id> peers);
+
+    /// Asks all peers; calls `answer` once, when all have answered or the
+    /// timeout has passed.
+    void ask(const std::string& subject, answer_handler answer, steady_time now,
+             command_list& out);
+
+    void on_tick(steady_time now, command_list& out) override;
+    void on_peer_message(const peer_message& message, steady_time now,
+                         command_list& out) override;
+
+private:
+    struct question {
+        explanation found;
+        std::set<instance_id> waiting;
+        steady_time deadline{};
+        answer_handler answer;
+    };
+
+    void take_answer(const instance_id& from, explain_message message);
+    static void finish(question& asked);
+
+    explain_options options_;
+    const decision_log& decisions_;
+    std::vector<instance_id> peers_;
+    std::map<std::uint64_t, question> questions_;
+    std::uint64_t next_question_ = 1;
+};
+
+} // namespace savorydock
