--- a/drivers/caller_http/generation_run.cpp
+++ b/drivers/caller_http/generation_run.cpp
@@ -1,5 +1,7 @@
 #include "drivers/caller_http/generation_run.hpp"
 
+#include "drivers/caller_http/admission_gate.hpp"
+
 #include <boost/container_hash/hash.hpp>
 
 #include <algorithm>
@@ -86,6 +88,11 @@
                                               std::size_t worker,
                                               answer_assembler& answer,
                                               traffic_services& services) {
+    const auto pass =
+        co_await services.gate.enter(request, 1, services.contexts.at(worker));
+    if (!pass) {
+        co_return pass.reason();
+    }
     const retry_rule& rule = request.service->document->retries;
     upstream_attempt attempt(services, request);
     failure last{result_code::not_run_no_upstream, "nobody was tried"};
--- a/drivers/caller_http/plain_call.cpp
+++ b/drivers/caller_http/plain_call.cpp
@@ -1,5 +1,6 @@
 #include "drivers/caller_http/plain_call.hpp"
 
+#include "drivers/caller_http/admission_gate.hpp"
 #include "drivers/caller_http/upstream_attempt.hpp"
 
 #include <array>
@@ -58,6 +59,11 @@
 asio::awaitable<outcome<http_response>>
 run_call(http_exchange& exchange, const caller_request& request,
          std::string path, bool is_idempotent, traffic_services& services) {
+    const auto pass = co_await services.gate.enter(
+        request, 1, services.contexts.at(exchange.worker()));
+    if (!pass) {
+        co_return pass.reason();
+    }
     const retry_rule& rule = request.service->document->retries;
     upstream_attempt attempt(services, request);
     failure last{result_code::not_run_no_upstream, "nobody was tried"};
--- a/drivers/caller_http/traffic_services.hpp
+++ b/drivers/caller_http/traffic_services.hpp
@@ -18,11 +18,14 @@
 
 namespace savorydock {
 
+class admission_gate;
+
 /// What the traffic threads of one instance share. Every member is thread
 /// safe, or belongs to one traffic thread by its index.
 struct traffic_services {
     instance_id instance;
     upstream_router& router;
+    admission_gate& gate;
     key_ledger& keys;
     decision_log& decisions;
     logger& log;
--- a/drivers/entry/entry_instance.cpp
+++ b/drivers/entry/entry_instance.cpp
@@ -1,6 +1,7 @@
 #include "drivers/entry/entry_instance.hpp"
 
 #include "drivers/caf_runtime/control_runtime.hpp"
+#include "drivers/caller_http/admission_gate.hpp"
 #include "drivers/caller_http/caller_api.hpp"
 #include "drivers/entry/entry_executor.hpp"
 #include "drivers/entry/status_json.hpp"
@@ -77,8 +78,10 @@
                .on_view = [this](auto view) { take_view(std::move(view)); }},
               random)
         , explanations({.instance = settings.instance}, decisions)
+        , gate(router)
         , traffic{.instance = settings.instance,
                   .router = router,
+                  .gate = gate,
                   .keys = keys,
                   .decisions = decisions,
                   .log = log,
@@ -123,6 +126,7 @@
     decision_log decisions;
     configuration_server configuration;
     explain_server explanations;
+    admission_gate gate;
     operator_services operators;
     traffic_services traffic;
     http_server caller_server;
