Give operators publish, diff and delete

Cause: the path begins with an operator's publish. The exit codes are in one place. Conclusion: the command line stays thin over the library.

--- /dev/null
+++ b/drivers/operator_http/command_result.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/outcome.hpp"
+
+#include <string>
+
+namespace savorydock {
+
+/// Exit codes of the operators' command, see docs/OPERATING.md.
+enum class exit_code : int {
+    ok = 0,
+    failed = 1,
+    usage = 2,
+    invalid_document = 3,
+    conflict = 4,
+    unknown = 5,
+    unreachable = 6,
+    not_found = 7,
+};
+
+/// Returns the exit code that tells a script about a result. Thread safe.
+[[nodiscard]] exit_code exit_code_of(result_code code);
+
+/// Prints a reason to the standard error output; returns its exit code.
+exit_code fail_command(const failure& reason);
+
+/// Prints a fault of the command line.
+exit_code fail_usage(const std::string& text);
+
+} // namespace savorydock
--- a/drivers/operator_http/operator_command.cpp
+++ b/drivers/operator_http/operator_command.cpp
@@ -3,12 +3,12 @@
 #include "core/service_document.hpp"
 #include "core/text_file.hpp"
 #include "drivers/http/http_client.hpp"
+#include "drivers/operator_http/command_result.hpp"
 #include "drivers/operator_http/explain_text.hpp"
-#include "drivers/platform_kv/publisher.hpp"
+#include "drivers/operator_http/publish_command.hpp"
 
 #include <boost/json.hpp>
 
-#include <cstdlib>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -19,72 +19,26 @@
 
 namespace {
 
-enum class exit_code : int {
-    ok = 0,
-    failed = 1,
-    usage = 2,
-    invalid_document = 3,
-    conflict = 4,
-    unknown = 5,
-    unreachable = 6,
-    not_found = 7,
-};
-
 constexpr unsigned status_ok = 200;
 
-exit_code exit_code_of(result_code code) {
-    switch (code) {
-    case result_code::ok:
-        return exit_code::ok;
-    case result_code::invalid_document:
-    case result_code::invalid_json:
-        return exit_code::invalid_document;
-    case result_code::publish_conflict:
-        return exit_code::conflict;
-    case result_code::publish_unknown:
-        return exit_code::unknown;
-    case result_code::platform_unreachable:
-    case result_code::not_run_no_upstream:
-    case result_code::unknown_upstream_lost:
-    case result_code::unknown_deadline:
-        return exit_code::unreachable;
-    case result_code::not_found:
-        return exit_code::not_found;
-    default:
-        return exit_code::failed;
-    }
-}
-
-exit_code fail(const failure& reason) {
-    std::cerr << name_of(reason.code) << " ("
-              << static_cast<unsigned>(reason.code) << "): " << reason.detail
-              << '\n';
-    return exit_code_of(reason.code);
-}
-
-exit_code fail_usage(const std::string& text) {
-    std::cerr << "savorydock: " << text << "; see savorydock --help\n";
-    return exit_code::usage;
-}
-
 /// One call of an instance's operators' interface.
 outcome<json::object> ask_instance(const operator_command_line& line,
                                    std::string method, std::string target) {
-    const auto address = parse_endpoint(line.operator_address);
-    if (!address) {
+    const auto addresses = parse_endpoints(line.operator_address);
+    if (!addresses) {
         return failure{result_code::invalid_settings,
-                       "--operator_address: expected " +
-                           address.reason().detail};
+                       "--operator_address: " + addresses.reason().detail};
     }
+    const endpoint& address = addresses->front();
     const auto answer = call_blocking(
-        *address,
+        address,
         {.method = std::move(method),
          .target = std::move(target),
          .headers = {{"Authorization", "Bearer " + line.operator_key}}},
         line.timeout);
     if (!answer) {
         return failure{answer.reason().code,
-                       to_text(*address) + ": " + answer.reason().detail};
+                       to_text(address) + ": " + answer.reason().detail};
     }
     json::error_code error;
     const json::value body = json::parse(answer->body, error);
@@ -103,7 +57,7 @@
     const operator_command_line& line, const outcome<json::object>& answer,
     const std::function<std::string(const json::object&)>& to_readable) {
     if (!answer) {
-        return fail(answer.reason());
+        return fail_command(answer.reason());
     }
     std::cout << (line.is_json ? json::serialize(*answer) + "\n"
                                : to_readable(*answer));
@@ -119,7 +73,7 @@
         const std::string& file = line.arguments[i];
         const auto text = read_text_file(file);
         if (!text) {
-            result = fail(text.reason());
+            result = fail_command(text.reason());
             continue;
         }
         const auto document = parse_service_document(*text);
@@ -183,8 +137,11 @@
 /// The one place where subcommands are registered.
 const std::map<std::string, subcommand>& subcommands() {
     static const std::map<std::string, subcommand> table{
-        {"check", run_check}, {"status", run_status}, {"explain", run_explain},
-        {"drain", run_drain}, {"clear", run_clear},   {"version", run_version},
+        {"check", run_check},     {"publish", run_publish},
+        {"diff", run_diff},       {"delete", run_delete},
+        {"status", run_status},   {"explain", run_explain},
+        {"drain", run_drain},     {"clear", run_clear},
+        {"version", run_version},
     };
     return table;
 }
@@ -196,12 +153,14 @@
            "  savorydock check FILE...        check service files\n"
            "  savorydock diff FILE...         show what publish would change\n"
            "  savorydock publish FILE...      put service files in force\n"
+           "  savorydock delete SERVICE       take a service out of force\n"
            "  savorydock status               show what an instance knows\n"
            "  savorydock explain REQUEST_ID   show why a request ended so\n"
            "  savorydock clear FINGERPRINT    let a held request run again\n"
            "  savorydock drain                end an instance gracefully\n"
            "  savorydock version              show the version\n\n"
-           "check needs no flag; publish and diff need --platform; the others "
+           "check needs no flag; publish, diff and delete need --platform; the "
+           "others "
            "need\n--operator_address and --operator_key. --json prints JSON. "
            "Exit codes: 0 done,\n1 failed, 2 usage, 3 invalid document, 4 "
            "conflict, 5 outcome unknown,\n6 unreachable, 7 not found.";
--- a/main/savorydock.cpp
+++ b/main/savorydock.cpp
@@ -3,7 +3,8 @@
 #include <gflags/gflags.h>
 
 DEFINE_string(operator_address, "",
-              "Operators' address of any instance, as 127.0.0.1:9000");
+              "Operators' addresses of instances, separated by commas; all but "
+              "publish --wait ask the first");
 DEFINE_string(operator_key, "", "The operators' key of the deployment");
 DEFINE_string(platform, "",
               "Addresses of the platform's store, separated by commas");
--- a/tests/fakes/fake_trainer_main.cpp
+++ b/tests/fakes/fake_trainer_main.cpp
@@ -3,7 +3,6 @@
 #include <gflags/gflags.h>
 
 #include <iostream>
-#include <sstream>
 
 DEFINE_string(entries, "", "Entry instances, separated by commas");
 DEFINE_string(key, "", "The trainer's key");
@@ -16,19 +15,6 @@
 
 namespace {
 
-std::vector<savorydock::endpoint> read_entries(const std::string& text) {
-    std::vector<savorydock::endpoint> entries;
-    std::istringstream stream(text);
-    std::string one;
-    while (std::getline(stream, one, ',')) {
-        const auto parsed = savorydock::parse_endpoint(one);
-        if (parsed) {
-            entries.push_back(*parsed);
-        }
-    }
-    return entries;
-}
-
 void print(const savorydock::trainer_sample& sample) {
     std::cout << "sample group=" << sample.group << " index=" << sample.index
               << " by=" << sample.instance << " versions=";
@@ -43,13 +29,13 @@
 
 int main(int argc, char** argv) {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const auto entries = read_entries(FLAGS_entries);
-    if (entries.empty()) {
+    const auto entries = savorydock::parse_endpoints(FLAGS_entries);
+    if (!entries) {
         std::cerr << "--entries: expected ADDRESS[,ADDRESS]\n";
         return 2;
     }
     savorydock::fake_trainer trainer(
-        {.entries = entries,
+        {.entries = *entries,
          .key = FLAGS_key,
          .model = FLAGS_model,
          .step = FLAGS_step,
