--- /dev/null
+++ b/drivers/platform_kv/blocking_store.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/endpoint.hpp"
+#include "core/outcome.hpp"
+#include "drivers/platform_kv/etcd_gateway_client.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <vector>
+
+namespace savorydock {
+
+/// The platform's service for tools: each call waits for its answer. Not
+/// thread safe.
+class blocking_store {
+public:
+    /// Precondition: there is at least one address.
+    explicit blocking_store(std::vector<endpoint> addresses);
+
+    /// Errors: as `platform_store::submit`.
+    [[nodiscard]] outcome<platform_answer> call(const platform_request& request,
+                                                steady_time deadline);
+
+private:
+    boost::asio::io_context context_{1};
+    etcd_gateway_client client_;
+};
+
+} // namespace savorydock
