--- a/servers/configuration/configuration_spread.hpp
+++ b/servers/configuration/configuration_spread.hpp
@@ -23,7 +23,7 @@
     static constexpr std::chrono::milliseconds pull_timeout{1'000};
     /// Random peers, beside the keepers, told of a new revision at once.
     static constexpr std::size_t push_count = 2;
-    static constexpr std::size_t max_delta_bytes = 256 * 1024;
+    static constexpr std::size_t max_delta_bytes = 262'144;
 
     configuration_spread(instance_id self, random_source& random)
         : self_(std::move(self))
--- a/servers/configuration/text_patch.cpp
+++ b/servers/configuration/text_patch.cpp
@@ -9,7 +9,7 @@
     const auto prefix = static_cast<std::size_t>(
         std::mismatch(from.begin(), from.begin() + limit, to.begin()).first -
         from.begin());
-    const std::size_t rest = limit - prefix;
+    const auto rest = static_cast<std::ptrdiff_t>(limit - prefix);
     const auto suffix = static_cast<std::size_t>(
         std::mismatch(from.rbegin(), from.rbegin() + rest, to.rbegin()).first -
         from.rbegin());
--- a/tests/servers/configuration/publish_protocol_test.cpp
+++ b/tests/servers/configuration/publish_protocol_test.cpp
@@ -160,6 +160,10 @@
     bool is_overtaken;
 };
 
+std::ostream& operator<<(std::ostream& out, const lost_answer_case& row) {
+    return out << row.name;
+}
+
 class lost_swap_test : public ::testing::TestWithParam<lost_answer_case> {};
 
 TEST_P(lost_swap_test, answer_lost_result_is_never_guessed) {
@@ -229,6 +233,7 @@
             plan_of(id, id + "\n", service), random));
     }
     std::vector<publisher_run*> waiting;
+    waiting.reserve(runs.size());
     for (const auto& run : runs) {
         waiting.push_back(run.get());
     }
