--- a/drivers/caller_http/plain_call.cpp
+++ b/drivers/caller_http/plain_call.cpp
@@ -4,6 +4,7 @@
 #include "drivers/caller_http/upstream_attempt.hpp"
 
 #include <array>
+#include <optional>
 
 namespace savorydock {
 
@@ -192,10 +193,15 @@
         std::string_view(path).substr(0, path.find('?'));
     const bool is_idempotent =
         request.service->document->is_idempotent(plain_path);
-    auto answer =
-        is_idempotent
-            ? co_await run_idempotent(exchange, request, path, services)
-            : co_await run_once(exchange, request, path, services);
+    // No conditional expression around co_await: GCC 12 destroys the result
+    // of one twice.
+    std::optional<outcome<recorded_answer>> ended;
+    if (is_idempotent) {
+        ended = co_await run_idempotent(exchange, request, path, services);
+    } else {
+        ended = co_await run_once(exchange, request, path, services);
+    }
+    const outcome<recorded_answer>& answer = *ended;
     note_end(services, request.id, answer.reason());
     http_response response =
         answer ? to_response(*answer, request.id, services.instance)
