--- /dev/null
+++ b/servers/membership/upstream_registry.cpp
@@ -0,0 +1,176 @@
+#include "servers/membership/upstream_registry.hpp"
+
+#include "servers/membership/stable_hash.hpp"
+
+#include <algorithm>
+
+namespace savorydock {
+
+namespace {
+
+constexpr std::size_t max_reports = 32;
+
+upstream_key key_of(const upstream_record& record) {
+    return {record.service, record.upstream};
+}
+
+bool raise(store_revision& held, store_revision candidate) {
+    if (candidate <= held) {
+        return false;
+    }
+    held = candidate;
+    return true;
+}
+
+bool is_newer(const zone_report& left, const zone_report& right) {
+    return left.sequence > right.sequence ||
+           (left.sequence == right.sequence && !left.is_suspected &&
+            right.is_suspected);
+}
+
+bool merge_report(std::vector<zone_report>& held, const zone_report& report) {
+    const auto found =
+        std::find_if(held.begin(), held.end(), [&](const zone_report& entry) {
+            return entry.zone == report.zone;
+        });
+    if (found == held.end()) {
+        if (held.size() >= max_reports || report.sequence == 0) {
+            return false;
+        }
+        held.push_back(report);
+        // One order everywhere, for the digest.
+        std::sort(held.begin(), held.end(),
+                  [](const auto& a, const auto& b) { return a.zone < b.zone; });
+        return true;
+    }
+    if (!is_newer(report, *found)) {
+        return false;
+    }
+    *found = report;
+    return true;
+}
+
+std::uint64_t name_hash(const upstream_record& record) {
+    return stable_hash(record.upstream.text(),
+                       stable_hash(record.service.text()));
+}
+
+std::uint64_t content_hash(const upstream_record& record) {
+    std::uint64_t hash = stable_hash("leaving", record.leaving_through);
+    hash = stable_hash("registered", hash ^ record.registered);
+    for (const zone_report& report : record.reports) {
+        hash = stable_hash(
+            report.zone.text(),
+            hash ^ (report.sequence * 2 + (report.is_suspected ? 1 : 0)));
+    }
+    return hash ^ name_hash(record);
+}
+
+} // namespace
+
+const zone_report* find_report(const upstream_record& record,
+                               const availability_zone& zone) {
+    for (const zone_report& report : record.reports) {
+        if (report.zone == zone) {
+            return &report;
+        }
+    }
+    return nullptr;
+}
+
+upstream_record* upstream_registry::obtain(const upstream_key& key) {
+    const auto found = records_.find(key);
+    if (found != records_.end()) {
+        return &found->second;
+    }
+    if (records_.size() >= max_records) {
+        return nullptr;
+    }
+    upstream_record& record = records_[key];
+    record.service = key.service;
+    record.upstream = key.upstream;
+    return &record;
+}
+
+bool upstream_registry::merge(const upstream_record& record) {
+    upstream_record* held = obtain(key_of(record));
+    if (held == nullptr) {
+        return false;
+    }
+    bool is_news = raise(held->leaving_through, record.leaving_through);
+    is_news = raise(held->registered, record.registered) || is_news;
+    for (const zone_report& report : record.reports) {
+        is_news = merge_report(held->reports, report) || is_news;
+    }
+    return is_news;
+}
+
+bool upstream_registry::note_leaving(const upstream_key& key,
+                                     store_revision through) {
+    upstream_record* held = obtain(key);
+    // Revisions begin at 1, so that 0 says "not leaving".
+    return held != nullptr &&
+           raise(held->leaving_through, std::max<store_revision>(through, 1));
+}
+
+bool upstream_registry::note_registered(const upstream_key& key,
+                                        store_revision created) {
+    upstream_record* held = obtain(key);
+    return held != nullptr && raise(held->registered, created);
+}
+
+bool upstream_registry::note_report(const upstream_key& key,
+                                    const availability_zone& zone,
+                                    bool is_suspected) {
+    upstream_record* held = obtain(key);
+    if (held == nullptr) {
+        return false;
+    }
+    const zone_report* last = find_report(*held, zone);
+    if (last == nullptr ? !is_suspected : last->is_suspected == is_suspected) {
+        return false;
+    }
+    const std::uint64_t sequence = last == nullptr ? 1 : last->sequence + 1;
+    return merge_report(held->reports, {zone, sequence, is_suspected});
+}
+
+void upstream_registry::retain(const std::set<upstream_key>& keys) {
+    std::erase_if(records_, [&](const auto& entry) {
+        return !keys.contains(entry.first);
+    });
+}
+
+const upstream_record* upstream_registry::find(const upstream_key& key) const {
+    const auto found = records_.find(key);
+    return found == records_.end() ? nullptr : &found->second;
+}
+
+bool upstream_registry::is_leaving(const upstream_key& key) const {
+    const upstream_record* record = find(key);
+    return record != nullptr && record->leaving_through > 0 &&
+           record->leaving_through >= record->registered;
+}
+
+std::vector<std::uint64_t> upstream_registry::digest() const {
+    std::vector<std::uint64_t> buckets(bucket_count, 0);
+    for (const auto& [key, record] : records_) {
+        buckets[name_hash(record) % bucket_count] += content_hash(record);
+    }
+    return buckets;
+}
+
+std::vector<upstream_record>
+upstream_registry::differing(const std::vector<std::uint64_t>& mine,
+                             const std::vector<std::uint64_t>& theirs,
+                             std::size_t limit) const {
+    std::vector<upstream_record> found;
+    for (const auto& [key, record] : records_) {
+        const std::size_t bucket = name_hash(record) % bucket_count;
+        if (found.size() < limit && mine[bucket] != theirs[bucket]) {
+            found.push_back(record);
+        }
+    }
+    return found;
+}
+
+} // namespace savorydock
