Test that a word of death leaves a member time to refute

The mutation that takes such a word at once survived the fault tables: the fleet agrees in the end either way. The new test states the rule itself and fails under that mutation. Parameters print by name, so that test names stay the same from run to run.

--- a/tests/servers/membership/membership_server_test.cpp
+++ b/tests/servers/membership/membership_server_test.cpp
@@ -53,6 +53,10 @@
     message_faults faults;
 };
 
+std::ostream& operator<<(std::ostream& out, const fault_case& tested) {
+    return out << tested.name;
+}
+
 class membership_fault_test : public testing::TestWithParam<fault_case> {
 protected:
     membership_fault_test() {
@@ -266,6 +270,28 @@
     EXPECT_EQ(server_.table().self().condition, member_condition::alive);
 }
 
+TEST_F(membership_server_test, word_of_death_leaves_time_to_refute) {
+    member_record other{.name = instance_id("entry-1"),
+                        .zone = availability_zone("zone-0"),
+                        .address = {"127.0.0.1", 2},
+                        .incarnation = 3};
+    const auto hear = [&] {
+        server_.on_peer_message(
+            {.from = instance_id("x"),
+             .body = wire::encode(membership_message{.members = {other}})},
+            now_, out_);
+        return server_.table().record_of(other.name)->condition;
+    };
+    EXPECT_EQ(hear(), member_condition::alive);
+    other.condition = member_condition::dead;
+    EXPECT_EQ(hear(), member_condition::suspect);
+    EXPECT_EQ(hear(), member_condition::dead);
+    other.condition = member_condition::alive;
+    EXPECT_EQ(hear(), member_condition::dead);
+    other.incarnation = 4;
+    EXPECT_EQ(hear(), member_condition::alive);
+}
+
 RC_GTEST_PROP(upstream_registry_test, any_order_of_merges_ends_alike, ()) {
     const auto records =
         *rc::gen::container<std::vector<upstream_record>>(rc::gen::apply(
