Check at-most-once and step sessions by models, mapped to the code

spin checks both protocols within bounds; names of transitions are compared with the charts and the ledger by a test, so that model and code can't drift apart unseen. The first at_most_once model failed twice for a reason: a claim kept after a hand-over, and a hand-over to an ask that does not name the claim it read. The code had both rules already; each is now a mutation of the model.

--- a/docs/models/at_most_once.pml
+++ b/docs/models/at_most_once.pml
@@ -4,8 +4,8 @@
  * Mechanism: servers/delivery/key_ledger and attempt_gate. The right to run is
  * one token; attempt 1 (or the created claim) makes it.
  *
- * transition: begin ask grant refuse finish fail_not_run fail_unknown
- * transition: hand_over
+ * transition: begin grant refuse finish fail hand_over
+ * not modelled: adopt note_claim
  */
 // mutation: RUN_ON_TIMEOUT
 // mutation: HAND_OVER_TWICE
@@ -13,6 +13,7 @@
 // mutation: RUN_FORGOTTEN
 // mutation: CLAIM_WITHOUT_READ_BACK
 // mutation: KEEP_CLAIM
+// mutation: HAND_OVER_UNNAMED
 
 #define NODES 2
 #define SENDINGS 3
@@ -58,7 +59,12 @@
 
 inline hand_over(n) { /* n holds the right, the other one asked for it */
     if
+#ifdef HAND_OVER_UNNAMED
     :: state[n] == not_run ->
+#else
+    /* An unnumbered ask names the claim that it has read in the store. */
+    :: state[n] == not_run && (is_numbered || claim == n + 1) ->
+#endif
 #ifndef HAND_OVER_TWICE
         state[n] = transferred;
 #endif
--- a/docs/models/step_session.pml
+++ b/docs/models/step_session.pml
@@ -5,6 +5,7 @@
  *
  * transition: present run finish discard hand_over
  * transition: end_complete hear_newer_epoch lose_trainer
+ * not modelled: refuse end_incomplete pass_deadline
  */
 // mutation: IGNORE_BITMAP
 // mutation: HAND_OVER_AGAIN
