Hold requests that crash upstreams; give delivery its control server

An upstream lost under a request marks it; two distinct marks hold it on all instances (not_run_suspect_request). Marks and clearings are sets with unique members, so lost order and doubles do not matter. A marked request runs by a permit of its service's arbiter: one upstream at a time, one suspect an upstream, so that innocent neighbours clear themselves. delivery_server dispatches peer messages, platform replies and traffic's events (delivery_port) to the gate, the suspicion and the step registry.

--- a/servers/delivery/attempt_gate.cpp
+++ b/servers/delivery/attempt_gate.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds claim_pause{200};
 /// A lease for claims is replaced after this part of its life.
 constexpr int lease_parts = 24;
 
--- /dev/null
+++ b/servers/delivery/delivery_server.cpp
@@ -0,0 +1,225 @@
+#include "servers/delivery/delivery_server.hpp"
+
+#include "core/wire_codec.hpp"
+
+#include <utility>
+
+namespace savorydock {
+
+delivery_server::delivery_server(const delivery_server_options& options,
+                                 key_ledger& ledger, delivery_port& port)
+    : options_(options)
+    , port_(port)
+    , gate_(options.gate, ledger)
+    , suspicion_(options.suspicion) {}
+
+void delivery_server::set_peers(std::vector<instance_id> peers) {
+    std::erase(peers, options_.gate.self);
+    gate_.set_peers(peers);
+    peers_ = std::move(peers);
+}
+
+void delivery_server::serve_port(steady_time now, command_list& out) {
+    for (delivery_event& event : port_.take()) {
+        std::visit([&](auto& one) { serve(one, now, out); }, event);
+    }
+}
+
+void delivery_server::on_tick(steady_time now, command_list& out) {
+    serve_port(now, out);
+    gate_.on_tick(now, out);
+    steps_.expire(now);
+    std::vector<std::string> silent;
+    for (const auto& [permit, waiting] : waiting_) {
+        if (now >= waiting.end) {
+            silent.push_back(permit);
+        }
+    }
+    for (const std::string& permit : silent) {
+        // A grant may be under way; the run will not use it.
+        release(waiting_.at(permit).query.service, permit, out);
+        settle_permit(permit, false);
+    }
+    std::vector<run_lost> lost;
+    for (const permit_ask& ask : permits_.take_expired(now)) {
+        lost.push_back({.service = ask.service,
+                        .upstream = ask.upstream,
+                        .fingerprint = ask.fingerprint,
+                        .is_alone = true});
+    }
+    if (!lost.empty()) {
+        serve(lost, now, out);
+    }
+    suspicion_.expire(now);
+    port_.publish(suspicion_.view());
+}
+
+void delivery_server::on_peer_message(const peer_message& message,
+                                      steady_time now, command_list& out) {
+    const auto body = wire::decode<delivery_message>(message.body);
+    if (!body) {
+        out.emplace_back(log_command{log_event::peer_frame_refused,
+                                     "from=" + message.from.text()});
+        return;
+    }
+    if (body->asked) {
+        gate_.on_ask(message.from, *body->asked, now, out);
+    }
+    if (body->replied) {
+        gate_.on_reply(message.from, *body->replied, now, out);
+    }
+    if (body->suspicion) {
+        suspicion_.merge(*body->suspicion, now);
+        port_.publish(suspicion_.view());
+    }
+    if (body->permit_asked) {
+        delivery_message reply;
+        reply.permit_replied =
+            permit_reply{.permit = body->permit_asked->permit,
+                         .is_granted = grant(*body->permit_asked, now)};
+        send(message.from, reply, out);
+    }
+    if (body->permit_replied) {
+        settle_permit(body->permit_replied->permit,
+                      body->permit_replied->is_granted);
+    }
+    if (body->permit_released) {
+        permits_.release(body->permit_released->permit);
+    }
+    if (body->step_opened) {
+        steps_.hear(*body->step_opened, now);
+    }
+}
+
+void delivery_server::on_platform_reply(const platform_reply& reply,
+                                        steady_time now, command_list& out) {
+    gate_.on_platform_reply(reply, now, out);
+}
+
+void delivery_server::serve(right_query& event, steady_time now,
+                            command_list& out) {
+    gate_.seek(std::move(event), now, out);
+}
+
+void delivery_server::serve(const std::vector<run_lost>& event, steady_time now,
+                            command_list& out) {
+    spread(suspicion_.note_loss(event, now), out);
+    for (const run_lost& run : event) {
+        out.emplace_back(log_command{
+            log_event::request_suspected,
+            "service=" + run.service.text() + " upstream=" +
+                run.upstream.text() + " fingerprint=" + run.fingerprint +
+                (suspicion_.is_held(run.fingerprint) ? " held=1" : " held=0")});
+    }
+}
+
+void delivery_server::serve(const suspect_clearing& event, steady_time now,
+                            command_list& out) {
+    const suspicion_update update = suspicion_.clear(event.fingerprint, now);
+    if (update.cleared.empty()) {
+        return;
+    }
+    spread(update, out);
+    out.emplace_back(log_command{log_event::request_cleared,
+                                 "fingerprint=" + event.fingerprint});
+}
+
+void delivery_server::serve(permit_query& event, steady_time now,
+                            command_list& out) {
+    permit_ask ask{.permit = options_.gate.self.text() + '/' +
+                             options_.gate.boot + '/' +
+                             std::to_string(++last_permit_),
+                   .service = event.service,
+                   .fingerprint = event.fingerprint,
+                   .upstream = event.upstream,
+                   .duration = event.duration};
+    const instance_id judge = arbiter(event.service);
+    waiting_[ask.permit] = {.query = std::move(event),
+                            .end = now + options_.permit_wait};
+    if (judge == options_.gate.self) {
+        return settle_permit(ask.permit, grant(ask, now));
+    }
+    delivery_message body;
+    body.permit_asked = ask;
+    send(judge, body, out);
+}
+
+void delivery_server::serve(const permit_return& event, steady_time /*now*/,
+                            command_list& out) {
+    release(event.service, event.permit, out);
+}
+
+void delivery_server::release(const service_name& service,
+                              const std::string& permit, command_list& out) {
+    permits_.release(permit);
+    delivery_message body;
+    body.permit_released = permit_release{.permit = permit};
+    const instance_id judge = arbiter(service);
+    if (judge != options_.gate.self) {
+        send(judge, body, out);
+    }
+}
+
+void delivery_server::serve(step_opening& event, steady_time now,
+                            command_list& out) {
+    delivery_message body;
+    body.step_opened = steps_.open(std::move(event), now);
+    send_all(body, out);
+}
+
+void delivery_server::serve(const step_closing& event, steady_time /*now*/,
+                            command_list& /*out*/) {
+    steps_.close(event.key, event.epoch);
+}
+
+void delivery_server::send(const instance_id& peer,
+                           const delivery_message& body,
+                           command_list& out) const {
+    out.emplace_back(peer_message{.from = options_.gate.self,
+                                  .to = peer,
+                                  .topic = peer_topic::delivery,
+                                  .body = wire::encode(body)});
+}
+
+void delivery_server::send_all(const delivery_message& body,
+                               command_list& out) const {
+    for (const instance_id& peer : peers_) {
+        send(peer, body, out);
+    }
+}
+
+void delivery_server::spread(const suspicion_update& update,
+                             command_list& out) {
+    if (update.marks.empty() && update.cleared.empty()) {
+        return;
+    }
+    delivery_message body;
+    body.suspicion = update;
+    send_all(body, out);
+    port_.publish(suspicion_.view());
+}
+
+instance_id delivery_server::arbiter(const service_name& service) const {
+    std::vector<instance_id> alive = peers_;
+    alive.push_back(options_.gate.self);
+    return arbiter_of(service, alive);
+}
+
+bool delivery_server::grant(const permit_ask& ask, steady_time now) {
+    return !suspicion_.is_held(ask.fingerprint) && permits_.grant(ask, now);
+}
+
+void delivery_server::settle_permit(const std::string& permit,
+                                    bool is_granted) {
+    const auto found = waiting_.find(permit);
+    if (found == waiting_.end()) {
+        return;
+    }
+    const auto done = std::move(found->second.query.done);
+    waiting_.erase(found);
+    if (done) {
+        done(is_granted, permit);
+    }
+}
+
+} // namespace savorydock
--- a/servers/delivery/step_session.hpp
+++ b/servers/delivery/step_session.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace savorydock {
@@ -20,7 +21,10 @@
     std::string trainer;
     std::uint64_t step = 0;
 
-    auto operator<=>(const step_key&) const = default;
+    bool operator==(const step_key&) const = default;
+    auto operator<=>(const step_key& other) const {
+        return std::tie(trainer, step) <=> std::tie(other.trainer, other.step);
+    }
 };
 
 /// Which connection of the trainer a session serves. The trainer raises it
