--- a/servers/control/order_holder.cpp
+++ b/servers/control/order_holder.cpp
@@ -82,9 +82,21 @@
     });
 }
 
-bool order_holder::is_concerned() const {
-    return std::any_of(surveys_.begin(), surveys_.end(), [&](const auto& each) {
-        return is_concerned(each.first);
+bool order_holder::needs_lease() const {
+    if (is_draining_) {
+        return keeper_.lease() != 0;
+    }
+    // One that lapsed here may still be alive on the platform.
+    if (keeper_.lease() != 0 && keeper_.lease() == used_lease_) {
+        return true;
+    }
+    // A standby asks for a lease only once there is something to take.
+    return std::any_of(scopes_.begin(), scopes_.end(), [&](const auto& each) {
+        const scope& held = each.second;
+        return held.holder.is_held() ||
+               (held.unheld_surveys > 0 &&
+                candidates_->rank(each.first.group, held.shard) <
+                    max_candidates);
     });
 }
 
@@ -95,15 +107,12 @@
     if (is_draining_) {
         finish_drain(out);
     }
-    if (!is_draining_ && is_concerned()) {
-        for (auto& [group, plan] : surveys_) {
-            if (now >= plan.next && is_concerned(group)) {
-                send_survey(group, plan, now, out);
-            }
+    for (auto& [group, plan] : surveys_) {
+        if (!is_draining_ && now >= plan.next && is_concerned(group)) {
+            send_survey(group, plan, now, out);
         }
     }
-    const bool is_wanted = is_draining_ ? keeper_.lease() != 0 : is_concerned();
-    if (is_wanted) {
+    if (needs_lease()) {
         keeper_.on_tick(now, tickets_, out);
     }
     for (auto& [name, held] : scopes_) {
@@ -210,6 +219,7 @@
         drop(name, held, out);
         const bool is_new = fencing_numbers_.insert(found->created).second;
         held.holder.take_over(found->created, is_new, now);
+        used_lease_ = keeper_.lease();
         out.emplace_back(log_command{
             log_event::lease_acquired,
             "group=" + name.group + " service=" + name.service.text() +
--- a/servers/control/order_holder.hpp
+++ b/servers/control/order_holder.hpp
@@ -98,7 +98,7 @@
     };
 
     [[nodiscard]] bool is_concerned(const std::string& group) const;
-    [[nodiscard]] bool is_concerned() const;
+    [[nodiscard]] bool needs_lease() const;
     void drop_all(command_list& out);
     void drop(const scope_name& name, scope& held, command_list& out);
     void send_survey(const std::string& group, survey& plan, steady_time now,
@@ -120,6 +120,8 @@
     const holder_candidates* candidates_;
     order_options options_;
     lease_keeper keeper_;
+    /// The last lease under which a scope was held.
+    std::uint64_t used_lease_ = 0;
     bool is_draining_ = false;
     std::map<scope_name, scope> scopes_;
     std::map<std::string, survey> surveys_;
--- a/tests/servers/control/order_holder_test.cpp
+++ b/tests/servers/control/order_holder_test.cpp
@@ -41,6 +41,30 @@
     EXPECT_EQ(world_->orders, 2U);
 }
 
+TEST_F(order_holder_test, standby_takes_over_and_costs_one_call_a_survey) {
+    start(3);
+    world_->is_ranked = true;
+    world_->run(minutes(2));
+    std::vector<std::uint64_t> before;
+    for (const auto& node : world_->nodes) {
+        before.push_back(node.holder->platform_calls());
+    }
+    world_->run(minutes(10));
+    const auto calls = [&](std::size_t node) {
+        return world_->nodes[node].holder->platform_calls() - before[node];
+    };
+    RecordProperty("holder_calls", static_cast<int>(calls(0)));
+    RecordProperty("standby_calls", static_cast<int>(calls(1)));
+    const std::uint64_t surveys = minutes(10) / world_->options.survey_period;
+    EXPECT_LE(calls(0), 2 * surveys);
+    EXPECT_LE(calls(1), surveys);
+    EXPECT_EQ(calls(2), 0U);
+    world_->nodes[0].is_stopped = true;
+    world_->run(seconds(45));
+    EXPECT_NE(world_->nodes[1].holder->status()[0].fencing, 0U);
+    EXPECT_EQ(world_->nodes[2].holder->platform_calls(), 0U);
+}
+
 struct call_row {
     const char* name;
     std::size_t kind;
--- a/tests/servers/control/order_world.hpp
+++ b/tests/servers/control/order_world.hpp
@@ -70,7 +70,8 @@
     }
 
     std::uint32_t rank(const std::string&, std::uint32_t) const override {
-        return holder_rank;
+        // Asked while one node decides; all are equal unless a test says so.
+        return is_ranked ? deciding : holder_rank;
     }
 
     void add_upstream(const std::string& name, bool checks_fencing) {
@@ -114,8 +115,9 @@
                 events_.erase(events_.begin());
                 event();
             }
-            for (node& each : nodes) {
-                run_node(each);
+            for (std::size_t i = 0; i < nodes.size(); ++i) {
+                deciding = static_cast<std::uint32_t>(i);
+                run_node(nodes[i]);
             }
         }
     }
@@ -144,6 +146,9 @@
     order_options options;
     state_chart chart;
     std::uint32_t holder_rank = 0;
+    /// The first node is the first candidate, the second its standby.
+    bool is_ranked = false;
+    std::uint32_t deciding = 0;
     bool is_platform_out = false;
     std::function<call_fault(const platform_request&)> next_call_fault =
         [](const auto&) { return call_fault::none; };
