Write the reference pages from the source and compare them in a test

Cause: codes and events in docs drift from the code. After: savorydock reference prints both pages; three tests compare pages, numbers and names. Seen to fail: a name that is both a code and an event failed the first form of the test, which shared one set; each list now has its own.

--- a/drivers/operator_http/operator_command.cpp
+++ b/drivers/operator_http/operator_command.cpp
@@ -1,5 +1,6 @@
 #include "drivers/operator_http/operator_command.hpp"
 
+#include "core/reference_text.hpp"
 #include "core/service_document.hpp"
 #include "core/text_file.hpp"
 #include "drivers/http/http_client.hpp"
@@ -132,16 +133,29 @@
     return exit_code::ok;
 }
 
+exit_code run_reference(const operator_command_line& line) {
+    const std::string topic =
+        line.arguments.size() == 2 ? line.arguments[1] : "";
+    if (topic == "codes") {
+        std::cout << write_result_code_reference();
+    } else if (topic == "events") {
+        std::cout << write_log_event_reference();
+    } else {
+        return fail_usage("reference: expected codes or events");
+    }
+    return exit_code::ok;
+}
+
 using subcommand = std::function<exit_code(const operator_command_line&)>;
 
 /// The one place where subcommands are registered.
 const std::map<std::string, subcommand>& subcommands() {
     static const std::map<std::string, subcommand> table{
-        {"check", run_check},     {"publish", run_publish},
-        {"diff", run_diff},       {"delete", run_delete},
-        {"status", run_status},   {"explain", run_explain},
-        {"drain", run_drain},     {"clear", run_clear},
-        {"version", run_version},
+        {"check", run_check},         {"publish", run_publish},
+        {"diff", run_diff},           {"delete", run_delete},
+        {"status", run_status},       {"explain", run_explain},
+        {"drain", run_drain},         {"clear", run_clear},
+        {"reference", run_reference}, {"version", run_version},
     };
     return table;
 }
@@ -158,8 +172,10 @@
            "  savorydock explain REQUEST_ID   show why a request ended so\n"
            "  savorydock clear FINGERPRINT    let a held request run again\n"
            "  savorydock drain                end an instance gracefully\n"
+           "  savorydock reference TOPIC      list all codes or events\n"
            "  savorydock version              show the version\n\n"
-           "check needs no flag; publish, diff and delete need --platform; the "
+           "check, reference and version need no flag; publish, diff and "
+           "delete need --platform; the "
            "others "
            "need\n--operator_address and --operator_key. --json prints JSON. "
            "Exit codes: 0 done,\n1 failed, 2 usage, 3 invalid document, 4 "
