--- a/core/ids.hpp
+++ b/core/ids.hpp
@@ -20,8 +20,6 @@
     [[nodiscard]] const std::string& text() const { return text_; }
     [[nodiscard]] bool is_empty() const { return text_.empty(); }
 
-    // The check takes the defaulted comparison for a null pointer.
-    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const text_id&) const = default;
 
 private:
--- a/tests/core/reference_text_test.cpp
+++ b/tests/core/reference_text_test.cpp
@@ -34,6 +34,7 @@
         EXPECT_GT(static_cast<int>(entry.code), last) << entry.name;
         last = static_cast<int>(entry.code);
     }
+    names.clear();
     last = -1;
     for (const log_event_entry& entry : all_log_events()) {
         EXPECT_TRUE(names.insert(entry.name).second) << entry.name;
