Wire membership, upstream health and orders into the instance

Cause: the servers ran only in their tests. After: one control plane owns them and shares what each learns after every tick: living members, addresses, upstream states, holder candidates.

--- a/drivers/caf_runtime/control_runtime.cpp
+++ b/drivers/caf_runtime/control_runtime.cpp
@@ -69,6 +69,11 @@
             server->on_tick(std::chrono::steady_clock::now(), out);
             carry_out(server, std::move(out));
         }
+        if (after_tick) {
+            command_list out;
+            after_tick(std::chrono::steady_clock::now(), out);
+            carry_out(nullptr, std::move(out));
+        }
         ++handled;
     }
 
@@ -121,6 +126,7 @@
     control_executor& executor;
     logger& log;
     std::vector<control_server*> servers;
+    std::function<void(steady_time, command_list&)> after_tick;
     std::atomic<bool> is_running{false};
     std::atomic<std::uint64_t> handled{0};
     caf::actor_system_config config;
@@ -140,6 +146,11 @@
     state_->servers.push_back(&server);
 }
 
+void control_runtime::set_after_tick(
+    std::function<void(steady_time, command_list&)> task) {
+    state_->after_tick = std::move(task);
+}
+
 void control_runtime::start() {
     state* const shared = state_.get();
     shared->actor = shared->system.spawn<caf::detached>(
--- a/drivers/caf_runtime/control_runtime.hpp
+++ b/drivers/caf_runtime/control_runtime.hpp
@@ -33,6 +33,10 @@
     /// runtime.
     void add(control_server& server);
 
+    /// Sets what runs on the control thread after each tick of all servers.
+    /// Precondition: not started.
+    void set_after_tick(std::function<void(steady_time, command_list&)> task);
+
     /// Starts the control thread.
     void start();
 
--- /dev/null
+++ b/drivers/entry/control_plane.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "core/instance_settings.hpp"
+#include "core/random_source.hpp"
+#include "drivers/caf_runtime/control_runtime.hpp"
+#include "drivers/entry/entry_charts.hpp"
+#include "drivers/entry/entry_executor.hpp"
+#include "drivers/entry/rendezvous_candidates.hpp"
+#include "servers/configuration/configuration_server.hpp"
+#include "servers/control/order_holder.hpp"
+#include "servers/explain/explain_server.hpp"
+#include "servers/membership/membership_server.hpp"
+#include "servers/routing/upstream_router.hpp"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace savorydock {
+
+struct control_plane_options {
+    const instance_settings& settings;
+    const entry_charts& charts;
+    const decision_log& decisions;
+    random_source& random;
+    upstream_router& router;
+    entry_executor& executor;
+    /// Called on the control thread with each new set of services.
+    std::function<void(std::shared_ptr<const configuration_view>)> on_view;
+};
+
+/// All control servers of an instance, and what they learn from each other.
+/// Everything runs on the control thread but the constructor and `attach`.
+class control_plane {
+public:
+    /// What the options refer to must outlive the plane.
+    explicit control_plane(const control_plane_options& options);
+
+    /// Adds the servers to a runtime. Precondition: it is not started.
+    void attach(control_runtime& runtime);
+
+    /// Passes on what one server learnt and others need. Called after each
+    /// tick.
+    void share(steady_time now, command_list& out);
+
+    /// Tells the others that this instance ends.
+    void begin_drain();
+
+    [[nodiscard]] configuration_server& configuration() {
+        return configuration_;
+    }
+    [[nodiscard]] membership_server& membership() { return membership_; }
+    [[nodiscard]] order_holder& orders() { return orders_; }
+    [[nodiscard]] explain_server& explanations() { return explanations_; }
+
+private:
+    void share_members(steady_time now);
+    void share_upstreams(steady_time now);
+
+    const instance_settings& settings_;
+    upstream_router& router_;
+    entry_executor& executor_;
+    configuration_server configuration_;
+    membership_server membership_;
+    rendezvous_candidates candidates_;
+    order_holder orders_;
+    explain_server explanations_;
+    std::vector<member_record> shared_members_;
+    std::shared_ptr<const upstream_state_map> shared_states_;
+    std::shared_ptr<const configuration_view> shared_view_;
+    steady_time next_router_refresh_{};
+};
+
+} // namespace savorydock
--- /dev/null
+++ b/drivers/entry/entry_charts.cpp
@@ -0,0 +1,34 @@
+#include "drivers/entry/entry_charts.hpp"
+
+#include "servers/control/order_track.hpp"
+#include "servers/membership/upstream_health.hpp"
+
+namespace savorydock {
+
+outcome<entry_charts> entry_charts::load(const std::string& folder) {
+    auto step = step_charts::load(folder);
+    if (!step) {
+        return step.reason();
+    }
+    auto upstream = state_chart::load(folder + "/upstream_life.json");
+    if (!upstream) {
+        return upstream.reason();
+    }
+    auto order = state_chart::load(folder + "/order_life.json");
+    if (!order) {
+        return order.reason();
+    }
+    for (const auto& checked : {upstream_health::check_chart(*upstream),
+                                order_track::check_chart(*order)}) {
+        if (!checked) {
+            return checked.reason();
+        }
+    }
+    return entry_charts{
+        .step = std::make_shared<const step_charts>(std::move(*step)),
+        .upstream_life = std::move(*upstream),
+        .order_life = std::move(*order),
+    };
+}
+
+} // namespace savorydock
--- a/drivers/entry/entry_instance.cpp
+++ b/drivers/entry/entry_instance.cpp
@@ -3,14 +3,14 @@
 #include "drivers/caf_runtime/control_runtime.hpp"
 #include "drivers/caller_http/admission_gate.hpp"
 #include "drivers/caller_http/caller_api.hpp"
+#include "drivers/entry/control_plane.hpp"
+#include "drivers/entry/entry_charts.hpp"
 #include "drivers/entry/entry_executor.hpp"
 #include "drivers/entry/status_json.hpp"
 #include "drivers/logging/log4cxx_logger.hpp"
 #include "drivers/operator_http/operator_api.hpp"
 #include "drivers/peer/peer_link.hpp"
 #include "drivers/platform_kv/etcd_gateway_client.hpp"
-#include "servers/configuration/configuration_server.hpp"
-#include "servers/explain/explain_server.hpp"
 #include "servers/routing/snapshot_router.hpp"
 
 #include <boost/json/object.hpp>
@@ -38,22 +38,14 @@
     return text.str();
 }
 
-std::vector<known_instance> known_from(const instance_settings& settings) {
-    std::vector<known_instance> known;
-    for (const peer_rule& peer : settings.peers) {
-        known.push_back(
-            {.instance = peer.name, .zone = peer.zone, .is_alive = true});
-    }
-    return known;
-}
-
 } // namespace
 
 /// The parts in the order of their construction. Control and traffic stop
 /// before what they use is destroyed, see `stop`.
 struct entry_instance::parts {
-    parts(instance_settings used, std::shared_ptr<const step_charts> charts)
+    parts(instance_settings used, entry_charts loaded)
         : settings(std::move(used))
+        , charts(std::move(loaded))
         , seed(draw_seed())
         , random(seed)
         , log(settings.log_file, settings.log_level, settings.instance.text())
@@ -72,12 +64,14 @@
         , router(settings.zone, seed)
         , keys(key_ledger_options{})
         , decisions(decision_log_options{})
-        , configuration(
-              {.instance = settings.instance,
-               .zone = settings.zone,
-               .on_view = [this](auto view) { take_view(std::move(view)); }},
-              random)
-        , explanations({.instance = settings.instance}, decisions)
+        , control(
+              {.settings = settings,
+               .charts = charts,
+               .decisions = decisions,
+               .random = random,
+               .router = router,
+               .executor = executor,
+               .on_view = [this](auto view) { take_view(std::move(view)); }})
         , gate(router)
         , traffic{.instance = settings.instance,
                   .router = router,
@@ -85,7 +79,7 @@
                   .keys = keys,
                   .decisions = decisions,
                   .log = log,
-                  .charts = std::move(charts),
+                  .charts = charts.step,
                   .observe =
                       [this](upstream_observation seen) {
                           runtime.post_observation(std::move(seen));
@@ -108,10 +102,10 @@
     void stop();
     void take_view(std::shared_ptr<const configuration_view> view);
     void set_up_operators();
-    void introduce_peers();
-    json::object make_status(steady_time now) const;
+    json::object make_status(steady_time now);
 
     instance_settings settings;
+    entry_charts charts;
     std::uint64_t seed;
     seeded_random_source random;
     log4cxx_logger log;
@@ -124,8 +118,7 @@
     snapshot_router router;
     key_ledger keys;
     decision_log decisions;
-    configuration_server configuration;
-    explain_server explanations;
+    control_plane control;
     admission_gate gate;
     operator_services operators;
     traffic_services traffic;
@@ -140,26 +133,12 @@
 
 void entry_instance::parts::take_view(
     std::shared_ptr<const configuration_view> view) {
-    router.publish(view, std::make_shared<const upstream_state_map>());
+    router.publish(view, control.membership().upstream_states());
     traffic.configuration.store(view);
     runtime.post_configuration(std::move(view));
 }
 
-void entry_instance::parts::introduce_peers() {
-    std::map<instance_id, endpoint> addresses;
-    std::vector<instance_id> names;
-    for (const peer_rule& peer : settings.peers) {
-        addresses.emplace(peer.name, peer.address);
-        names.push_back(peer.name);
-    }
-    executor.set_addresses(std::move(addresses));
-    runtime.post([this, names](steady_time now, command_list&) {
-        explanations.set_peers(names);
-        configuration.on_instances(known_from(settings), now);
-    });
-}
-
-json::object entry_instance::parts::make_status(steady_time now) const {
+json::object entry_instance::parts::make_status(steady_time now) {
     return {
         {"instance", settings.instance.text()},
         {"zone", settings.zone.text()},
@@ -170,8 +149,12 @@
              .count()},
         {"active_requests", caller_server.active_requests()},
         {"open_connections", caller_server.open_connections()},
-        {"configuration", to_json(configuration.status(now))},
-        {"peers", to_json(peers.counters())},
+        {"configuration", to_json(control.configuration().status(now))},
+        {"instances", to_json(control.membership().instances())},
+        {"cut_off", control.membership().is_cut_off()},
+        {"upstreams", to_json(*control.membership().upstream_states())},
+        {"orders", to_json(control.orders().status())},
+        {"peer_link", to_json(peers.counters())},
     };
 }
 
@@ -185,7 +168,7 @@
     operators.explain = [this](std::string subject, auto answer) {
         runtime.post([this, subject = std::move(subject),
                       answer](steady_time now, command_list& out) {
-            explanations.ask(
+            control.explanations().ask(
                 subject,
                 [answer](const explanation& found) { answer(to_json(found)); },
                 now, out);
@@ -212,10 +195,8 @@
     if (!peer) {
         return peer.reason();
     }
-    runtime.add(configuration);
-    runtime.add(explanations);
+    control.attach(runtime);
     runtime.start();
-    introduce_peers();
     const auto operator_used = operator_server.listen(settings.operator_listen);
     if (!operator_used) {
         return operator_used.reason();
@@ -251,12 +232,11 @@
 
 outcome<std::unique_ptr<entry_instance>>
 entry_instance::start(const instance_settings& settings) {
-    auto charts = step_charts::load(settings.chart_folder);
+    auto charts = entry_charts::load(settings.chart_folder);
     if (!charts) {
         return charts.reason();
     }
-    auto made = std::make_unique<parts>(
-        settings, std::make_shared<const step_charts>(std::move(*charts)));
+    auto made = std::make_unique<parts>(settings, std::move(*charts));
     const auto started = made->start();
     if (!started) {
         made->log.write(log_event::listener_failed, started.reason().detail);
@@ -267,6 +247,8 @@
 
 bool entry_instance::drain() {
     parts_->traffic.is_draining = true;
+    parts_->runtime.post(
+        [this](steady_time, command_list&) { parts_->control.begin_drain(); });
     const auto& server = parts_->caller_server;
     parts_->log.write(log_event::drain_started,
                       "active=" + std::to_string(server.active_requests()));
--- /dev/null
+++ b/drivers/entry/rendezvous_candidates.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "servers/configuration/instance_directory.hpp"
+#include "servers/control/holder_candidates.hpp"
+
+#include <string>
+#include <vector>
+
+namespace savorydock {
+
+/// Ranks the living instances of a group by rendezvous hashing. Control
+/// thread only.
+class rendezvous_candidates final : public holder_candidates {
+public:
+    /// Takes the instances that membership knows, this one included.
+    void update(const instance_id& self, const availability_zone& zone,
+                const std::vector<known_instance>& instances);
+
+    [[nodiscard]] std::uint32_t rank(const std::string& group,
+                                     std::uint32_t shard) const override;
+
+private:
+    std::string self_;
+    std::string zone_;
+    std::vector<std::string> of_zone_;
+    std::vector<std::string> of_fleet_;
+};
+
+} // namespace savorydock
--- a/drivers/entry/status_json.cpp
+++ b/drivers/entry/status_json.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/json/array.hpp>
 
+#include <array>
+#include <string_view>
+
 namespace savorydock {
 
 namespace json = boost::json;
@@ -60,8 +63,59 @@
     };
 }
 
+std::string_view name_of(member_condition condition) {
+    constexpr std::array<std::string_view, 4> names{"alive", "suspect", "dead",
+                                                    "left"};
+    return names.at(static_cast<std::size_t>(condition));
+}
+
+std::string_view name_of(upstream_condition condition) {
+    constexpr std::array<std::string_view, 4> names{"serving", "suspected",
+                                                    "leaving", "swapping"};
+    return names.at(static_cast<std::size_t>(condition));
+}
+
 } // namespace
 
+json::array to_json(const std::vector<member_record>& instances) {
+    json::array list;
+    for (const member_record& member : instances) {
+        json::object entry{{"instance", member.name.text()},
+                           {"zone", member.zone.text()},
+                           {"peer_address", to_text(member.address)},
+                           {"incarnation", member.incarnation},
+                           {"condition", name_of(member.condition)}};
+        list.push_back(std::move(entry));
+    }
+    return list;
+}
+
+json::array to_json(const upstream_state_map& states) {
+    json::array list;
+    for (const auto& [key, state] : states) {
+        json::object entry{{"service", key.service.text()},
+                           {"upstream", key.upstream.text()},
+                           {"condition", name_of(state.condition)},
+                           {"version", state.version}};
+        list.push_back(std::move(entry));
+    }
+    return list;
+}
+
+json::array to_json(const std::vector<scope_status>& scopes) {
+    json::array list;
+    for (const scope_status& scope : scopes) {
+        json::object entry{
+            {"service", scope.service.text()}, {"group", scope.group},
+            {"fencing", scope.fencing},        {"target", scope.target},
+            {"upstreams", scope.upstreams},    {"at_target", scope.at_target},
+            {"ordered", scope.ordered},        {"settling", scope.settling},
+            {"stop_reason", scope.stop_reason}};
+        list.push_back(std::move(entry));
+    }
+    return list;
+}
+
 json::object to_json(const configuration_status& status) {
     json::array services;
     for (const service_status& service : status.services) {
