--- a/core/ids.hpp
+++ b/core/ids.hpp
@@ -20,10 +20,7 @@
     [[nodiscard]] const std::string& text() const { return text_; }
     [[nodiscard]] bool is_empty() const { return text_.empty(); }
 
-    bool operator==(const text_id&) const = default;
-    auto operator<=>(const text_id& other) const {
-        return text_ <=> other.text_;
-    }
+    auto operator<=>(const text_id&) const = default;
 
 private:
     std::string text_;
