--- a/core/endpoint.cpp
+++ b/core/endpoint.cpp
@@ -38,6 +38,22 @@
     return endpoint{.address = std::string(host), .port = port};
 }
 
+outcome<std::vector<endpoint>> parse_endpoints(std::string_view text) {
+    std::vector<endpoint> endpoints;
+    while (true) {
+        const std::size_t comma = text.find(',');
+        const auto one = parse_endpoint(text.substr(0, comma));
+        if (!one) {
+            return one.reason();
+        }
+        endpoints.push_back(*one);
+        if (comma == std::string_view::npos) {
+            return endpoints;
+        }
+        text.remove_prefix(comma + 1);
+    }
+}
+
 std::string to_text(const endpoint& target) {
     const bool is_v6 = target.address.find(':') != std::string::npos;
     return (is_v6 ? '[' + target.address + ']' : target.address) + ':' +
--- a/core/endpoint.hpp
+++ b/core/endpoint.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace savorydock {
 
@@ -23,6 +24,11 @@
 /// IP numbers. Errors: `invalid_document`. Thread safe.
 [[nodiscard]] outcome<endpoint> parse_endpoint(std::string_view text);
 
+/// Reads one or more addresses separated by commas. Errors:
+/// `invalid_document`. Thread safe.
+[[nodiscard]] outcome<std::vector<endpoint>>
+parse_endpoints(std::string_view text);
+
 /// Returns the text that `parse_endpoint` reads. Thread safe.
 [[nodiscard]] std::string to_text(const endpoint& target);
 
--- a/tests/fakes/fake_engine.cpp
+++ b/tests/fakes/fake_engine.cpp
@@ -33,6 +33,7 @@
     std::string prompt;
     std::uint32_t tokens = 0;
     std::uint32_t first = 0;
+    std::uint64_t attempt = 0;
 };
 
 outcome<completion_call> read_call(const std::string& body) {
@@ -49,6 +50,8 @@
             reader.integer("max_tokens", token_range, default_tokens)),
         .first = static_cast<std::uint32_t>(
             reader.integer("resume_from", any_number, 0)),
+        .attempt = static_cast<std::uint64_t>(
+            reader.integer("attempt", any_number, 0)),
     };
     if (!faults.empty()) {
         return failure{result_code::not_run_bad_request, to_text(faults)};
@@ -155,6 +158,7 @@
     for (std::uint32_t i = call->first; is_open && i < call->tokens; ++i) {
         co_await sleep_for(faults.token_delay);
         json::object event{{"id", call->id},
+                           {"attempt", call->attempt},
                            {"index", i},
                            {"text", token_at(call->prompt, i)}};
         if (!faults.has_no_version) {
@@ -170,8 +174,10 @@
     if (!is_open) {
         co_return;
     }
-    json::object last{
-        {"id", call->id}, {"finish_reason", "stop"}, {"tokens", call->tokens}};
+    json::object last{{"id", call->id},
+                      {"attempt", call->attempt},
+                      {"finish_reason", "stop"},
+                      {"tokens", call->tokens}};
     std::string end = to_event(std::move(last)) + "data: [DONE]\n\n";
     co_await exchange.write_chunk(std::move(end));
     co_await exchange.end_stream();
--- a/tests/fakes/fake_engine_main.cpp
+++ b/tests/fakes/fake_engine_main.cpp
@@ -4,7 +4,7 @@
 #include <gflags/gflags.h>
 
 DEFINE_string(listen, "127.0.0.1:0", "Address to listen on");
-DEFINE_uint64(version, 1, "Weight version at start");
+DEFINE_uint64(weights, 1, "Weight version at start");
 DEFINE_uint64(token_delay_ms, 2, "Time a token takes");
 DEFINE_string(crash_on, "", "A prompt with this text ends the process");
 DEFINE_bool(ignores_fencing, false, "Whether old fencing numbers are taken");
@@ -12,7 +12,7 @@
 int main(int argc, char** argv) {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     savorydock::fake_engine engine(
-        FLAGS_version,
+        FLAGS_weights,
         {.crash_on = FLAGS_crash_on,
          .ignores_fencing = FLAGS_ignores_fencing,
          .token_delay = std::chrono::milliseconds(FLAGS_token_delay_ms)});
