Spell out the comparison of text_id; clang-tidy passes over delivery again

CMake's -Wzero-as-null-pointer-constant reaches clang-tidy through the compile commands, and it reads the zero of a defaulted operator<=> as a null pointer once std::less uses it. Ruled out: switching the warning off for clang-tidy. Before: lint of servers/delivery fails in core/ids.hpp; after: it is clean.

--- a/core/ids.hpp
+++ b/core/ids.hpp
@@ -20,7 +20,10 @@
     [[nodiscard]] const std::string& text() const { return text_; }
     [[nodiscard]] bool is_empty() const { return text_.empty(); }
 
-    auto operator<=>(const text_id&) const = default;
+    bool operator==(const text_id&) const = default;
+    auto operator<=>(const text_id& other) const {
+        return text_ <=> other.text_;
+    }
 
 private:
     std::string text_;
