Check an order's validity after the connection is made

The executor compared not_after before the call, but the call then connects, which may take seconds; bytes could reach the socket after the lease. The client now takes write_by and compares it right before the write; an order past it counts as unsent. What remains is a pause between that comparison and the system call, and what the kernel holds; docs/design/orders.md says what bounds it. The load that an upstream reads back now reaches the planner, for membership lists only upstreams that are not simply serving.

--- a/drivers/entry/entry_executor.cpp
+++ b/drivers/entry/entry_executor.cpp
@@ -82,16 +82,12 @@
         .headers = {{"Content-Type", "application/json"}},
         .body = order.body,
     };
-    // The lease that allows the order ends at `not_after`; checked last.
-    if (std::chrono::steady_clock::now() >= order.not_after) {
-        answer({.ticket = order.ticket,
-                .answer = failure{result_code::lease_not_held,
-                                  "the order is past its time"}});
-        co_return;
-    }
-    const steady_time deadline = order.not_after + order.timeout;
-    const auto result = co_await client_.call(order.address, std::move(request),
-                                              deadline, connection_use::fresh);
+    // The lease that allows the order ends at `not_after`; the client checks
+    // it once more after it has connected. A fresh connection can't be one
+    // that the other end is about to close.
+    const auto result = co_await client_.call(
+        order.address, std::move(request), order.not_after + order.timeout,
+        connection_use::fresh, order.not_after);
     if (!result) {
         answer({.ticket = order.ticket, .answer = judge_loss(result.reason())});
     } else if (result->status != status_ok) {
--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <optional>
@@ -209,24 +210,25 @@
 
 asio::awaitable<outcome<std::unique_ptr<http_stream>>>
 http_client::open(endpoint address, http_request request, steady_time deadline,
-                  connection_use use) {
+                  connection_use use, steady_time write_by) {
     const std::string key = to_text(address);
+    const steady_time last_write = std::min(deadline, write_by);
     connection_pointer used;
     if (use == connection_use::reuse) {
         used = pool_->take_idle(key);
     }
     if (!used) {
-        auto fresh = co_await pool_->connect(address, deadline);
+        auto fresh = co_await pool_->connect(address, last_write);
         if (!fresh) {
             co_return fresh.reason();
         }
         used = std::move(*fresh);
     }
-    if (std::chrono::steady_clock::now() >= deadline) {
-        co_return failure{result_code::not_run_deadline, "no time is left"};
-    }
     const auto message = convert(address, std::move(request));
     used->stream.expires_at(deadline);
+    if (std::chrono::steady_clock::now() >= last_write) {
+        co_return failure{result_code::not_run_deadline, "no time is left"};
+    }
     const auto [error, size] =
         co_await http::async_write(used->stream, message, await);
     if (error) {
@@ -240,12 +242,11 @@
     co_return std::unique_ptr<http_stream>(std::move(answer));
 }
 
-asio::awaitable<outcome<http_response>> http_client::call(endpoint address,
-                                                          http_request request,
-                                                          steady_time deadline,
-                                                          connection_use use) {
-    auto opened =
-        co_await open(std::move(address), std::move(request), deadline, use);
+asio::awaitable<outcome<http_response>>
+http_client::call(endpoint address, http_request request, steady_time deadline,
+                  connection_use use, steady_time write_by) {
+    auto opened = co_await open(std::move(address), std::move(request),
+                                deadline, use, write_by);
     if (!opened) {
         co_return opened.reason();
     }
--- a/drivers/http/http_client.hpp
+++ b/drivers/http/http_client.hpp
@@ -50,15 +50,18 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
-    /// Sends a request and returns the answer as it begins.
+    /// Sends a request and returns the answer as it begins. From `write_by`
+    /// on no byte is handed to a socket: `not_run_deadline`.
     boost::asio::awaitable<outcome<std::unique_ptr<http_stream>>>
     open(endpoint address, http_request request, steady_time deadline,
-         connection_use use = connection_use::reuse);
+         connection_use use = connection_use::reuse,
+         steady_time write_by = steady_time::max());
 
     /// Sends a request and returns the whole answer.
     boost::asio::awaitable<outcome<http_response>>
     call(endpoint address, http_request request, steady_time deadline,
-         connection_use use = connection_use::reuse);
+         connection_use use = connection_use::reuse,
+         steady_time write_by = steady_time::max());
 
 private:
     struct pool;
--- a/servers/control/order_track.cpp
+++ b/servers/control/order_track.cpp
@@ -114,7 +114,8 @@
         return lose(options);
     }
     report_ = *report;
-    due_ = now + options.refresh_period;
+    // Its load is soon another than right after the swap.
+    due_ = now + options.read_retry_delay;
     position_.fire("order_done");
     return resolve();
 }
--- a/servers/control/scope_holder.cpp
+++ b/servers/control/scope_holder.cpp
@@ -121,11 +121,13 @@
         const auto found = states == nullptr
                                ? upstream_state_map::const_iterator{}
                                : states->find({service_, name});
+        std::uint64_t load = track.report().load;
         if (states != nullptr && found != states->end()) {
             upstream.condition = found->second.condition;
-            upstream.load = static_cast<double>(found->second.reported_load) /
-                            std::max<std::uint32_t>(1, track.rule().slots);
+            load = std::max<std::uint64_t>(load, found->second.reported_load);
         }
+        upstream.load = static_cast<double>(load) /
+                        std::max<std::uint32_t>(1, track.rule().slots);
         seen_.push_back(std::move(upstream));
         seen_tracks_.push_back(&track);
     }
--- a/servers/control/upstream_report.cpp
+++ b/servers/control/upstream_report.cpp
@@ -35,6 +35,7 @@
         .version = number_of(*object, "version"),
         .loading = number_of(*object, "loading"),
         .fencing = number_of(*object, "fencing"),
+        .load = number_of(*object, "running") + number_of(*object, "waiting"),
     };
     const json::value* const role = object->if_contains("role");
     if (role != nullptr && role->is_string()) {
--- a/servers/control/upstream_report.hpp
+++ b/servers/control/upstream_report.hpp
@@ -16,6 +16,8 @@
     /// The highest fencing number that it has seen; 0 if it checks none.
     fencing_number fencing = 0;
     std::string role;
+    /// Requests that run and wait on it.
+    std::uint64_t load = 0;
 };
 
 /// Reads the answer to a state request, or the "state" member of the answer
