Run calls by the delivery rules: rights, retries, suspects, epochs

Cause: plain calls judged a 429 or 503 of a plain service as not run and sent non-idempotent calls again, a double run; keys were known to one instance only; a request could crash any number of upstreams. After: one failure table and one retry policy decide; the right to run is sought from peers or claimed; marked requests run by permit; older step sessions hear of newer epochs. Conclusion: process tests under faults next.

--- a/drivers/caf_runtime/control_runtime.cpp
+++ b/drivers/caf_runtime/control_runtime.cpp
@@ -215,6 +215,12 @@
     state_->send({.run = std::move(task)});
 }
 
+void control_runtime::post_for(
+    control_server& server,
+    std::function<void(steady_time, command_list&)> task) {
+    state_->send({.run = std::move(task), .server = &server});
+}
+
 std::uint64_t control_runtime::handled_events() const {
     return state_->handled;
 }
--- a/drivers/caf_runtime/control_runtime.hpp
+++ b/drivers/caf_runtime/control_runtime.hpp
@@ -51,6 +51,10 @@
     /// Runs a task on the control thread, between two events.
     void post(std::function<void(steady_time, command_list&)> task);
 
+    /// As `post`; replies to the task's commands go to the server.
+    void post_for(control_server& server,
+                  std::function<void(steady_time, command_list&)> task);
+
     /// Events handled so far. Thread safe.
     [[nodiscard]] std::uint64_t handled_events() const;
 
--- a/drivers/caller_http/caller_request.cpp
+++ b/drivers/caller_http/caller_request.cpp
@@ -74,6 +74,8 @@
                        "or -_./:"};
     }
     result.key = idempotency_key(std::string(key));
+    result.last_instance =
+        instance_id(std::string(request.header(caller_header::last_instance)));
     return done{};
 }
 
--- a/drivers/caller_http/caller_request.hpp
+++ b/drivers/caller_http/caller_request.hpp
@@ -17,6 +17,7 @@
 inline constexpr std::string_view result = "Savorydock-Result";
 inline constexpr std::string_view instance = "Savorydock-Instance";
 inline constexpr std::string_view attempt = "Savorydock-Attempt";
+inline constexpr std::string_view last_instance = "Savorydock-Last-Instance";
 inline constexpr std::string_view deadline = "Savorydock-Deadline-Ms";
 inline constexpr std::string_view idempotency_key = "Idempotency-Key";
 } // namespace caller_header
@@ -33,6 +34,8 @@
     steady_time deadline{};
     idempotency_key key;
     call_attempt attempt = 0;
+    /// The instance that the last sending reached, if the caller says so.
+    instance_id last_instance;
 };
 
 /// The id that the caller gave its request, or a new one. Thread safe.
--- a/drivers/caller_http/generation_run.cpp
+++ b/drivers/caller_http/generation_run.cpp
@@ -1,6 +1,7 @@
 #include "drivers/caller_http/generation_run.hpp"
 
 #include "drivers/caller_http/admission_gate.hpp"
+#include "drivers/caller_http/suspect_guard.hpp"
 
 #include <boost/container_hash/hash.hpp>
 
@@ -75,6 +76,19 @@
            reason.code == result_code::not_run_deadline;
 }
 
+void note_resume(const generation_order& order, const caller_request& request,
+                 const failure& reason, std::uint32_t next_token,
+                 traffic_services& services) {
+    const std::string detail =
+        "stream=" + order.stream + " from_token=" + std::to_string(next_token);
+    services.decisions.add(
+        request.id.text(),
+        {.kind = decision_kind::resumed, .code = reason.code, .detail = detail},
+        std::chrono::steady_clock::now());
+    services.log.write(log_event::request_resumed,
+                       "request=" + request.id.text() + ' ' + detail);
+}
+
 } // namespace
 
 std::uint64_t hash_prefix(const std::string& prompt) {
@@ -93,37 +107,41 @@
     if (!pass) {
         co_return pass.reason();
     }
-    const retry_rule& rule = request.service->document->retries;
-    upstream_attempt attempt(services, request);
+    const service_document& document = *request.service->document;
+    suspect_guard guard(services, request, order.prompt, worker);
+    upstream_attempt attempt(services, request, guard.excluded());
+    const auto budget =
+        services.budgets.of(document.service, document.retries.budget);
+    budget->earn();
     failure last{result_code::not_run_no_upstream, "nobody was tried"};
-    while (attempt.count() < rule.max_attempts) {
+    while (attempt.count() < document.retries.max_attempts) {
         const auto choice =
             attempt.begin(order.prefix_hash, order.expected_tokens);
         if (!choice) {
             co_return attempt.count() == 0 ? choice.reason() : last;
         }
+        const auto entered = co_await guard.enter(choice->upstream->name);
+        if (!entered) {
+            attempt.finish({}, true);
+            co_return entered.reason();
+        }
         call_evidence seen;
         const endpoint address = choice->upstream->address;
         last = co_await run_once(order, request, address, worker, answer,
                                  services, seen);
+        guard.leave(last.code);
         attempt.finish(seen, false);
         if (last.code == result_code::ok) {
             co_return done{};
         }
-        if (is_final(last)) {
+        if (is_final(last) || !budget->try_spend()) {
             break;
         }
         const attempt_number next = order.next_attempt();
         if (next == 0 || !answer.resume(next)) {
             break;
         }
-        services.decisions.add(
-            request.id.text(),
-            {.kind = decision_kind::resumed,
-             .code = last.code,
-             .detail = "stream=" + order.stream +
-                       " from_token=" + std::to_string(answer.next_token())},
-            std::chrono::steady_clock::now());
+        note_resume(order, request, last, answer.next_token(), services);
     }
     co_return last;
 }
--- a/drivers/caller_http/plain_call.cpp
+++ b/drivers/caller_http/plain_call.cpp
@@ -1,6 +1,8 @@
 #include "drivers/caller_http/plain_call.hpp"
 
+#include "drivers/caf_runtime/pending_answer.hpp"
 #include "drivers/caller_http/admission_gate.hpp"
+#include "drivers/caller_http/suspect_guard.hpp"
 #include "drivers/caller_http/upstream_attempt.hpp"
 
 #include <array>
@@ -12,7 +14,7 @@
 
 namespace {
 
-constexpr unsigned first_server_error = 500;
+constexpr std::chrono::milliseconds right_margin{1'000};
 
 /// Headers of the caller that its plain service gets to see.
 http_request to_upstream(const http_request& source, const std::string& path,
@@ -32,32 +34,55 @@
     return target;
 }
 
-/// Judges what an answer of the upstream says about the run.
-failure judge(const outcome<http_response>& answer, const call_evidence& seen) {
-    if (!answer) {
-        return answer.reason();
-    }
-    const bool is_refused = seen.evidence == upstream_evidence::said_leaving ||
-                            seen.evidence == upstream_evidence::said_overloaded;
-    if (is_refused) {
-        return {result_code::not_run_refused_by_upstream,
-                "HTTP status " + std::to_string(answer->status)};
-    }
-    if (answer->status >= first_server_error) {
-        return {result_code::failed_by_upstream,
-                "HTTP status " + std::to_string(answer->status)};
+/// How the connection failed, from the client's code.
+connection_fault fault_of(result_code code) {
+    switch (code) {
+    case result_code::not_run_no_upstream:
+        return connection_fault::refused;
+    case result_code::not_run_deadline:
+        return connection_fault::connect_timed_out;
+    case result_code::unknown_deadline:
+        return connection_fault::timed_out_after_send;
+    case result_code::failed_truncated:
+        return connection_fault::closed_in_answer;
+    default:
+        return connection_fault::closed_after_send;
     }
-    return {};
 }
 
-bool may_try_again(const failure& reason, bool is_idempotent) {
-    const result_class kind = classify(reason.code);
-    return kind == result_class::not_run ||
-           (is_idempotent && kind != result_class::complete);
+upstream_ruling rule_on(const outcome<http_response>& answer) {
+    return answer ? rule_on_status(answer->status, service_kind::plain)
+                  : rule_on_fault(fault_of(answer.reason().code));
 }
 
-/// One run over as many upstreams as the rules allow.
+std::string describe_end(const outcome<http_response>& answer) {
+    return answer ? "HTTP status " + std::to_string(answer->status)
+                  : answer.reason().detail;
+}
+
+recorded_answer to_record(const http_response& answer, result_code code) {
+    return {
+        .code = code,
+        .status = answer.status,
+        .content_type = std::string(answer.header("Content-Type")),
+        .body = answer.body,
+    };
+}
+
+/// One run on one upstream under the guard.
 asio::awaitable<outcome<http_response>>
+call_upstream(http_exchange& exchange, const caller_request& request,
+              std::string path, bool is_idempotent, endpoint address,
+              call_evidence& seen, traffic_services& services) {
+    http_request message = to_upstream(exchange.request(), path, request);
+    upstream_client& client = *services.clients[exchange.worker()];
+    co_return co_await client.call(std::move(address), std::move(message),
+                                   request.deadline, is_idempotent, seen);
+}
+
+/// One request over as many upstreams as the rules allow. An upstream's own
+/// refusal is an answer; its code tells that it is one.
+asio::awaitable<outcome<recorded_answer>>
 run_call(http_exchange& exchange, const caller_request& request,
          std::string path, bool is_idempotent, traffic_services& services) {
     const auto pass = co_await services.gate.enter(
@@ -65,41 +90,48 @@
     if (!pass) {
         co_return pass.reason();
     }
-    const retry_rule& rule = request.service->document->retries;
-    upstream_attempt attempt(services, request);
-    failure last{result_code::not_run_no_upstream, "nobody was tried"};
-    while (attempt.count() < rule.max_attempts) {
+    const service_document& document = *request.service->document;
+    suspect_guard guard(services, request, path + exchange.request().body,
+                        exchange.worker());
+    upstream_attempt attempt(services, request, guard.excluded());
+    request_retries retries({.is_idempotent = is_idempotent,
+                             .max_attempts = document.retries.max_attempts,
+                             .deadline = request.deadline});
+    const auto budget =
+        services.budgets.of(document.service, document.retries.budget);
+    budget->earn();
+    while (true) {
         const auto choice = attempt.begin(0, 0);
         if (!choice) {
-            co_return attempt.count() == 0 ? choice.reason() : last;
+            co_return failure{retries.give_up(choice.reason().code),
+                              choice.reason().detail};
+        }
+        const auto entered = co_await guard.enter(choice->upstream->name);
+        if (!entered) {
+            attempt.finish({}, true);
+            co_return failure{retries.give_up(entered.reason().code),
+                              entered.reason().detail};
         }
         call_evidence seen;
-        http_request message = to_upstream(exchange.request(), path, request);
-        upstream_client& client = *services.clients[exchange.worker()];
-        const endpoint address = choice->upstream->address;
-        auto answer = co_await client.call(
-            address, std::move(message), request.deadline, is_idempotent, seen);
-        last = judge(answer, seen);
+        const auto answer =
+            co_await call_upstream(exchange, request, path, is_idempotent,
+                                   choice->upstream->address, seen, services);
+        const upstream_ruling ruling = rule_on(answer);
+        guard.leave(answer ? result_code::ok : answer.reason().code);
         attempt.finish(seen, false);
-        if (last.code == result_code::ok) {
-            co_return answer;
+        if (ruling.code == result_code::ok) {
+            co_return to_record(*answer, result_code::ok);
+        }
+        const retry_decision decision =
+            retries.decide(ruling, *budget, std::chrono::steady_clock::now());
+        if (decision.is_retry) {
+            continue;
         }
-        const bool has_time =
-            std::chrono::steady_clock::now() < request.deadline;
-        if (!may_try_again(last, is_idempotent) || !has_time) {
-            break;
+        if (answer && ruling.fate == upstream_fate::answered) {
+            co_return to_record(*answer, decision.code);
         }
+        co_return failure{decision.code, describe_end(answer)};
     }
-    co_return last;
-}
-
-recorded_answer to_record(const http_response& answer) {
-    return {
-        .code = result_code::ok,
-        .status = answer.status,
-        .content_type = std::string(answer.header("Content-Type")),
-        .body = answer.body,
-    };
 }
 
 http_response to_response(const recorded_answer& record, const request_id& id,
@@ -115,30 +147,55 @@
     return answer;
 }
 
-/// What a decision of the ledger other than `run` tells the caller.
+/// What a decision of the ledger other than `run` and `ask` tells.
 outcome<recorded_answer> answer_of(const key_decision& decision) {
-    if (decision.verdict == key_verdict::answer_from_record &&
-        decision.record.answer) {
-        return *decision.record.answer;
-    }
-    switch (decision.verdict) {
-    case key_verdict::full:
+    if (decision.verdict == key_verdict::full) {
         return failure{result_code::not_run_overloaded,
                        "too many keys are running"};
-    case key_verdict::in_progress:
+    }
+    if (decision.verdict == key_verdict::in_progress) {
         return failure{result_code::unknown_in_progress,
-                       "an earlier attempt is still running"};
-    case key_verdict::ask:
-        return failure{result_code::unknown_attempt_not_remembered,
-                       "no instance remembers the earlier attempt"};
-    default:
-        break;
+                       "an earlier sending is still running"};
+    }
+    if (decision.record.answer) {
+        return *decision.record.answer;
     }
-    const result_code code = code_of(decision.record);
-    return failure{code == result_code::ok
-                       ? result_code::unknown_attempt_not_remembered
-                       : code,
-                   "as recorded for this key"};
+    return failure{code_of(decision.record), "as recorded for this key"};
+}
+
+/// Seeks the right to run from the other instances or by a claim. An empty
+/// optional is the right.
+asio::awaitable<std::optional<outcome<recorded_answer>>>
+seek_right(const caller_request& request, const call_key& key,
+           std::size_t worker, traffic_services& services) {
+    const auto pending = std::make_shared<pending_answer<right_answer>>(
+        services.contexts.at(worker).get().get_executor());
+    services.decisions.add(
+        request.id.text(),
+        {.kind = request.attempt == 0 ? decision_kind::claimed
+                                      : decision_kind::asked_peers,
+         .detail = "key=" + key.key.text() +
+                   " attempt=" + std::to_string(request.attempt)},
+        std::chrono::steady_clock::now());
+    services.delivery.submit(
+        right_query{.key = key,
+                    .attempt = request.attempt,
+                    .last_instance = request.last_instance,
+                    .deadline = request.deadline,
+                    .done = [answer = pending->handler()](
+                                const right_answer& found) { answer(found); }});
+    // The gate answers by the deadline; the margin covers the way back.
+    const auto found = co_await pending->wait(request.deadline + right_margin);
+    std::optional<outcome<recorded_answer>> result;
+    if (!found) {
+        result = failure{result_code::unknown_in_progress,
+                         "the right to run is still being sought"};
+    } else if (!found->may_run && found->answer) {
+        result = *found->answer;
+    } else if (!found->may_run) {
+        result = failure{found->code, "the right to run was not found"};
+    }
+    co_return result;
 }
 
 /// Runs a call that must not run twice, under its key.
@@ -155,33 +212,30 @@
     const key_decision decision =
         services.keys.begin(key, request.attempt, request.began);
     if (decision.verdict == key_verdict::ask) {
-        services.keys.refuse(key, result_code::unknown_attempt_not_remembered,
-                             false, request.began);
-    }
-    if (decision.verdict != key_verdict::run) {
+        const auto told =
+            co_await seek_right(request, key, exchange.worker(), services);
+        if (told) {
+            co_return *told;
+        }
+    } else if (decision.verdict != key_verdict::run) {
         co_return answer_of(decision);
     }
-    auto answer =
+    const auto answer =
         co_await run_call(exchange, request, std::move(path), false, services);
     const steady_time now = std::chrono::steady_clock::now();
-    if (!answer) {
+    if (answer) {
+        services.keys.finish(key, *answer, now);
+    } else {
         services.keys.fail(key, answer.reason().code, now);
-        co_return answer.reason();
     }
-    recorded_answer record = to_record(*answer);
-    services.keys.finish(key, record, now);
-    co_return record;
+    co_return answer;
 }
 
-asio::awaitable<outcome<recorded_answer>>
-run_idempotent(http_exchange& exchange, const caller_request& request,
-               std::string path, traffic_services& services) {
-    auto answer =
-        co_await run_call(exchange, request, std::move(path), true, services);
+failure end_of(const outcome<recorded_answer>& answer) {
     if (!answer) {
-        co_return answer.reason();
+        return answer.reason();
     }
-    co_return to_record(*answer);
+    return {answer->code, "HTTP status " + std::to_string(answer->status)};
 }
 
 } // namespace
@@ -197,12 +251,12 @@
     // of one twice.
     std::optional<outcome<recorded_answer>> ended;
     if (is_idempotent) {
-        ended = co_await run_idempotent(exchange, request, path, services);
+        ended = co_await run_call(exchange, request, path, true, services);
     } else {
         ended = co_await run_once(exchange, request, path, services);
     }
     const outcome<recorded_answer>& answer = *ended;
-    note_end(services, request.id, answer.reason());
+    note_end(services, request.id, end_of(answer));
     http_response response =
         answer ? to_response(*answer, request.id, services.instance)
                : make_failure_answer(request.id, answer.reason(),
--- a/drivers/caller_http/step_runner.cpp
+++ b/drivers/caller_http/step_runner.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -122,7 +123,30 @@
     co_await change_.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
+void step_runner::open() {
+    const step_session_options& options = session_.options();
+    services_.delivery.submit(step_opening{
+        .key = options.key,
+        .epoch = options.epoch,
+        .hear_epoch = [weak = weak_from_this(),
+                       executor = change_.get_executor()](session_epoch epoch) {
+            asio::post(executor, [weak, epoch] {
+                if (const auto self = weak.lock()) {
+                    self->session_.hear_epoch(epoch);
+                    self->change_.cancel();
+                }
+            });
+        }});
+}
+
+void step_runner::close() {
+    const step_session_options& options = session_.options();
+    services_.delivery.submit(
+        step_closing{.key = options.key, .epoch = options.epoch});
+}
+
 asio::awaitable<result_code> step_runner::serve(http_exchange& exchange) {
+    open();
     while (!session_.result()) {
         start_runs();
         co_await hand_over(exchange);
@@ -133,10 +157,12 @@
         if (exchange.is_caller_gone()) {
             session_.lose_trainer();
         }
-        if (std::chrono::steady_clock::now() >= request_.deadline) {
+        const steady_time now = std::chrono::steady_clock::now();
+        if (now >= request_.deadline || now >= services_.hand_off_at.load()) {
             session_.pass_deadline();
         }
     }
+    close();
     static_cast<void>(session_.take_cancelled());
     co_return *session_.result();
 }
--- a/drivers/caller_http/step_runner.hpp
+++ b/drivers/caller_http/step_runner.hpp
@@ -24,6 +24,8 @@
     [[nodiscard]] const step_session& session() const { return session_; }
 
 private:
+    void open();
+    void close();
     void start_runs();
     boost::asio::awaitable<void> run_slot(slot_run run);
     boost::asio::awaitable<void> hand_over(http_exchange& exchange);
--- a/drivers/caller_http/traffic_services.hpp
+++ b/drivers/caller_http/traffic_services.hpp
@@ -2,9 +2,11 @@
 
 #include "core/ids.hpp"
 #include "core/logger.hpp"
+#include "drivers/caller_http/retry_budgets.hpp"
 #include "drivers/upstream_http/upstream_client.hpp"
 #include "servers/configuration/configuration_view.hpp"
 #include "servers/control_server.hpp"
+#include "servers/delivery/delivery_port.hpp"
 #include "servers/delivery/key_ledger.hpp"
 #include "servers/delivery/step_charts.hpp"
 #include "servers/explain/decision_log.hpp"
@@ -27,6 +29,8 @@
     upstream_router& router;
     admission_gate& gate;
     key_ledger& keys;
+    delivery_port& delivery;
+    retry_budgets& budgets;
     decision_log& decisions;
     logger& log;
     std::shared_ptr<const step_charts> charts;
@@ -39,6 +43,8 @@
 
     std::atomic<std::shared_ptr<const configuration_view>> configuration;
     std::atomic<bool> is_draining{false};
+    /// When long streams end early so that their callers connect elsewhere.
+    std::atomic<steady_time> hand_off_at{steady_time::max()};
     std::atomic<std::uint64_t> next_request{1};
     /// Makes request ids of successive processes distinct.
     std::string incarnation;
--- a/drivers/caller_http/upstream_attempt.cpp
+++ b/drivers/caller_http/upstream_attempt.cpp
@@ -3,9 +3,11 @@
 namespace savorydock {
 
 upstream_attempt::upstream_attempt(traffic_services& services,
-                                   const caller_request& request)
+                                   const caller_request& request,
+                                   std::vector<upstream_id> excluded)
     : services_(services)
-    , request_(request) {}
+    , request_(request)
+    , tried_(std::move(excluded)) {}
 
 upstream_attempt::~upstream_attempt() {
     if (!current_.is_empty()) {
--- a/drivers/caller_http/upstream_attempt.hpp
+++ b/drivers/caller_http/upstream_attempt.hpp
@@ -10,7 +10,9 @@
 /// the request in flight while it exists. Not thread safe.
 class upstream_attempt {
 public:
-    upstream_attempt(traffic_services& services, const caller_request& request);
+    /// `excluded` are upstreams that the request must not go to.
+    upstream_attempt(traffic_services& services, const caller_request& request,
+                     std::vector<upstream_id> excluded);
     ~upstream_attempt();
     upstream_attempt(const upstream_attempt&) = delete;
     upstream_attempt& operator=(const upstream_attempt&) = delete;
--- a/drivers/entry/control_plane.cpp
+++ b/drivers/entry/control_plane.cpp
@@ -42,6 +42,11 @@
                   options.charts.upstream_life, options.random)
     , orders_(options.settings.instance, options.settings.zone,
               options.charts.order_life, candidates_)
+    , delivery_(
+          {.gate = {.self = options.settings.instance, .boot = options.boot},
+           .suspicion = {.self = options.settings.instance,
+                         .boot = options.boot}},
+          options.keys, options.port)
     , explanations_({.instance = options.settings.instance}, options.decisions)
     , shared_states_(std::make_shared<const upstream_state_map>()) {
     share_members({});
@@ -51,6 +56,7 @@
     runtime.add(membership_);
     runtime.add(configuration_);
     runtime.add(orders_);
+    runtime.add(delivery_);
     runtime.add(explanations_);
     runtime.set_after_tick(
         [this](steady_time now, command_list& out) { share(now, out); });
@@ -69,6 +75,7 @@
     shared_members_ = std::move(members);
     std::vector<known_instance> known;
     std::vector<instance_id> living_peers;
+    std::vector<instance_id> away_peers;
     std::map<instance_id, endpoint> addresses;
     for (const member_record& member : shared_members_) {
         const bool is_alive = is_living(member.condition);
@@ -79,13 +86,18 @@
             continue;
         }
         addresses.emplace(member.name, member.address);
-        if (is_alive) {
+        if (is_alive && member.zone == settings_.zone) {
             living_peers.push_back(member.name);
+        } else if (is_alive) {
+            away_peers.push_back(member.name);
         }
     }
+    living_peers.insert(living_peers.end(), away_peers.begin(),
+                        away_peers.end());
     executor_.set_addresses(std::move(addresses));
     configuration_.on_instances(known, now);
     candidates_.update(settings_.instance, settings_.zone, known);
+    delivery_.set_peers(living_peers);
     explanations_.set_peers(std::move(living_peers));
 }
 
--- a/drivers/entry/control_plane.hpp
+++ b/drivers/entry/control_plane.hpp
@@ -8,6 +8,7 @@
 #include "drivers/entry/rendezvous_candidates.hpp"
 #include "servers/configuration/configuration_server.hpp"
 #include "servers/control/order_holder.hpp"
+#include "servers/delivery/delivery_server.hpp"
 #include "servers/explain/explain_server.hpp"
 #include "servers/membership/membership_server.hpp"
 #include "servers/routing/upstream_router.hpp"
@@ -25,6 +26,10 @@
     random_source& random;
     upstream_router& router;
     entry_executor& executor;
+    key_ledger& keys;
+    delivery_port& port;
+    /// Unique over the restarts of the instance.
+    std::string boot;
     /// Called on the control thread with each new set of services.
     std::function<void(std::shared_ptr<const configuration_view>)> on_view;
 };
@@ -51,6 +56,7 @@
     }
     [[nodiscard]] membership_server& membership() { return membership_; }
     [[nodiscard]] order_holder& orders() { return orders_; }
+    [[nodiscard]] delivery_server& delivery() { return delivery_; }
     [[nodiscard]] explain_server& explanations() { return explanations_; }
 
 private:
@@ -64,6 +70,7 @@
     membership_server membership_;
     rendezvous_candidates candidates_;
     order_holder orders_;
+    delivery_server delivery_;
     explain_server explanations_;
     std::vector<member_record> shared_members_;
     std::shared_ptr<const upstream_state_map> shared_states_;
--- a/drivers/entry/entry_instance.cpp
+++ b/drivers/entry/entry_instance.cpp
@@ -71,12 +71,17 @@
                .random = random,
                .router = router,
                .executor = executor,
+               .keys = keys,
+               .port = delivery,
+               .boot = to_hex(seed),
                .on_view = [this](auto view) { take_view(std::move(view)); }})
         , gate(router)
         , traffic{.instance = settings.instance,
                   .router = router,
                   .gate = gate,
                   .keys = keys,
+                  .delivery = delivery,
+                  .budgets = budgets,
                   .decisions = decisions,
                   .log = log,
                   .charts = charts.step,
@@ -117,6 +122,8 @@
     control_runtime runtime;
     snapshot_router router;
     key_ledger keys;
+    delivery_port delivery;
+    retry_budgets budgets;
     decision_log decisions;
     control_plane control;
     admission_gate gate;
@@ -179,8 +186,10 @@
                std::to_string(caller_server.active_requests()) + "\n";
     };
     operators.start_drain = [this] { is_drain_wanted = true; };
-    operators.clear_suspect = [](const std::string&, auto answer) {
-        answer({{"cleared", false}});
+    operators.clear_suspect = [this](std::string fingerprint, auto answer) {
+        const bool is_known = delivery.suspects()->contains(fingerprint);
+        delivery.submit(suspect_clearing{std::move(fingerprint)});
+        answer({{"cleared", is_known}});
     };
     operators.is_ready = [this] {
         return !traffic.is_draining && traffic.configuration.load() != nullptr;
@@ -196,6 +205,12 @@
         return peer.reason();
     }
     control.attach(runtime);
+    delivery.set_wake([this] {
+        runtime.post_for(control.delivery(),
+                         [this](steady_time now, command_list& out) {
+                             control.delivery().serve_port(now, out);
+                         });
+    });
     runtime.start();
     const auto operator_used = operator_server.listen(settings.operator_listen);
     if (!operator_used) {
@@ -247,6 +262,8 @@
 
 bool entry_instance::drain() {
     parts_->traffic.is_draining = true;
+    parts_->traffic.hand_off_at =
+        std::chrono::steady_clock::now() + parts_->settings.drain_timeout / 2;
     parts_->runtime.post(
         [this](steady_time, command_list&) { parts_->control.begin_drain(); });
     const auto& server = parts_->caller_server;
--- a/drivers/operator_http/operator_api.cpp
+++ b/drivers/operator_http/operator_api.cpp
@@ -2,12 +2,9 @@
 
 #include "core/result_code.hpp"
 #include "core/secret.hpp"
+#include "drivers/caf_runtime/pending_answer.hpp"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <memory>
@@ -25,34 +22,6 @@
 constexpr std::string_view explain_path = "/v1/explain/";
 constexpr std::string_view clear_path = "/v1/clear/";
 
-/// Waits for an answer that a callback brings from another thread.
-class pending_answer : public std::enable_shared_from_this<pending_answer> {
-public:
-    explicit pending_answer(asio::any_io_executor executor)
-        : timer_(std::move(executor), answer_timeout) {}
-
-    operator_services::answer_handler handler() {
-        return [self = shared_from_this()](json::object answer) {
-            asio::post(self->timer_.get_executor(),
-                       [self, answer = std::move(answer)]() mutable {
-                           self->answer_ = std::move(answer);
-                           self->timer_.cancel();
-                       });
-        };
-    }
-
-    asio::awaitable<std::optional<json::object>> wait() {
-        if (!answer_) {
-            co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
-        }
-        co_return answer_;
-    }
-
-private:
-    asio::steady_timer timer_;
-    std::optional<json::object> answer_;
-};
-
 asio::awaitable<void> send(http_exchange& exchange, unsigned status,
                            json::object body) {
     http_response response{
@@ -74,10 +43,11 @@
 asio::awaitable<void>
 answer_later(http_exchange& exchange,
              std::function<void(operator_services::answer_handler)> ask) {
-    const auto pending =
-        std::make_shared<pending_answer>(co_await asio::this_coro::executor);
+    const auto pending = std::make_shared<pending_answer<json::object>>(
+        co_await asio::this_coro::executor);
     ask(pending->handler());
-    auto answer = co_await pending->wait();
+    auto answer = co_await pending->wait(std::chrono::steady_clock::now() +
+                                         answer_timeout);
     if (!answer) {
         co_await refuse(exchange, result_code::not_found,
                         "control did not answer in time");
