--- /dev/null
+++ b/servers/limits/token_bucket.cpp
@@ -0,0 +1,67 @@
+#include "servers/limits/token_bucket.hpp"
+
+#include <algorithm>
+
+namespace savorydock {
+
+namespace {
+
+constexpr double nanoseconds_per_second = 1e9;
+/// Slower than one request in 1,000 s is the same as that.
+constexpr double min_rate = 1e-3;
+
+std::int64_t interval_of(double requests_per_second) {
+    return static_cast<std::int64_t>(nanoseconds_per_second /
+                                     std::max(requests_per_second, min_rate));
+}
+
+} // namespace
+
+token_bucket::token_bucket(double requests_per_second,
+                           std::chrono::nanoseconds burst)
+    : interval_(interval_of(requests_per_second))
+    , burst_(burst.count()) {}
+
+bool token_bucket::admit(steady_time now) {
+    attempts_.fetch_add(1, std::memory_order_relaxed);
+    const std::int64_t time =
+        std::chrono::nanoseconds(now.time_since_epoch()).count();
+    const std::int64_t interval = interval_.load(std::memory_order_relaxed);
+    std::int64_t held = full_at_.load(std::memory_order_relaxed);
+    while (true) {
+        const std::int64_t next = std::max(held, time) + interval;
+        if (next - time > std::max(burst_, interval)) {
+            return false;
+        }
+        if (full_at_.compare_exchange_weak(held, next,
+                                           std::memory_order_relaxed)) {
+            return true;
+        }
+    }
+}
+
+void token_bucket::set_rate(double requests_per_second, steady_time now) {
+    const std::int64_t next = interval_of(requests_per_second);
+    const std::int64_t last = interval_.exchange(next);
+    const std::int64_t time =
+        std::chrono::nanoseconds(now.time_since_epoch()).count();
+    std::int64_t held = full_at_.load(std::memory_order_relaxed);
+    std::int64_t scaled = 0;
+    do {
+        if (held <= time) {
+            return;
+        }
+        // The same number of tokens is owed, at the new rate.
+        const double owed =
+            static_cast<double>(held - time) / static_cast<double>(last);
+        scaled =
+            time + static_cast<std::int64_t>(owed * static_cast<double>(next));
+    } while (!full_at_.compare_exchange_weak(held, scaled,
+                                             std::memory_order_relaxed));
+}
+
+std::uint64_t token_bucket::take_attempts() {
+    return attempts_.exchange(0, std::memory_order_relaxed);
+}
+
+} // namespace savorydock
--- a/servers/membership/membership_server.cpp
+++ b/servers/membership/membership_server.cpp
@@ -123,8 +123,7 @@
             if (member_news_.is_empty() && upstream_news_.is_empty()) {
                 return;
             }
-            // A copy: sending may change the list.
-            const instance_id to = names[random_.below(names.size())];
+            const instance_id& to = names[random_.below(names.size())];
             send({.kind = membership_kind::gossip}, to, out);
         }
     };
