--- a/servers/membership/gossip_queue.hpp
+++ b/servers/membership/gossip_queue.hpp
@@ -17,7 +17,13 @@
     /// Passes a record on `budget` times, from now.
     void add(const Key& key, std::uint32_t budget) { left_[key] = budget; }
 
-    void remove(const Key& key) { left_.erase(key); }
+    /// Another instance passed the same record on: once less to do here.
+    void note_heard(const Key& key) {
+        const auto found = left_.find(key);
+        if (found != left_.end() && --found->second == 0) {
+            left_.erase(found);
+        }
+    }
 
     [[nodiscard]] bool is_empty() const { return left_.empty(); }
     [[nodiscard]] std::size_t size() const { return left_.size(); }
--- a/servers/membership/membership_server.cpp
+++ b/servers/membership/membership_server.cpp
@@ -231,6 +231,9 @@
                                     steady_time now, command_list& out) {
     switch (table_.merge(record, now)) {
     case merge_result::unchanged:
+        if (table_.record_of(record.name) == record) {
+            member_news_.note_heard(record.name);
+        }
         return;
     case merge_result::news:
         queue_member(record.name);
--- a/tests/servers/membership/membership_fleet.hpp
+++ b/tests/servers/membership/membership_fleet.hpp
@@ -28,6 +28,8 @@
     message_faults faults;
     /// Every instance knows these from its settings.
     std::size_t seeds = 2;
+    /// The settings know the seeds as they are: a fleet that has met.
+    bool knows_incarnations = false;
 };
 
 /// Membership servers in one process that exchange messages in virtual time.
@@ -52,6 +54,8 @@
             nodes[i].zone =
                 availability_zone("zone-" + std::to_string(i % options_.zones));
             index_[nodes[i].name] = i;
+        }
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
             start(i);
         }
     }
@@ -65,10 +69,12 @@
         membership_options options{.self = record_of(at),
                                    .health = {.zone = started.zone},
                                    .reads_platform_list = false};
-        options.self.incarnation = 1'000 + starts_;
+        options.self.incarnation = first_incarnation(starts_ - 1);
         for (std::size_t i = 0; i < std::min(options_.seeds, nodes.size());
              ++i) {
             options.seeds.push_back(record_of(i));
+            options.seeds.back().incarnation =
+                options_.knows_incarnations ? first_incarnation(i) : 0;
         }
         started.server = std::make_unique<membership_server>(
             std::move(options), chart_, *started.random);
@@ -151,6 +157,11 @@
     /// Each instance ticks every fourth step, not all at once.
     static constexpr std::size_t tick_steps = 4;
 
+    /// Of the life that is the `starts`-th start in the fleet.
+    static std::uint64_t first_incarnation(std::size_t starts) {
+        return 1'001 + starts;
+    }
+
     [[nodiscard]] member_record record_of(std::size_t at) const {
         return {.name = nodes[at].name,
                 .zone = nodes[at].zone,
--- a/tests/servers/membership/membership_server_test.cpp
+++ b/tests/servers/membership/membership_server_test.cpp
@@ -226,6 +226,21 @@
     EXPECT_EQ(condition(0), upstream_condition::serving);
 }
 
+TEST_F(membership_server_test, own_word_of_leaving_outweighs_any_registration) {
+    // Another instance knows of a registration that this one's list lacks.
+    const upstream_record record{.service = engine(0).service,
+                                 .upstream = engine(0).upstream,
+                                 .leaving_through = 40,
+                                 .registered = 50};
+    server_.on_peer_message(
+        {.from = instance_id("x"),
+         .body = wire::encode(membership_message{.upstreams = {record}})},
+        now_, out_);
+    EXPECT_EQ(condition(0), upstream_condition::serving);
+    server_.on_observation(saw(0, upstream_evidence::said_leaving), now_, out_);
+    EXPECT_EQ(condition(0), upstream_condition::leaving);
+}
+
 TEST_F(membership_server_test, failure_of_most_upstreams_is_taken_for_a_cut) {
     const auto fail = [&](std::size_t at) {
         for (int i = 0; i < 2; ++i) {
