--- /dev/null
+++ b/drivers/caller_http/plain_call.cpp
@@ -0,0 +1,267 @@
+#include "drivers/caller_http/plain_call.hpp"
+
+#include "drivers/caf_runtime/pending_answer.hpp"
+#include "drivers/caller_http/admission_gate.hpp"
+#include "drivers/caller_http/suspect_guard.hpp"
+#include "drivers/caller_http/upstream_attempt.hpp"
+
+#include <array>
+#include <optional>
+
+namespace savorydock {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds right_margin{1'000};
+
+/// Headers of the caller that its plain service gets to see.
+http_request to_upstream(const http_request& source, const std::string& path,
+                         const caller_request& request) {
+    http_request target{
+        .method = source.method, .target = path, .body = source.body};
+    constexpr std::array<std::string_view, 3> passed{
+        "Content-Type", "Accept", caller_header::idempotency_key};
+    for (const std::string_view name : passed) {
+        const std::string_view value = source.header(name);
+        if (!value.empty()) {
+            target.headers.push_back({std::string(name), std::string(value)});
+        }
+    }
+    target.headers.push_back(
+        {std::string(caller_header::request_id), request.id.text()});
+    return target;
+}
+
+/// How the connection failed, from the client's code.
+connection_fault fault_of(result_code code) {
+    switch (code) {
+    case result_code::not_run_no_upstream:
+        return connection_fault::refused;
+    case result_code::not_run_deadline:
+        return connection_fault::connect_timed_out;
+    case result_code::unknown_deadline:
+        return connection_fault::timed_out_after_send;
+    case result_code::failed_truncated:
+        return connection_fault::closed_in_answer;
+    default:
+        return connection_fault::closed_after_send;
+    }
+}
+
+upstream_ruling rule_on(const outcome<http_response>& answer) {
+    return answer ? rule_on_status(answer->status, service_kind::plain)
+                  : rule_on_fault(fault_of(answer.reason().code));
+}
+
+std::string describe_end(const outcome<http_response>& answer) {
+    return answer ? "HTTP status " + std::to_string(answer->status)
+                  : answer.reason().detail;
+}
+
+recorded_answer to_record(const http_response& answer, result_code code) {
+    return {
+        .code = code,
+        .status = answer.status,
+        .content_type = std::string(answer.header("Content-Type")),
+        .body = answer.body,
+    };
+}
+
+/// One run on one upstream under the guard.
+asio::awaitable<outcome<http_response>>
+call_upstream(http_exchange& exchange, const caller_request& request,
+              std::string path, bool is_idempotent, endpoint address,
+              call_evidence& seen, traffic_services& services) {
+    http_request message = to_upstream(exchange.request(), path, request);
+    upstream_client& client = *services.clients[exchange.worker()];
+    co_return co_await client.call(std::move(address), std::move(message),
+                                   request.deadline, is_idempotent, seen);
+}
+
+/// One request over as many upstreams as the rules allow. An upstream's own
+/// refusal is an answer; its code tells that it is one.
+asio::awaitable<outcome<recorded_answer>>
+run_call(http_exchange& exchange, const caller_request& request,
+         std::string path, bool is_idempotent, traffic_services& services) {
+    const auto pass = co_await services.gate.enter(
+        request, 1, services.contexts.at(exchange.worker()));
+    if (!pass) {
+        co_return pass.reason();
+    }
+    const service_document& document = *request.service->document;
+    suspect_guard guard(services, request, path + exchange.request().body,
+                        exchange.worker());
+    upstream_attempt attempt(services, request, guard.excluded());
+    request_retries retries({.is_idempotent = is_idempotent,
+                             .max_attempts = document.retries.max_attempts,
+                             .deadline = request.deadline});
+    const auto budget =
+        services.budgets.of(document.service, document.retries.budget);
+    budget->earn();
+    while (true) {
+        const auto choice = attempt.begin(0, 0);
+        if (!choice) {
+            co_return failure{retries.give_up(choice.reason().code),
+                              choice.reason().detail};
+        }
+        const auto entered = co_await guard.enter(choice->upstream->name);
+        if (!entered) {
+            attempt.finish({}, true);
+            co_return failure{retries.give_up(entered.reason().code),
+                              entered.reason().detail};
+        }
+        call_evidence seen;
+        const auto answer =
+            co_await call_upstream(exchange, request, path, is_idempotent,
+                                   choice->upstream->address, seen, services);
+        const upstream_ruling ruling = rule_on(answer);
+        guard.leave(answer ? result_code::ok : answer.reason().code);
+        attempt.finish(seen, false);
+        if (ruling.code == result_code::ok) {
+            co_return to_record(*answer, result_code::ok);
+        }
+        const retry_decision decision =
+            retries.decide(ruling, *budget, std::chrono::steady_clock::now());
+        if (decision.is_retry) {
+            continue;
+        }
+        if (answer && ruling.fate == upstream_fate::answered) {
+            co_return to_record(*answer, decision.code);
+        }
+        co_return failure{decision.code, describe_end(answer)};
+    }
+}
+
+http_response to_response(const recorded_answer& record, const request_id& id,
+                          const instance_id& instance) {
+    http_response answer{
+        .status = record.status,
+        .headers = make_answer_headers(id, record.code, instance),
+        .body = record.body,
+    };
+    if (!record.content_type.empty()) {
+        answer.headers.push_back({"Content-Type", record.content_type});
+    }
+    return answer;
+}
+
+/// What a decision of the ledger other than `run` and `ask` tells.
+outcome<recorded_answer> answer_of(const key_decision& decision) {
+    if (decision.verdict == key_verdict::full) {
+        return failure{result_code::not_run_overloaded,
+                       "too many keys are running"};
+    }
+    if (decision.verdict == key_verdict::in_progress) {
+        return failure{result_code::unknown_in_progress,
+                       "an earlier sending is still running"};
+    }
+    if (decision.record.answer) {
+        return *decision.record.answer;
+    }
+    return failure{code_of(decision.record), "as recorded for this key"};
+}
+
+/// Seeks the right to run from the other instances or by a claim. An empty
+/// optional is the right.
+asio::awaitable<std::optional<outcome<recorded_answer>>>
+seek_right(const caller_request& request, const call_key& key,
+           std::size_t worker, traffic_services& services) {
+    const auto pending = std::make_shared<pending_answer<right_answer>>(
+        services.contexts.at(worker).get().get_executor());
+    services.decisions.add(
+        request.id.text(),
+        {.kind = request.attempt == 0 ? decision_kind::claimed
+                                      : decision_kind::asked_peers,
+         .detail = "key=" + key.key.text() +
+                   " attempt=" + std::to_string(request.attempt)},
+        std::chrono::steady_clock::now());
+    services.delivery.submit(
+        right_query{.key = key,
+                    .attempt = request.attempt,
+                    .last_instance = request.last_instance,
+                    .deadline = request.deadline,
+                    .done = [answer = pending->handler()](
+                                const right_answer& found) { answer(found); }});
+    // The gate answers by the deadline; the margin covers the way back.
+    const auto found = co_await pending->wait(request.deadline + right_margin);
+    std::optional<outcome<recorded_answer>> result;
+    if (!found) {
+        result = failure{result_code::unknown_in_progress,
+                         "the right to run is still being sought"};
+    } else if (!found->may_run && found->answer) {
+        result = *found->answer;
+    } else if (!found->may_run) {
+        result = failure{found->code, "the right to run was not found"};
+    }
+    co_return result;
+}
+
+/// Runs a call that must not run twice, under its key.
+asio::awaitable<outcome<recorded_answer>>
+run_once(http_exchange& exchange, const caller_request& request,
+         std::string path, traffic_services& services) {
+    if (request.key.is_empty()) {
+        co_return failure{result_code::not_run_key_required,
+                          "send an Idempotency-Key with this call"};
+    }
+    const call_key key{.service = request.service->document->service,
+                       .caller = request.caller->name,
+                       .key = request.key};
+    const key_decision decision =
+        services.keys.begin(key, request.attempt, request.began);
+    if (decision.verdict == key_verdict::ask) {
+        const auto told =
+            co_await seek_right(request, key, exchange.worker(), services);
+        if (told) {
+            co_return *told;
+        }
+    } else if (decision.verdict != key_verdict::run) {
+        co_return answer_of(decision);
+    }
+    const auto answer =
+        co_await run_call(exchange, request, std::move(path), false, services);
+    const steady_time now = std::chrono::steady_clock::now();
+    if (answer) {
+        services.keys.finish(key, *answer, now);
+    } else {
+        services.keys.fail(key, answer.reason().code, now);
+    }
+    co_return answer;
+}
+
+failure end_of(const outcome<recorded_answer>& answer) {
+    if (!answer) {
+        return answer.reason();
+    }
+    return {answer->code, "HTTP status " + std::to_string(answer->status)};
+}
+
+} // namespace
+
+asio::awaitable<void> serve_plain_call(http_exchange& exchange,
+                                       caller_request request, std::string path,
+                                       traffic_services& services) {
+    const std::string_view plain_path =
+        std::string_view(path).substr(0, path.find('?'));
+    const bool is_idempotent =
+        request.service->document->is_idempotent(plain_path);
+    // No conditional expression around co_await: GCC 12 destroys the result
+    // of one twice.
+    std::optional<outcome<recorded_answer>> ended;
+    if (is_idempotent) {
+        ended = co_await run_call(exchange, request, path, true, services);
+    } else {
+        ended = co_await run_once(exchange, request, path, services);
+    }
+    const outcome<recorded_answer>& answer = *ended;
+    note_end(services, request.id, end_of(answer));
+    http_response response =
+        answer ? to_response(*answer, request.id, services.instance)
+               : make_failure_answer(request.id, answer.reason(),
+                                     services.instance);
+    co_await exchange.respond(std::move(response));
+}
+
+} // namespace savorydock
