--- a/servers/membership/membership_server.cpp
+++ b/servers/membership/membership_server.cpp
@@ -123,8 +123,7 @@
             if (member_news_.is_empty() && upstream_news_.is_empty()) {
                 return;
             }
-            // A copy: sending may change the list.
-            const instance_id to = names[random_.below(names.size())];
+            const instance_id& to = names[random_.below(names.size())];
             send({.kind = membership_kind::gossip}, to, out);
         }
     };
@@ -232,6 +231,9 @@
                                     steady_time now, command_list& out) {
     switch (table_.merge(record, now)) {
     case merge_result::unchanged:
+        if (table_.record_of(record.name) == record) {
+            member_news_.note_heard(record.name);
+        }
         return;
     case merge_result::news:
         queue_member(record.name);
