--- /dev/null
+++ b/tests/bench/bench_fleet.cpp
@@ -0,0 +1,141 @@
+#include "tests/bench/bench_fleet.hpp"
+
+#include <utility>
+
+namespace savorydock::bench {
+
+namespace {
+
+constexpr bench_seconds report_period{1};
+constexpr bench_seconds least_report_lag{0.5};
+constexpr bench_seconds report_lag_spread{1};
+constexpr bench_seconds least_event_lag{1};
+constexpr bench_seconds event_lag_spread{4};
+constexpr double lost_events = 0.2;
+
+/// How long control takes to suspect an upstream that is down.
+constexpr bench_seconds suspicion_delay{3};
+
+constexpr double weights_jitter = 0.2;
+constexpr std::uint32_t crashing_engine = 4;
+constexpr std::uint32_t slow_engine = 1;
+constexpr std::uint32_t failing_engine = 2;
+constexpr weight_version failing_version = 4;
+
+} // namespace
+
+bench_fleet::bench_fleet(event_loop& loop, std::uint32_t count,
+                         const engine_options& options, std::uint64_t seed)
+    : loop_(loop)
+    , random_(seed) {
+    for (std::uint32_t at = 0; at < count; ++at) {
+        engines_.push_back(std::make_unique<batch_engine>(loop, options));
+    }
+}
+
+std::vector<batch_engine*> bench_fleet::engines() const {
+    std::vector<batch_engine*> list;
+    for (const auto& engine : engines_) {
+        list.push_back(engine.get());
+    }
+    return list;
+}
+
+void bench_fleet::report_to(std::vector<decider*> deciders) {
+    deciders_ = std::move(deciders);
+    for (std::uint32_t at = 0; at < engines_.size(); ++at) {
+        loop_.after(report_period * unit(), [this, at] {
+            report(at);
+            loop_.every(report_period, [this, at] { report(at); });
+        });
+        engines_[at]->on_cached = [this, at](std::uint64_t prefix) {
+            if (unit() < lost_events) {
+                return;
+            }
+            const bench_seconds lag =
+                least_event_lag + event_lag_spread * unit();
+            loop_.after(lag, [this, at, prefix] {
+                for (decider* const entry : deciders_) {
+                    entry->hear_cached(at, prefix);
+                }
+            });
+        };
+    }
+}
+
+void bench_fleet::report(std::uint32_t engine) {
+    const batch_engine& source = *engines_[engine];
+    upstream_state state{.version = source.version(),
+                         .reported_load = source.load(),
+                         .reported_at = loop_.now()};
+    bench_seconds extra{0};
+    if (source.is_down()) {
+        state.condition = upstream_condition::suspected;
+        extra = suspicion_delay;
+    } else if (source.is_swapping()) {
+        state.condition = upstream_condition::swapping;
+    }
+    for (decider* const entry : deciders_) {
+        const bench_seconds lag =
+            least_report_lag + report_lag_spread * unit() + extra;
+        loop_.after(lag, [=] { entry->hear(engine, state); });
+    }
+}
+
+void bench_fleet::plan_faults(const bench_load& load) {
+    loop_.after(load.crash_at, [this] { engines_[crashing_engine]->crash(); });
+    loop_.after(load.crash_at + load.crash_length, [this] {
+        engines_[crashing_engine]->restart();
+        engines_[crashing_engine]->end_swap(newest_);
+    });
+    loop_.after(load.slow_from, [this, speed = load.slow_speed] {
+        engines_[slow_engine]->set_speed(speed);
+    });
+    loop_.after(load.slow_until,
+                [this] { engines_[slow_engine]->set_speed(1); });
+}
+
+void bench_fleet::plan_weights(const bench_load& load,
+                               std::function<void(weight_version)> announce) {
+    bench_seconds at{0};
+    for (weight_version version = 2;; ++version) {
+        at += load.weights_interval * (1 + weights_jitter * (2 * unit() - 1));
+        if (at >= load.length) {
+            return;
+        }
+        loop_.after(at, [=, this] {
+            newest_ = version;
+            announce(version);
+            for (std::uint32_t engine = 0; engine < engines_.size(); ++engine) {
+                // Half of the engines stay in service.
+                const bench_seconds wave = load.swap * (engine % 2);
+                const bool does_fail =
+                    version == failing_version && engine == failing_engine;
+                loop_.after(wave, [=, this] {
+                    swap(engine, version, load, does_fail);
+                });
+            }
+        });
+    }
+}
+
+void bench_fleet::swap(std::uint32_t engine, weight_version version,
+                       const bench_load& load, bool does_fail) {
+    batch_engine& target = *engines_[engine];
+    if (target.is_down()) {
+        return;
+    }
+    target.begin_swap();
+    loop_.after(load.swap, [=, this, &target] {
+        if (target.is_down()) {
+            return;
+        }
+        target.end_swap(does_fail ? target.version() : version);
+        if (does_fail) {
+            loop_.after(load.failed_swap_retry,
+                        [=, this] { swap(engine, version, load, false); });
+        }
+    });
+}
+
+} // namespace savorydock::bench
--- /dev/null
+++ b/tests/bench/policy_bench_main.cpp
@@ -0,0 +1,125 @@
+/// Measures routing, admission and scheduling policies on the same loads in
+/// virtual time. One JSON line for each run, then a table.
+
+#include "tests/bench/experiment.hpp"
+
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <map>
+#include <string>
+#include <vector>
+
+DEFINE_uint32(seeds, 5, "runs of each policy, with seeds 1, 2, ...");
+DEFINE_uint32(minutes, 30, "virtual minutes of each run");
+DEFINE_double(surge, 1, "interactive load of the middle third, as a multiple");
+DEFINE_string(only, "", "measure policies whose name begins so");
+
+namespace savorydock::bench {
+
+namespace {
+
+void print_line(const std::string& size, const std::string& policy,
+                std::uint64_t seed, const experiment_figures& figures) {
+    const nlohmann::json line{
+        {"deployment", size},
+        {"policy", policy},
+        {"seed", seed},
+        {"idle_seconds", figures.idle_seconds},
+        {"idle_p90_seconds", figures.idle_p90_seconds},
+        {"steps", figures.steps},
+        {"samples", figures.samples},
+        {"discarded_too_old", figures.discarded_too_old},
+        {"max_staleness", figures.max_staleness},
+        {"mean_staleness", figures.mean_staleness},
+        {"cancelled_early", figures.cancelled_early},
+        {"moved", figures.moved},
+        {"hedged", figures.hedged},
+        {"lost_runs", figures.lost_runs},
+        {"prompt_p99_seconds", figures.prompt_p99_seconds},
+        {"plain_p99_milliseconds", figures.plain_p99_milliseconds},
+        {"interactive_calls", figures.interactive_calls},
+        {"interactive_refused", figures.interactive_refused},
+        {"interactive_failed", figures.interactive_failed}};
+    std::printf("%s\n", line.dump().c_str());
+    std::fflush(stdout);
+}
+
+/// "minimum/median/maximum" of one figure over the seeds.
+template <class Read>
+std::string spread(const std::vector<experiment_figures>& runs, Read read) {
+    std::vector<double> values;
+    for (const experiment_figures& run : runs) {
+        values.push_back(static_cast<double>(read(run)));
+    }
+    std::sort(values.begin(), values.end());
+    char text[64];
+    std::snprintf(text, sizeof text, "%.4g/%.4g/%.4g", values.front(),
+                  values[values.size() / 2], values.back());
+    return text;
+}
+
+void print_table(
+    const std::string& size,
+    const std::vector<std::pair<std::string, std::vector<experiment_figures>>>&
+        rows) {
+    std::printf("\n%s (minimum/median/maximum of %u seeds)\n", size.c_str(),
+                FLAGS_seeds);
+    std::printf("%-19s %-18s %-15s %-15s %-18s %-18s %-18s %-15s %s\n",
+                "policy", "idle s/step", "steps", "too old", "staleness",
+                "prompt p99 s", "plain p99 ms", "cancelled", "ref+fail");
+    for (const auto& [policy, runs] : rows) {
+        using figures = experiment_figures;
+        const auto cell = [&runs = runs](auto read) {
+            return spread(runs, read);
+        };
+        std::printf(
+            "%-19s %-18s %-15s %-15s %-18s %-18s %-18s %-15s %s\n",
+            policy.c_str(),
+            cell([](const figures& f) { return f.idle_seconds; }).c_str(),
+            cell([](const figures& f) { return f.steps; }).c_str(),
+            cell([](const figures& f) { return f.discarded_too_old; }).c_str(),
+            cell([](const figures& f) { return f.mean_staleness; }).c_str(),
+            cell([](const figures& f) { return f.prompt_p99_seconds; }).c_str(),
+            cell([](const figures& f) {
+                return f.plain_p99_milliseconds;
+            }).c_str(),
+            cell([](const figures& f) { return f.cancelled_early; }).c_str(),
+            cell([](const figures& f) {
+                return f.interactive_refused + f.interactive_failed;
+            }).c_str());
+    }
+}
+
+void measure(const deployment& size) {
+    std::vector<std::pair<std::string, std::vector<experiment_figures>>> rows;
+    const bench_load load{.length = std::chrono::minutes(FLAGS_minutes),
+                          .surge = FLAGS_surge};
+    for (const bench_policy& policy : all_policies()) {
+        if (!policy.name.starts_with(FLAGS_only)) {
+            continue;
+        }
+        rows.emplace_back(policy.name, std::vector<experiment_figures>{});
+        for (std::uint64_t seed = 1; seed <= FLAGS_seeds; ++seed) {
+            const auto figures = run_experiment(size, policy, load, seed);
+            print_line(size.name, policy.name, seed, figures);
+            rows.back().second.push_back(figures);
+        }
+    }
+    print_table(size.name, rows);
+}
+
+} // namespace
+
+} // namespace savorydock::bench
+
+int main(int argc, char** argv) {
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    FLAGS_seeds = std::max(1U, FLAGS_seeds);
+    for (const auto& size : savorydock::bench::all_deployments()) {
+        savorydock::bench::measure(size);
+    }
+    return 0;
+}
