--- a/tests/bench/bench_fleet.cpp
+++ b/tests/bench/bench_fleet.cpp
@@ -16,6 +16,9 @@
 /// How long control takes to suspect an upstream that is down.
 constexpr bench_seconds suspicion_delay{3};
 
+/// Conditions that control itself sets travel faster than reports.
+constexpr bench_seconds notice_lag{0.3};
+
 constexpr double weights_jitter = 0.2;
 constexpr std::uint32_t crashing_engine = 4;
 constexpr std::uint32_t slow_engine = 1;
@@ -72,7 +75,7 @@
     if (source.is_down()) {
         state.condition = upstream_condition::suspected;
         extra = suspicion_delay;
-    } else if (source.is_swapping()) {
+    } else if (source.is_swapping() || noticed_.contains(engine)) {
         state.condition = upstream_condition::swapping;
     }
     for (decider* const entry : deciders_) {
@@ -108,7 +111,8 @@
             announce(version);
             for (std::uint32_t engine = 0; engine < engines_.size(); ++engine) {
                 // Half of the engines stay in service.
-                const bench_seconds wave = load.swap * (engine % 2);
+                const bench_seconds wave =
+                    (load.swap + load.swap_notice) * (engine % 2);
                 const bool does_fail =
                     version == failing_version && engine == failing_engine;
                 loop_.after(wave, [=, this] {
@@ -125,6 +129,28 @@
     if (target.is_down()) {
         return;
     }
+    if (load.swap_notice.count() > 0) {
+        upstream_state noticed{.condition = upstream_condition::swapping,
+                               .version = target.version(),
+                               .reported_load = target.load(),
+                               .reported_at = loop_.now()};
+        noticed_.insert(engine);
+        for (decider* const entry : deciders_) {
+            loop_.after(notice_lag, [=] { entry->hear(engine, noticed); });
+        }
+    }
+    loop_.after(load.swap_notice, [=, this] {
+        noticed_.erase(engine);
+        order_swap(engine, version, load, does_fail);
+    });
+}
+
+void bench_fleet::order_swap(std::uint32_t engine, weight_version version,
+                             const bench_load& load, bool does_fail) {
+    batch_engine& target = *engines_[engine];
+    if (target.is_down()) {
+        return;
+    }
     target.begin_swap();
     loop_.after(load.swap, [=, this, &target] {
         if (target.is_down()) {
--- a/tests/bench/bench_fleet.hpp
+++ b/tests/bench/bench_fleet.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace savorydock::bench {
@@ -33,6 +34,8 @@
     void report(std::uint32_t engine);
     void swap(std::uint32_t engine, weight_version version,
               const bench_load& load, bool does_fail);
+    void order_swap(std::uint32_t engine, weight_version version,
+                    const bench_load& load, bool does_fail);
     [[nodiscard]] double unit() {
         return static_cast<double>(random_.below(1U << 20U)) / (1U << 20U);
     }
@@ -41,6 +44,8 @@
     std::vector<std::unique_ptr<batch_engine>> engines_;
     std::vector<decider*> deciders_;
     weight_version newest_ = 1;
+    /// Engines that are to swap soon.
+    std::set<std::uint32_t> noticed_;
     seeded_random_source random_;
 };
 
--- a/tests/bench/bench_settings.hpp
+++ b/tests/bench/bench_settings.hpp
@@ -43,6 +43,8 @@
     std::uint32_t staleness_bound = 1;
     bench_seconds weights_interval{150};
     bench_seconds swap{12};
+    /// From the notice that an upstream will swap to the order.
+    bench_seconds swap_notice{0};
     bench_seconds failed_swap_retry{30};
     bench_seconds crash_at{500};
     bench_seconds crash_length{60};
--- a/tests/bench/experiment.cpp
+++ b/tests/bench/experiment.cpp
@@ -75,6 +75,7 @@
                     own.idle_seconds.end());
         total.samples += own.handed_over;
         total.discarded_too_old += own.discarded_too_old;
+        total.wasted_tokens += own.wasted_tokens;
         total.cancelled_early += own.cancelled_early;
         total.moved += own.moved;
         total.hedged += own.hedged;
--- a/tests/bench/experiment.hpp
+++ b/tests/bench/experiment.hpp
@@ -17,6 +17,7 @@
     /// The largest lag of a sample that was handed over.
     std::uint64_t max_staleness = 0;
     std::uint64_t cancelled_early = 0;
+    std::uint64_t wasted_tokens = 0;
     std::uint64_t moved = 0;
     std::uint64_t hedged = 0;
     std::uint64_t lost_runs = 0;
--- a/tests/bench/policy_bench_main.cpp
+++ b/tests/bench/policy_bench_main.cpp
@@ -15,6 +15,8 @@
 DEFINE_uint32(seeds, 5, "runs of each policy, with seeds 1, 2, ...");
 DEFINE_uint32(minutes, 30, "virtual minutes of each run");
 DEFINE_double(surge, 1, "interactive load of the middle third, as a multiple");
+DEFINE_uint32(bound, 1, "versions that a sample may lag at hand-over");
+DEFINE_double(swap_notice, 0, "seconds from a swap's notice to its order");
 DEFINE_string(only, "", "measure policies whose name begins so");
 
 namespace savorydock::bench {
@@ -35,6 +37,7 @@
         {"max_staleness", figures.max_staleness},
         {"mean_staleness", figures.mean_staleness},
         {"cancelled_early", figures.cancelled_early},
+        {"wasted_tokens", figures.wasted_tokens},
         {"moved", figures.moved},
         {"hedged", figures.hedged},
         {"lost_runs", figures.lost_runs},
@@ -51,6 +54,7 @@
 template <class Read>
 std::string spread(const std::vector<experiment_figures>& runs, Read read) {
     std::vector<double> values;
+    values.reserve(runs.size());
     for (const experiment_figures& run : runs) {
         values.push_back(static_cast<double>(read(run)));
     }
@@ -67,16 +71,16 @@
         rows) {
     std::printf("\n%s (minimum/median/maximum of %u seeds)\n", size.c_str(),
                 FLAGS_seeds);
-    std::printf("%-19s %-18s %-15s %-15s %-18s %-18s %-18s %-15s %s\n",
+    std::printf("%-19s %-18s %-15s %-15s %-18s %-18s %-18s %-18s %s\n",
                 "policy", "idle s/step", "steps", "too old", "staleness",
-                "prompt p99 s", "plain p99 ms", "cancelled", "ref+fail");
+                "prompt p99 s", "plain p99 ms", "wasted tokens", "ref+fail");
     for (const auto& [policy, runs] : rows) {
         using figures = experiment_figures;
         const auto cell = [&runs = runs](auto read) {
             return spread(runs, read);
         };
         std::printf(
-            "%-19s %-18s %-15s %-15s %-18s %-18s %-18s %-15s %s\n",
+            "%-19s %-18s %-15s %-15s %-18s %-18s %-18s %-20s %s\n",
             policy.c_str(),
             cell([](const figures& f) { return f.idle_seconds; }).c_str(),
             cell([](const figures& f) { return f.steps; }).c_str(),
@@ -86,7 +90,7 @@
             cell([](const figures& f) {
                 return f.plain_p99_milliseconds;
             }).c_str(),
-            cell([](const figures& f) { return f.cancelled_early; }).c_str(),
+            cell([](const figures& f) { return f.wasted_tokens; }).c_str(),
             cell([](const figures& f) {
                 return f.interactive_refused + f.interactive_failed;
             }).c_str());
@@ -96,6 +100,8 @@
 void measure(const deployment& size) {
     std::vector<std::pair<std::string, std::vector<experiment_figures>>> rows;
     const bench_load load{.length = std::chrono::minutes(FLAGS_minutes),
+                          .staleness_bound = FLAGS_bound,
+                          .swap_notice = bench_seconds(FLAGS_swap_notice),
                           .surge = FLAGS_surge};
     for (const bench_policy& policy : all_policies()) {
         if (!policy.name.starts_with(FLAGS_only)) {
--- a/tests/bench/trainer_load.cpp
+++ b/tests/bench/trainer_load.cpp
@@ -180,6 +180,7 @@
     const weight_version lag = outlook_.newest() - end.oldest_version;
     if (lag > load_.staleness_bound) {
         ++figures_.discarded_too_old;
+        figures_.wasted_tokens += end.tokens;
         return;
     }
     done_[slot.group * load_.group_size + slot.index] = true;
@@ -203,6 +204,7 @@
             ++at;
             continue;
         }
+        figures_.wasted_tokens += at->second.tokens;
         entry_.cancel(at->second.ticket);
         not_started_ -= at->second.has_started ? 0 : 1;
         at = live_.erase(at);
@@ -239,6 +241,7 @@
             run_slot(action.run.slot, 0, 0, &live, excluded);
         } else {
             ++figures_.cancelled_early;
+            figures_.wasted_tokens += live.tokens;
         }
     }
     pump();
--- a/tests/bench/trainer_load.hpp
+++ b/tests/bench/trainer_load.hpp
@@ -14,6 +14,8 @@
     std::uint64_t handed_over = 0;
     std::uint64_t discarded_too_old = 0;
     std::uint64_t cancelled_early = 0;
+    /// Tokens of answers and runs that were thrown away.
+    std::uint64_t wasted_tokens = 0;
     std::uint64_t moved = 0;
     std::uint64_t hedged = 0;
     std::uint64_t lost = 0;
