Don't hedge runs whose upstream is known to swap

Cause: a swap pauses what runs for 12 s, the schedule took that silence for a stall and ran the slots a second time. Ruled out as the source: restarts for staleness, since idle_weight 1 makes none and wasted as much. The schedule now excuses runs whose upstream is known to stand still; pace and silence of that time don't count. The new test fails with excuse a no-op.

--- a/servers/step_schedule/step_schedule.cpp
+++ b/servers/step_schedule/step_schedule.cpp
@@ -164,6 +164,13 @@
     entry->advanced = now;
 }
 
+void step_schedule::excuse(const run_key& run, steady_time now) {
+    if (run_entry* const entry = find(run)) {
+        entry->since += now - entry->advanced;
+        entry->advanced = now;
+    }
+}
+
 void step_schedule::lose(const run_key& run) {
     std::erase_if(runs_, [&](const auto& entry) { return entry.key == run; });
     put_back(run.slot);
--- a/servers/step_schedule/step_schedule.hpp
+++ b/servers/step_schedule/step_schedule.hpp
@@ -92,6 +92,10 @@
     /// A run has this many tokens by now.
     void progress(const run_key& run, std::uint32_t tokens, steady_time now);
 
+    /// The run's upstream is known to stand still, for instance to swap its
+    /// weights: neither silence nor pace of that time is held against it.
+    void excuse(const run_key& run, steady_time now);
+
     /// A run ended without an answer that counts; the slot waits again unless
     /// another run of it is in flight.
     void lose(const run_key& run);
--- a/tests/bench/decider.cpp
+++ b/tests/bench/decider.cpp
@@ -222,6 +222,13 @@
     return setting_.engines[*found->second.engine]->tokens_of(ticket);
 }
 
+bool decider::is_paused(std::uint64_t ticket) const {
+    const auto found =
+        states_.find({setting_.document->service, upstream_of(ticket)});
+    return found != states_.end() &&
+           found->second.condition == upstream_condition::swapping;
+}
+
 upstream_id decider::upstream_of(std::uint64_t ticket) const {
     const auto found = calls_.find(ticket);
     if (found == calls_.end() || !found->second.engine) {
--- a/tests/bench/decider.hpp
+++ b/tests/bench/decider.hpp
@@ -60,6 +60,9 @@
     /// The upstream that a call is on; empty while it waits.
     [[nodiscard]] upstream_id upstream_of(std::uint64_t ticket) const;
 
+    /// Whether the instance holds the call's upstream to be swapping.
+    [[nodiscard]] bool is_paused(std::uint64_t ticket) const;
+
     /// A report of an upstream has come.
     void hear(std::uint32_t engine, const upstream_state& state);
     void hear_cached(std::uint32_t engine, std::uint64_t prefix);
--- a/tests/bench/trainer_load.cpp
+++ b/tests/bench/trainer_load.cpp
@@ -221,6 +221,9 @@
             live.tokens = *tokens;
             schedule_->progress(run, *tokens, now);
         }
+        if (entry_.is_paused(live.ticket)) {
+            schedule_->excuse(run, now);
+        }
     }
     for (const straggler_action& action : schedule_->review(now)) {
         const auto found = live_.find(action.run);
--- a/tests/servers/step_schedule/step_schedule_test.cpp
+++ b/tests/servers/step_schedule/step_schedule_test.cpp
@@ -124,6 +124,20 @@
     EXPECT_EQ(schedule.waiting(), 1U);
 }
 
+TEST_F(step_schedule_test, silence_of_a_known_swap_is_not_held_against_runs) {
+    auto schedule = make(1);
+    run_all(schedule, {1, 0}, 30, seconds(4));
+    for (int second = 0; second < 12; ++second) {
+        now_ += seconds(1);
+        for (const slot_place slot : started_) {
+            schedule.excuse({slot, 1}, now_);
+        }
+        EXPECT_TRUE(schedule.review(now_).empty());
+    }
+    now_ += seconds(6);
+    EXPECT_EQ(schedule.review(now_).size(), 1U);
+}
+
 TEST_F(step_schedule_test, run_past_the_bound_restarts_whatever_the_weight) {
     for (const double weight : {0.0, 1.0}) {
         auto schedule = make(weight);
