Measure overload in the bench: late answers, recovery, sends a call

Nothing showed whether a surge ends well. The bench now counts interactive answers that came after the caller's patience, the time until the median of 30 s is below twice that of before the surge, and requests sent to engines for each one begun, which would show a retry storm.

--- a/tests/bench/decider.cpp
+++ b/tests/bench/decider.cpp
@@ -122,6 +122,7 @@
     pending.engine = engine;
     pending.sent = setting_.loop.now();
     ++pending.attempts;
+    ++sends_;
     router_.begin(service, setting_.document->upstreams[engine].name);
     const bench_seconds way =
         is_away ? setting_.size.zone_delay : bench_seconds(0);
--- a/tests/bench/decider.hpp
+++ b/tests/bench/decider.hpp
@@ -67,6 +67,9 @@
     void hear(std::uint32_t engine, const upstream_state& state);
     void hear_cached(std::uint32_t engine, std::uint64_t prefix);
 
+    [[nodiscard]] std::uint64_t calls() const { return next_ticket_; }
+    [[nodiscard]] std::uint64_t sends() const { return sends_; }
+
 private:
     struct pending_call {
         bench_call call;
@@ -90,6 +93,7 @@
     admission_queue admission_;
     std::map<std::uint64_t, pending_call> calls_;
     std::uint64_t next_ticket_ = 0;
+    std::uint64_t sends_ = 0;
 };
 
 } // namespace savorydock::bench
--- a/tests/bench/experiment.cpp
+++ b/tests/bench/experiment.cpp
@@ -143,6 +143,16 @@
     total.interactive_calls = prompts.calls() + plain.calls();
     total.interactive_refused = prompts.refused() + plain.refused();
     total.interactive_failed = prompts.failed() + plain.failed();
+    total.interactive_late = prompts.late() + plain.late();
+    total.recovery_seconds = prompts.recovery_seconds();
+    std::uint64_t calls = 0;
+    std::uint64_t sends = 0;
+    for (const decider* const entry : model_group.all()) {
+        calls += entry->calls();
+        sends += entry->sends();
+    }
+    total.sends_per_call =
+        static_cast<double>(sends) / static_cast<double>(calls);
     return total;
 }
 
--- a/tests/bench/experiment.hpp
+++ b/tests/bench/experiment.hpp
@@ -27,6 +27,10 @@
     std::uint64_t interactive_calls = 0;
     std::uint64_t interactive_refused = 0;
     std::uint64_t interactive_failed = 0;
+    std::uint64_t interactive_late = 0;
+    double recovery_seconds = 0;
+    /// Requests sent to model engines for each one that was begun.
+    double sends_per_call = 0;
 };
 
 /// Runs one policy on one deployment in virtual time; the same seed gives
--- a/tests/bench/interactive_load.cpp
+++ b/tests/bench/interactive_load.cpp
@@ -1,5 +1,6 @@
 #include "tests/bench/interactive_load.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace savorydock::bench {
@@ -8,6 +9,7 @@
 
 constexpr std::uint64_t random_steps = 1U << 20U;
 constexpr std::uint64_t prompt_count = 200;
+constexpr std::chrono::seconds recovery_window{30};
 
 } // namespace
 
@@ -50,6 +52,8 @@
         if (end.code == result_code::ok) {
             const bench_seconds took = loop_.now() - began + 2 * client_delay_;
             latencies_.push_back(took.count());
+            begins_.push_back(began);
+            late_ += took > options_.patience ? 1 : 0;
         } else {
             ++(classify(end.code) == result_class::not_run ? refused_
                                                            : failed_);
@@ -58,4 +62,31 @@
     entry.submit(std::move(request));
 }
 
+double interactive_load::median_between(steady_time from,
+                                        steady_time until) const {
+    std::vector<double> found;
+    for (std::size_t at = 0; at < begins_.size(); ++at) {
+        if (begins_[at] >= from && begins_[at] < until) {
+            found.push_back(latencies_[at]);
+        }
+    }
+    if (found.empty()) {
+        return 0;
+    }
+    const auto middle =
+        found.begin() + static_cast<std::ptrdiff_t>(found.size() / 2);
+    std::nth_element(found.begin(), middle, found.end());
+    return *middle;
+}
+
+double interactive_load::recovery_seconds() const {
+    const double normal = median_between(steady_time{}, surge_from_);
+    steady_time at = surge_until_;
+    while (at < loop_.now() &&
+           median_between(at, at + recovery_window) > 2 * normal) {
+        at += recovery_window;
+    }
+    return bench_seconds(at - surge_until_).count();
+}
+
 } // namespace savorydock::bench
--- a/tests/bench/interactive_load.hpp
+++ b/tests/bench/interactive_load.hpp
@@ -33,11 +33,20 @@
     [[nodiscard]] const std::vector<double>& latencies() const {
         return latencies_;
     }
+    /// Answers that came after the caller's patience.
+    [[nodiscard]] std::uint64_t late() const { return late_; }
+
+    /// Seconds from the end of the surge until the median latency of 30 s is
+    /// again below twice that of before.
+    [[nodiscard]] double recovery_seconds() const;
+
     [[nodiscard]] std::uint64_t calls() const { return calls_; }
     [[nodiscard]] std::uint64_t refused() const { return refused_; }
     [[nodiscard]] std::uint64_t failed() const { return failed_; }
 
 private:
+    [[nodiscard]] double median_between(steady_time from,
+                                        steady_time until) const;
     void plan_next();
     void call();
 
@@ -51,6 +60,9 @@
     steady_time surge_from_{};
     steady_time surge_until_{};
     std::vector<double> latencies_;
+    /// When the calls of `latencies_` began.
+    std::vector<steady_time> begins_;
+    std::uint64_t late_ = 0;
     std::uint64_t calls_ = 0;
     std::uint64_t refused_ = 0;
     std::uint64_t failed_ = 0;
