Take calls out of the queue that can't be done in time any more

Cause: at twice the capacity (--surge 50, prompts only) calls were granted right before their deadline and came late: they cost the engines as much as the ones in time. Ruled out: a smaller queue, since the wait and not the length decides. The queue now drops a call once what is left to its deadline is less than a mean run, as not_run_deadline. The new test fails with the run time left out.

--- a/servers/admission/admission_queue.cpp
+++ b/servers/admission/admission_queue.cpp
@@ -158,7 +158,10 @@
 
 void admission_queue::grant_waiting(steady_time now, admission_change& change) {
     for (class_line& line : lines_) {
-        const auto expired = line.queue.remove_expired(now);
+        // What can't be done by its deadline any more would only be late.
+        const auto run =
+            std::chrono::duration_cast<steady_time::duration>(line.mean_run);
+        const auto expired = line.queue.remove_expired(now + run);
         change.expired.insert(change.expired.end(), expired.begin(),
                               expired.end());
     }
--- a/servers/admission/admission_queue.hpp
+++ b/servers/admission/admission_queue.hpp
@@ -42,7 +42,8 @@
 struct admission_change {
     /// Tickets that may run now.
     std::vector<std::uint64_t> granted;
-    /// Tickets whose deadline came while they waited: `not_run_deadline`.
+    /// Tickets that can't be done by their deadline any more, since they
+    /// waited too long: `not_run_deadline`.
     std::vector<std::uint64_t> expired;
 };
 
--- a/servers/admission/fair_share_queue.cpp
+++ b/servers/admission/fair_share_queue.cpp
@@ -51,11 +51,11 @@
     return false;
 }
 
-std::vector<std::uint64_t> fair_share_queue::remove_expired(steady_time now) {
+std::vector<std::uint64_t> fair_share_queue::remove_expired(steady_time limit) {
     std::vector<std::uint64_t> expired;
     for (auto& [caller, line] : lines_) {
         std::erase_if(line.waiting, [&](const waiting_request& request) {
-            if (request.deadline > now) {
+            if (request.deadline > limit) {
                 return false;
             }
             expired.push_back(request.ticket);
--- a/servers/admission/fair_share_queue.hpp
+++ b/servers/admission/fair_share_queue.hpp
@@ -39,8 +39,8 @@
     /// Takes a request out of its turn; false if it does not wait here.
     bool remove(std::uint64_t ticket);
 
-    /// Takes out every request whose deadline has come.
-    std::vector<std::uint64_t> remove_expired(steady_time now);
+    /// Takes out every request whose deadline is no later than `limit`.
+    std::vector<std::uint64_t> remove_expired(steady_time limit);
 
     [[nodiscard]] std::size_t size() const { return size_; }
 
--- a/tests/servers/admission/admission_queue_test.cpp
+++ b/tests/servers/admission/admission_queue_test.cpp
@@ -136,6 +136,20 @@
     EXPECT_FALSE(queue_.cancel(ticket_));
 }
 
+TEST_F(admission_queue_test, waiting_until_no_run_fits_is_reported_not_run) {
+    for (int step = 0; step < 8; ++step) {
+        ASSERT_TRUE(submit("batch"));
+    }
+    now_ += seconds(10);
+    static_cast<void>(queue_.release(1, now_));
+    ASSERT_TRUE(submit("batch"));
+    ASSERT_TRUE(submit("batch", "t1", seconds(25)));
+    // A run takes 10 s, so it must begin within 15 s.
+    EXPECT_TRUE(queue_.on_tick(now_ + seconds(14)).expired.empty());
+    EXPECT_EQ(queue_.on_tick(now_ + seconds(15)).expired,
+              std::vector{ticket_});
+}
+
 TEST_F(admission_queue_test, batch_moves_on_under_an_interactive_flood) {
     for (int step = 0; step < 10; ++step) {
         ASSERT_TRUE(submit("prompt"));
