--- /dev/null
+++ b/core/latency_histogram.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+
+namespace savorydock {
+
+/// The distribution of a time: bounds for a histogram and quantiles, both in
+/// constant memory. Boost.Accumulators' own histogram (`density`) places its
+/// bins by the first samples, which can't be summed over instances; counts
+/// under fixed bounds are kept beside its quantiles. Not thread safe.
+class latency_histogram {
+public:
+    /// Upper bounds of the counted ranges, in seconds.
+    static constexpr std::array bounds{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05,
+                                       0.1,   0.25,   0.5,   1.0,  2.5,   5.0,
+                                       10.0,  30.0,   60.0,  180.0};
+
+    /// The quantiles that are kept.
+    static constexpr std::array quantiles{0.5, 0.9, 0.99};
+
+    latency_histogram();
+
+    void add(std::chrono::duration<double> value);
+
+    /// Values at or below each bound, as Prometheus counts them.
+    [[nodiscard]] std::array<std::uint64_t, bounds.size()>
+    cumulative_counts() const;
+
+    /// Estimates of `quantiles`, in their order; zero before the first value.
+    [[nodiscard]] std::array<std::chrono::duration<double>, quantiles.size()>
+    quantile_values() const;
+    [[nodiscard]] std::uint64_t count() const;
+    [[nodiscard]] std::chrono::duration<double> sum() const;
+
+private:
+    using estimate = boost::accumulators::accumulator_set<
+        double,
+        boost::accumulators::stats<
+            boost::accumulators::tag::count, boost::accumulators::tag::sum,
+            boost::accumulators::tag::max,
+            boost::accumulators::tag::extended_p_square>>;
+
+    estimate estimate_;
+    std::array<std::uint64_t, bounds.size()> counts_{};
+};
+
+} // namespace savorydock
--- a/tests/servers/admission/admission_queue_test.cpp
+++ b/tests/servers/admission/admission_queue_test.cpp
@@ -146,8 +146,7 @@
     ASSERT_TRUE(submit("batch", "t1", seconds(25)));
     // A run takes 10 s, so it must begin within 15 s.
     EXPECT_TRUE(queue_.on_tick(now_ + seconds(14)).expired.empty());
-    EXPECT_EQ(queue_.on_tick(now_ + seconds(15)).expired,
-              std::vector{ticket_});
+    EXPECT_EQ(queue_.on_tick(now_ + seconds(15)).expired, std::vector{ticket_});
 }
 
 TEST_F(admission_queue_test, batch_moves_on_under_an_interactive_flood) {
