Wire limits, histograms and control counters into the instance

Cause: limits and histograms ran in tests only; the admission gate's tick was never called, so a queued request waited for a release only. Conclusion: a repeated sending's refusal is kept honest in one place.

--- a/drivers/caller_http/caller_api.cpp
+++ b/drivers/caller_http/caller_api.cpp
@@ -76,8 +76,8 @@
 }
 
 asio::awaitable<void> refuse(http_exchange& exchange, const request_id& id,
-                             const failure& reason,
-                             traffic_services& services) {
+                             failure reason, traffic_services& services) {
+    reason = keep_honest(exchange.request(), std::move(reason));
     note_end(services, id, reason);
     http_response answer = make_failure_answer(id, reason, services.instance);
     co_await exchange.respond(std::move(answer));
--- a/drivers/caller_http/caller_request.cpp
+++ b/drivers/caller_http/caller_request.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr call_attempt max_attempt = 1'000'000;
 constexpr std::size_t max_id_bytes = 128;
 constexpr std::string_view bearer = "Bearer ";
 
@@ -62,7 +63,7 @@
         std::chrono::milliseconds(std::min<std::int64_t>(*wanted, allowed));
     const auto attempt = read_number<call_attempt>(
         caller_header::attempt, request.header(caller_header::attempt), 1,
-        1'000'000, 0);
+        max_attempt, 0);
     if (!attempt) {
         return attempt.reason();
     }
@@ -116,6 +117,10 @@
                        "the key is missing or is not one of the service's"};
     }
     result.service_class = document.find_class(result.caller->class_of_service);
+    if (!services.limiter.admit(service, result.caller->name, result.began)) {
+        return failure{result_code::not_run_limit,
+                       "the caller is over its requests a second"};
+    }
     const auto read = read_headers(request, result);
     if (!read) {
         return read.reason();
@@ -128,6 +133,29 @@
     return result;
 }
 
+void note_end(traffic_services& services, const caller_request& request,
+              const failure& reason) {
+    services.metrics.observe(
+        {.service = request.service->document->service,
+         .class_of_service = request.service_class->name,
+         .name = classify(reason.code) == result_class::not_run
+                     ? "refused_seconds"
+                     : "request_seconds"},
+        std::chrono::steady_clock::now() - request.began);
+    note_end(services, request.id, reason);
+}
+
+failure keep_honest(const http_request& request, failure reason) {
+    const bool is_keyed =
+        !request.header(caller_header::idempotency_key).empty();
+    const auto attempt = read_number<call_attempt>(
+        caller_header::attempt, request.header(caller_header::attempt), 1,
+        max_attempt, 0);
+    reason.code =
+        refusal_of(reason.code, is_keyed, attempt ? *attempt : max_attempt);
+    return reason;
+}
+
 http_headers make_answer_headers(const request_id& id, result_code code,
                                  const instance_id& instance) {
     return {
--- a/drivers/caller_http/caller_request.hpp
+++ b/drivers/caller_http/caller_request.hpp
@@ -63,4 +63,12 @@
 void note_end(traffic_services& services, const request_id& id,
               const failure& reason);
 
+/// Notes the end of an admitted request, in the histograms too.
+void note_end(traffic_services& services, const caller_request& request,
+              const failure& reason);
+
+/// A refusal of a repeated sending, decided before its key was looked up, must
+/// not be read as "not run" of the key. Thread safe.
+[[nodiscard]] failure keep_honest(const http_request& request, failure reason);
+
 } // namespace savorydock
--- a/drivers/caller_http/model_call.cpp
+++ b/drivers/caller_http/model_call.cpp
@@ -127,7 +127,7 @@
                                        traffic_services& services) {
     const auto body = read_body(exchange.request().body);
     if (!body) {
-        note_end(services, request.id, body.reason());
+        note_end(services, request, body.reason());
         http_response refusal =
             make_failure_answer(request.id, body.reason(), services.instance);
         co_await exchange.respond(std::move(refusal));
@@ -154,7 +154,7 @@
     };
     const auto result = co_await run_generation(
         order, request, exchange.worker(), answer, services);
-    note_end(services, request.id, result.reason());
+    note_end(services, request, result.reason());
     if (result && is_stream) {
         co_await writer.finish(summarize(request, answer, false));
     } else if (result) {
--- a/drivers/caller_http/plain_call.cpp
+++ b/drivers/caller_http/plain_call.cpp
@@ -256,7 +256,7 @@
         ended = co_await run_once(exchange, request, path, services);
     }
     const outcome<recorded_answer>& answer = *ended;
-    note_end(services, request.id, end_of(answer));
+    note_end(services, request, end_of(answer));
     http_response response =
         answer ? to_response(*answer, request.id, services.instance)
                : make_failure_answer(request.id, answer.reason(),
--- a/drivers/caller_http/traffic_services.hpp
+++ b/drivers/caller_http/traffic_services.hpp
@@ -2,6 +2,7 @@
 
 #include "core/ids.hpp"
 #include "core/logger.hpp"
+#include "core/metrics_registry.hpp"
 #include "drivers/caller_http/retry_budgets.hpp"
 #include "drivers/upstream_http/upstream_client.hpp"
 #include "servers/configuration/configuration_view.hpp"
@@ -10,6 +11,7 @@
 #include "servers/delivery/key_ledger.hpp"
 #include "servers/delivery/step_charts.hpp"
 #include "servers/explain/decision_log.hpp"
+#include "servers/limits/rate_limiter.hpp"
 #include "servers/routing/upstream_router.hpp"
 
 #include <atomic>
@@ -32,6 +34,8 @@
     delivery_port& delivery;
     retry_budgets& budgets;
     decision_log& decisions;
+    const rate_limiter& limiter;
+    metrics_registry& metrics;
     logger& log;
     std::shared_ptr<const step_charts> charts;
     /// Tells control what traffic saw of an upstream.
--- a/drivers/entry/control_plane.cpp
+++ b/drivers/entry/control_plane.cpp
@@ -1,5 +1,7 @@
 #include "drivers/entry/control_plane.hpp"
 
+#include <sstream>
+
 namespace savorydock {
 
 namespace {
@@ -42,6 +44,7 @@
                   options.charts.upstream_life, options.random)
     , orders_(options.settings.instance, options.settings.zone,
               options.charts.order_life, candidates_)
+    , limits_(limit_options{}, membership_.table(), options.limiter)
     , delivery_(
           {.gate = {.self = options.settings.instance, .boot = options.boot},
            .suspicion = {.self = options.settings.instance,
@@ -56,10 +59,9 @@
     runtime.add(membership_);
     runtime.add(configuration_);
     runtime.add(orders_);
+    runtime.add(limits_);
     runtime.add(delivery_);
     runtime.add(explanations_);
-    runtime.set_after_tick(
-        [this](steady_time now, command_list& out) { share(now, out); });
 }
 
 void control_plane::share(steady_time now, command_list&) {
@@ -115,6 +117,26 @@
     router_.publish(view, states);
 }
 
+std::string control_plane::write_counters() const {
+    const configuration_counters configuration = configuration_.counters();
+    const membership_counters membership = membership_.counters();
+    const limit_counters limits = limits_.counters();
+    std::ostringstream out;
+    const auto write = [&out](std::string_view name, std::uint64_t value) {
+        out << "savorydock_" << name << ' ' << value << '\n';
+    };
+    write("configuration_platform_calls_total", configuration.platform_calls);
+    write("configuration_peer_bytes_out_total", configuration.peer_bytes_sent);
+    write("configuration_revisions_in_force_total",
+          configuration.revisions_in_force);
+    write("membership_platform_calls_total", membership.platform_calls);
+    write("membership_peer_bytes_out_total", membership.bytes_out);
+    write("limits_peer_bytes_out_total", limits.bytes_out);
+    write("orders_platform_calls_total", orders_.platform_calls());
+    write("orders_upstream_calls_total", orders_.upstream_calls());
+    return out.str();
+}
+
 void control_plane::begin_drain() {
     membership_.leave();
     orders_.begin_drain();
--- a/drivers/entry/control_plane.hpp
+++ b/drivers/entry/control_plane.hpp
@@ -10,6 +10,7 @@
 #include "servers/control/order_holder.hpp"
 #include "servers/delivery/delivery_server.hpp"
 #include "servers/explain/explain_server.hpp"
+#include "servers/limits/limit_server.hpp"
 #include "servers/membership/membership_server.hpp"
 #include "servers/routing/upstream_router.hpp"
 
@@ -28,6 +29,7 @@
     entry_executor& executor;
     key_ledger& keys;
     delivery_port& port;
+    std::shared_ptr<rate_limiter> limiter;
     /// Unique over the restarts of the instance.
     std::string boot;
     /// Called on the control thread with each new set of services.
@@ -44,10 +46,13 @@
     /// Adds the servers to a runtime. Precondition: it is not started.
     void attach(control_runtime& runtime);
 
-    /// Passes on what one server learnt and others need. Called after each
+    /// Passes on what one server learnt and others need. Call it after each
     /// tick.
     void share(steady_time now, command_list& out);
 
+    /// What control has cost so far, in the Prometheus text format.
+    [[nodiscard]] std::string write_counters() const;
+
     /// Tells the others that this instance ends.
     void begin_drain();
 
@@ -70,6 +75,7 @@
     membership_server membership_;
     rendezvous_candidates candidates_;
     order_holder orders_;
+    limit_server limits_;
     delivery_server delivery_;
     explain_server explanations_;
     std::vector<member_record> shared_members_;
--- a/drivers/entry/entry_instance.cpp
+++ b/drivers/entry/entry_instance.cpp
@@ -73,6 +73,7 @@
                .executor = executor,
                .keys = keys,
                .port = delivery,
+               .limiter = limiter,
                .boot = to_hex(seed),
                .on_view = [this](auto view) { take_view(std::move(view)); }})
         , gate(router)
@@ -83,6 +84,8 @@
                   .delivery = delivery,
                   .budgets = budgets,
                   .decisions = decisions,
+                  .limiter = *limiter,
+                  .metrics = metrics,
                   .log = log,
                   .charts = charts.step,
                   .observe =
@@ -125,6 +128,9 @@
     delivery_port delivery;
     retry_budgets budgets;
     decision_log decisions;
+    std::shared_ptr<rate_limiter> limiter = std::make_shared<rate_limiter>();
+    metrics_registry metrics;
+    std::atomic<std::shared_ptr<const std::string>> control_counters;
     control_plane control;
     admission_gate gate;
     operator_services operators;
@@ -182,7 +188,9 @@
         });
     };
     operators.write_metrics = [this] {
-        return "savorydock_active_requests " +
+        const auto counters = control_counters.load();
+        return metrics.write_text() + (counters ? *counters : "") +
+               "savorydock_active_requests " +
                std::to_string(caller_server.active_requests()) + "\n";
     };
     operators.start_drain = [this] { is_drain_wanted = true; };
@@ -205,6 +213,12 @@
         return peer.reason();
     }
     control.attach(runtime);
+    runtime.set_after_tick([this](steady_time now, command_list& out) {
+        control.share(now, out);
+        gate.on_tick(now);
+        control_counters.store(
+            std::make_shared<const std::string>(control.write_counters()));
+    });
     delivery.set_wake([this] {
         runtime.post_for(control.delivery(),
                          [this](steady_time now, command_list& out) {
