--- a/servers/routing/upstream_counters.cpp
+++ b/servers/routing/upstream_counters.cpp
@@ -55,6 +55,9 @@
     const std::int64_t old =
         latency_microseconds_.load(std::memory_order_relaxed);
     const std::int64_t seen = latency.count();
+    if (seen == 0) {
+        return;
+    }
     latency_microseconds_.store(
         old == 0 ? seen : old + (seen - old) / smoothing_divisor,
         std::memory_order_relaxed);
--- a/servers/routing/upstream_counters.hpp
+++ b/servers/routing/upstream_counters.hpp
@@ -16,7 +16,8 @@
     /// Counts a request in flight.
     void begin();
 
-    /// Ends a request that `begin` counted, with what was seen of it.
+    /// Ends a request that `begin` counted, with what was seen of it. A
+    /// latency of zero is none, as of a request that was cancelled.
     void finish(upstream_evidence evidence, std::chrono::microseconds latency);
 
     [[nodiscard]] std::uint32_t in_flight() const;
--- a/servers/routing/upstream_router.hpp
+++ b/servers/routing/upstream_router.hpp
@@ -56,7 +56,8 @@
     virtual void begin(const service_name& service,
                        const upstream_id& upstream) = 0;
     /// `latency` must be comparable between the upstreams of the service:
-    /// time to the first byte of a plain call, time per token of a stream.
+    /// time to the first byte of a plain call, time per token of a stream;
+    /// zero if none was seen, as of a request that was cancelled.
     virtual void finish(const service_name& service,
                         const upstream_id& upstream, upstream_evidence evidence,
                         std::chrono::microseconds latency) = 0;
--- a/tests/servers/routing/snapshot_router_test.cpp
+++ b/tests/servers/routing/snapshot_router_test.cpp
@@ -195,6 +195,10 @@
     const auto slow = pick_counts(1'000, fixture_.query());
     EXPECT_GT(slow[0], 0U);
     EXPECT_LT(slow[0], 120U);
+    // Cancelled requests say nothing about the latency.
+    finish_all(0, upstream_evidence::answered, {}, 80);
+    fixture_.publish(router_);
+    EXPECT_LT(pick_counts(1'000, fixture_.query())[0], 120U);
     finish_all(0, upstream_evidence::answered, std::chrono::microseconds(1'000),
                80);
     fixture_.publish(router_);
