--- a/core/instance_settings.cpp
+++ b/core/instance_settings.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr integer_range thread_range{1, 64};
+constexpr integer_range lease_range{4, 300};
+constexpr integer_range order_range{1'000, 3'600'000};
 constexpr integer_range drain_range{0, 3'600'000};
 constexpr integer_range connection_range{1, 1'000'000};
 constexpr integer_range header_range{1'024, 1'048'576};
@@ -41,6 +43,16 @@
     };
 }
 
+order_limits read_orders(object_reader& reader) {
+    const order_limits defaults;
+    return {
+        .lease_time = std::chrono::seconds(reader.integer(
+            "lease_seconds", lease_range, defaults.lease_time.count())),
+        .longest_order = reader.milliseconds("longest_order_ms", order_range,
+                                             defaults.longest_order),
+    };
+}
+
 void read_platform(object_reader& root, instance_settings& settings) {
     for (const std::string& text : root.texts("platform")) {
         const auto parsed = parse_endpoint(text);
@@ -90,6 +102,9 @@
     root.object("limits", false, [&](object_reader& reader) {
         settings.limits = read_limits(reader);
     });
+    root.object("orders", false, [&](object_reader& reader) {
+        settings.orders = read_orders(reader);
+    });
     root.finish();
     if (!faults.empty()) {
         return failure{result_code::invalid_settings, to_text(faults)};
--- a/core/instance_settings.hpp
+++ b/core/instance_settings.hpp
@@ -28,6 +28,14 @@
     std::chrono::milliseconds io_timeout{15'000};
 };
 
+/// Times of the orders to upstreams; the same on all instances.
+struct order_limits {
+    /// How long the platform keeps a holder of orders that has gone.
+    std::chrono::seconds lease_time{15};
+    /// The longest that an order to an upstream may take.
+    std::chrono::milliseconds longest_order{30'000};
+};
+
 /// The settings of one entry instance.
 struct instance_settings {
     instance_id instance;
@@ -48,6 +56,7 @@
     std::string log_level = "info";
     std::string chart_folder;
     caller_limits limits;
+    order_limits orders;
 };
 
 /// Reads and checks an instance's settings (JSON with comments).
--- a/drivers/entry/control_plane.cpp
+++ b/drivers/entry/control_plane.cpp
@@ -41,7 +41,9 @@
     , membership_(make_membership_options(options.settings),
                   options.charts.upstream_life, options.random)
     , orders_(options.settings.instance, options.settings.zone,
-              options.charts.order_life, candidates_)
+              options.charts.order_life, candidates_,
+              make_order_options(options.settings.orders.lease_time,
+                                 options.settings.orders.longest_order))
     , explanations_({.instance = options.settings.instance}, options.decisions)
     , shared_states_(std::make_shared<const upstream_state_map>()) {
     share_members({});
--- a/servers/control/order_holder.hpp
+++ b/servers/control/order_holder.hpp
@@ -9,12 +9,12 @@
 #include "servers/control_server.hpp"
 #include "servers/routing/upstream_state.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace savorydock {
@@ -77,7 +77,10 @@
         std::string group;
         service_name service;
 
-        auto operator<=>(const scope_name&) const = default;
+        bool operator<(const scope_name& other) const {
+            return std::tie(group, service) <
+                   std::tie(other.group, other.service);
+        }
     };
     struct scope {
         explicit scope(const state_chart& chart, const order_options& options)
--- a/servers/control/order_options.hpp
+++ b/servers/control/order_options.hpp
@@ -32,4 +32,16 @@
     std::uint32_t shards = 4;
 };
 
+/// Options for a lease and an order that last as long as the settings say.
+[[nodiscard]] inline order_options
+make_order_options(std::chrono::seconds lease_time,
+                   std::chrono::milliseconds longest_order) {
+    order_options options;
+    options.lease_time = lease_time;
+    options.lease_margin = std::chrono::milliseconds(lease_time) / 8;
+    options.survey_period = std::chrono::milliseconds(lease_time) / 3;
+    options.longest_order = longest_order;
+    return options;
+}
+
 } // namespace savorydock
--- a/tests/servers/control/order_holder_test.cpp
+++ b/tests/servers/control/order_holder_test.cpp
@@ -268,6 +268,15 @@
     EXPECT_EQ(upstream("checks").ordered_at.size(), 4U);
 }
 
+TEST_F(order_holder_test, upstream_found_at_an_old_version_is_repaired) {
+    start(1);
+    world_->run(minutes(2));
+    // As an order does that lay in a buffer beyond the bound.
+    upstream("ignores").version = 1;
+    world_->run(world_->options.refresh_period + seconds(15));
+    EXPECT_TRUE(world_->are_all_at(2));
+}
+
 /// Whatever is lost, late, doubled or paused: no order takes effect after a
 /// newer one, and once faults cease every upstream reaches the target.
 RC_GTEST_FIXTURE_PROP(order_holder_test, no_order_overtakes_a_newer_one, ()) {
