Test the spread in virtual time; let small fleets remember all claims

The test of a restart beside one stale peer failed at first: with 9 instances, three keepers of a claim may all have died with the others. Fleets of up to 12 peers now tell a claim to everybody, which costs a few digests of 20 bytes.

Mutations, each of which made tests fail: any revision taken, no floor, a delta above what is held, a watch without the read after it, no pauses while the platform is out, everybody a watcher, no patches, no pull of the last good revision below a faulty one (the test at first missed this one and was made to restart a watcher).

--- a/servers/configuration/instance_directory.cpp
+++ b/servers/configuration/instance_directory.cpp
@@ -31,9 +31,11 @@
     for (const instance_id& peer : peers_) {
         names.push_back(peer.text());
     }
+    const std::size_t keepers =
+        names.size() <= small_fleet ? names.size() : keeper_count;
     keepers_.clear();
     for (std::string& name :
-         choose_by_rendezvous(self_.text(), std::move(names), keeper_count)) {
+         choose_by_rendezvous(self_.text(), std::move(names), keepers)) {
         keepers_.emplace_back(std::move(name));
     }
     choose_watchers(instances);
--- a/servers/configuration/instance_directory.hpp
+++ b/servers/configuration/instance_directory.hpp
@@ -20,8 +20,9 @@
 public:
     /// Watchers of the store in each zone.
     static constexpr std::size_t watchers_per_zone = 2;
-    /// Instances that remember the last claim of one.
+    /// Instances that remember the last claim of one; all in a small fleet.
     static constexpr std::size_t keeper_count = 3;
+    static constexpr std::size_t small_fleet = 12;
 
     instance_directory(instance_id self, availability_zone zone);
 
--- /dev/null
+++ b/tests/servers/configuration/configuration_server_test.cpp
@@ -0,0 +1,356 @@
+#include "core/wire_codec.hpp"
+#include "servers/configuration/configuration_server.hpp"
+#include "servers/configuration/service_envelope.hpp"
+#include "tests/servers/configuration/configuration_fleet.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <optional>
+
+namespace savorydock {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const service_name depth("depth");
+
+} // namespace
+
+class configuration_server_test : public ::testing::Test {
+protected:
+    static constexpr std::size_t size_ = 9;
+    static constexpr std::size_t zones_ = 4;
+
+    /// Publishes and returns the result.
+    publish_result publish(int mark, const service_name& service = depth) {
+        std::optional<publish_result> told;
+        fleet_.publish(service, document_text(service.text(), mark),
+                       "p" + std::to_string(++publishes_),
+                       [&](const publish_result& result) { told = result; });
+        EXPECT_TRUE(fleet_.run_until([&] { return told.has_value(); }, 60s));
+        return told.value_or(publish_result{});
+    }
+
+    bool is_everywhere(store_revision revision,
+                       std::chrono::milliseconds limit = 30s) {
+        std::size_t running = 0;
+        for (const auto& one : fleet_.members) {
+            running += one->is_running ? 1 : 0;
+        }
+        return fleet_.run_until(
+            [&] { return fleet_.count_at(depth, revision) == running; }, limit);
+    }
+
+    void cut_platform(bool is_cut) {
+        fleet_.fate_of_call = [is_cut](const platform_request&) {
+            return platform_fate{.is_lost = is_cut, .has_effect = !is_cut};
+        };
+    }
+
+    configuration_fleet fleet_{size_, zones_, 1};
+    int publishes_ = 0;
+};
+
+TEST_F(configuration_server_test, published_service_is_in_force_everywhere) {
+    fleet_.start_all();
+    const auto result = publish(1);
+    ASSERT_EQ(result.code, result_code::ok);
+    EXPECT_TRUE(is_everywhere(result.revision, 5s));
+    EXPECT_EQ(fleet_.members[3]
+                  ->server->view()
+                  ->find(depth)
+                  ->document->classes.front()
+                  .queue_length,
+              1U);
+}
+
+TEST_F(configuration_server_test, slow_platform_publish_is_in_force_in_time) {
+    fleet_.fate_of_call = [](const platform_request&) {
+        return platform_fate{.delay = 1s};
+    };
+    fleet_.start_all();
+    fleet_.run_for(20s);
+    for (int mark = 1; mark <= 5; ++mark) {
+        std::optional<publish_result> told;
+        const steady_time begun = fleet_.now;
+        fleet_.publish(depth, document_text("depth", mark),
+                       "p" + std::to_string(mark),
+                       [&](const publish_result& result) { told = result; });
+        ASSERT_TRUE(fleet_.run_until(
+            [&] {
+                return told && fleet_.count_at(depth, told->revision) == size_;
+            },
+            30s));
+        EXPECT_LT(fleet_.now - begun, 5s);
+        fleet_.run_for(3s);
+    }
+}
+
+TEST_F(configuration_server_test, platform_is_called_by_two_in_each_zone) {
+    fleet_.start_all();
+    fleet_.run_for(5s);
+    std::map<availability_zone, int> callers;
+    for (const auto& one : fleet_.members) {
+        callers[one->zone] +=
+            one->server->counters().platform_calls > 0 ? 1 : 0;
+    }
+    ASSERT_EQ(callers.size(), zones_);
+    for (const auto& [zone, count] : callers) {
+        EXPECT_EQ(count, 2) << zone.text();
+    }
+}
+
+TEST_F(configuration_server_test, watcher_that_dies_is_replaced) {
+    fleet_.start_all();
+    fleet_.run_for(5s);
+    for (std::size_t i = 0; i < size_; ++i) {
+        if (fleet_.members[i]->server->status(fleet_.now).is_watcher &&
+            i != 8) {
+            fleet_.stop(i);
+        }
+    }
+    fleet_.tell_members();
+    const auto result = publish(1);
+    EXPECT_TRUE(is_everywhere(result.revision));
+}
+
+TEST_F(configuration_server_test, deleted_service_stays_deleted) {
+    fleet_.start_all();
+    const auto first = publish(1);
+    ASSERT_TRUE(is_everywhere(first.revision));
+    fleet_.platform.put(key_of(depth), to_stored_text({.publish_id = "gone",
+                                                       .operator_name = "ann",
+                                                       .is_deleted = true}));
+    EXPECT_TRUE(
+        fleet_.run_until([&] { return fleet_.count_at(depth, 1) == 0; }, 30s));
+    fleet_.run_for(20s);
+    EXPECT_EQ(fleet_.count_at(depth, 1), 0U);
+    const auto again = publish(2);
+    EXPECT_TRUE(is_everywhere(again.revision));
+}
+
+TEST_F(configuration_server_test, faulty_document_leaves_the_last_good) {
+    fleet_.start_all();
+    const auto good = publish(1);
+    ASSERT_TRUE(is_everywhere(good.revision));
+    fleet_.platform.put(key_of(depth),
+                        to_stored_text({.publish_id = "bad",
+                                        .operator_name = "ann",
+                                        .text = "{\"service\": \"depth\"}"}));
+    fleet_.run_for(20s);
+    for (const auto& one : fleet_.members) {
+        const auto status = one->server->status(fleet_.now);
+        ASSERT_EQ(status.services.size(), 1U);
+        EXPECT_EQ(status.services[0].revision, good.revision);
+        EXPECT_GT(status.services[0].refused_revision, good.revision);
+        EXPECT_NE(status.services[0].faults.find("classes"), std::string::npos);
+    }
+    // A new instance gets the last good one, which the store has lost, though
+    // the store's answer comes before the peers'.
+    fleet_.fate_of_message = [](const peer_message&) {
+        return message_fate{.delay = 100ms};
+    };
+    std::size_t watcher = 0;
+    while (!fleet_.members[watcher]->server->status(fleet_.now).is_watcher) {
+        ++watcher;
+    }
+    fleet_.stop(watcher);
+    fleet_.start(watcher);
+    EXPECT_TRUE(is_everywhere(good.revision));
+    EXPECT_TRUE(is_everywhere(publish(2).revision));
+}
+
+TEST_F(configuration_server_test, key_removed_by_hand_leaves_the_last_good) {
+    fleet_.start_all();
+    const auto good = publish(1);
+    ASSERT_TRUE(is_everywhere(good.revision));
+    fleet_.platform = memory_platform();
+    fleet_.run_for(30s);
+    EXPECT_EQ(fleet_.count_at(depth, good.revision), size_);
+}
+
+TEST_F(configuration_server_test, restart_with_platform_out_starts_from_peers) {
+    fleet_.start_all();
+    const auto result = publish(1);
+    ASSERT_TRUE(is_everywhere(result.revision));
+    cut_platform(true);
+    for (const std::size_t i : {0, 4, 8}) {
+        fleet_.stop(i);
+        fleet_.run_for(1s);
+        fleet_.start(i);
+    }
+    EXPECT_TRUE(is_everywhere(result.revision, 5s));
+}
+
+TEST_F(configuration_server_test,
+       restart_beside_stale_peers_waits_for_its_own) {
+    fleet_.start_all();
+    const auto old = publish(1);
+    ASSERT_TRUE(is_everywhere(old.revision));
+    // Nobody learns the texts of the next revision but those that read it.
+    fleet_.fate_of_message = [](const peer_message& message) {
+        const auto body = wire::decode<configuration_message>(message.body);
+        const bool is_pull =
+            body && body->kind == configuration_message_kind::pull;
+        return message_fate{.copies = is_pull ? 0U : 1U};
+    };
+    const auto next = publish(2);
+    fleet_.run_for(3s);
+    cut_platform(true);
+    std::vector<std::size_t> ahead;
+    for (std::size_t i = 0; i < size_; ++i) {
+        if (configuration_fleet::revision_at(*fleet_.members[i], depth) ==
+            next.revision) {
+            ahead.push_back(i);
+        }
+    }
+    ASSERT_LT(ahead.size(), size_);
+    for (const std::size_t i : ahead) {
+        fleet_.stop(i);
+    }
+    fleet_.fate_of_message = [](const peer_message&) { return message_fate{}; };
+    fleet_.start(ahead.front());
+    fleet_.run_for(20s);
+    EXPECT_EQ(fleet_.members[ahead.front()]->server->view(), nullptr);
+    cut_platform(false);
+    EXPECT_TRUE(is_everywhere(next.revision));
+    EXPECT_EQ(fleet_.times_back(), 0U);
+}
+
+TEST_F(configuration_server_test, zone_without_platform_follows_its_peers) {
+    fleet_.start_all();
+    fleet_.run_for(5s);
+    // The platform answers operators only.
+    fleet_.fate_of_call = [](const platform_request& request) {
+        const auto* read = std::get_if<read_range>(&request);
+        const bool is_watcher = std::holds_alternative<watch_prefix>(request) ||
+                                (read != nullptr && read->is_prefix);
+        return platform_fate{.is_lost = is_watcher};
+    };
+    const auto result = publish(1);
+    fleet_.run_for(5s);
+    EXPECT_EQ(fleet_.count_at(depth, result.revision), 0U);
+    cut_platform(false);
+    EXPECT_TRUE(is_everywhere(result.revision));
+}
+
+TEST_F(configuration_server_test, platform_out_is_called_with_growing_pauses) {
+    cut_platform(true);
+    fleet_.start_all();
+    fleet_.run_for(60s);
+    const std::uint64_t calls = fleet_.platform_calls;
+    fleet_.run_for(60s);
+    // Eight watchers, each at most every four seconds.
+    EXPECT_LE(fleet_.platform_calls - calls, 8 * 60 / 4);
+    EXPECT_GE(fleet_.platform_calls - calls, 8 * 60 / 8 / 2);
+}
+
+TEST_F(configuration_server_test,
+       stale_doubled_or_broken_delta_changes_nothing) {
+    fleet_.start_all();
+    const auto first = publish(1);
+    ASSERT_TRUE(is_everywhere(first.revision));
+    std::vector<peer_message> recorded;
+    fleet_.on_arrival = [&](const peer_message& message) {
+        recorded.push_back(message);
+    };
+    const auto second = publish(2);
+    ASSERT_TRUE(is_everywhere(second.revision));
+    const auto third = publish(3);
+    ASSERT_TRUE(is_everywhere(third.revision));
+    fleet_.on_arrival = [](const peer_message&) {};
+    const auto old = recorded;
+    for (peer_message message : old) {
+        fleet_.deliver(message);
+        message.body.resize(message.body.size() / 2);
+        fleet_.deliver(message);
+    }
+    const configuration_entry hole{.service = depth,
+                                   .revision = third.revision + 10,
+                                   .text = document_text("depth", 9)};
+    fleet_.deliver({.from = instance_id("i1"),
+                    .to = instance_id("i0"),
+                    .topic = peer_topic::configuration,
+                    .body = wire::encode(configuration_message{
+                        .kind = configuration_message_kind::delta,
+                        .from = third.revision + 5,
+                        .to = third.revision + 10,
+                        .entries = {hole}})});
+    EXPECT_EQ(configuration_fleet::revision_at(*fleet_.members[0], depth),
+              third.revision);
+    EXPECT_EQ(fleet_.times_back(), 0U);
+}
+
+TEST_F(configuration_server_test, small_edit_travels_as_a_small_patch) {
+    fleet_.start_all();
+    std::size_t largest = 0;
+    for (int mark = 1; mark <= 2; ++mark) {
+        largest = 0;
+        fleet_.on_arrival = [&](const peer_message& message) {
+            largest = std::max(largest, message.body.size());
+        };
+        std::optional<publish_result> told;
+        fleet_.publish(depth, document_text("depth", mark, 100),
+                       "p" + std::to_string(mark),
+                       [&](const publish_result& result) { told = result; });
+        ASSERT_TRUE(fleet_.run_until([&] { return told.has_value(); }, 60s));
+        ASSERT_TRUE(is_everywhere(told->revision));
+        fleet_.run_for(5s);
+    }
+    EXPECT_GT(document_text("depth", 1, 100).size(), 5'000U);
+    EXPECT_LT(largest, 200U);
+}
+
+// Messages lost, doubled and out of order, calls lost before and after their
+// effect, restarts: no instance goes back, and in the end all agree.
+RC_GTEST_PROP(configuration_server_property,
+              never_back_and_all_agree_in_the_end, ()) {
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    seeded_random_source dice(seed);
+    configuration_fleet fleet(6, 2, seed);
+    fleet.fate_of_message = [&](const peer_message&) {
+        const auto roll = dice.below(10);
+        return message_fate{.copies = roll < 2 ? 0U : (roll < 4 ? 2U : 1U),
+                            .delay =
+                                std::chrono::milliseconds(1 + dice.below(400))};
+    };
+    fleet.fate_of_call = [&](const platform_request&) {
+        const auto roll = dice.below(10);
+        return platform_fate{
+            .delay = std::chrono::milliseconds(2 + dice.below(1'000)),
+            .is_lost = roll < 4,
+            .has_effect = roll >= 2};
+    };
+    fleet.start_all();
+    std::map<service_name, store_revision> accepted;
+    for (int step = 0; step < 12; ++step) {
+        const service_name service(dice.below(2) == 0 ? "s1" : "s2");
+        fleet.publish(service, document_text(service.text(), step),
+                      "p" + std::to_string(step),
+                      [&accepted, service](const publish_result& result) {
+                          store_revision& last = accepted[service];
+                          last = std::max(last, result.revision);
+                      });
+        fleet.run_for(std::chrono::milliseconds(dice.below(4'000)));
+        const std::size_t victim = dice.below(fleet.members.size());
+        if (dice.below(3) == 0) {
+            fleet.stop(victim);
+            fleet.run_for(std::chrono::milliseconds(dice.below(2'000)));
+            fleet.start(victim);
+        }
+    }
+    fleet.run_for(61s);
+    fleet.fate_of_message = [](const peer_message&) { return message_fate{}; };
+    fleet.fate_of_call = [](const platform_request&) {
+        return platform_fate{};
+    };
+    fleet.run_for(30s);
+    RC_ASSERT(fleet.times_back() == 0U);
+    for (const auto& [service, revision] : accepted) {
+        RC_ASSERT(fleet.count_at(service, revision) == fleet.members.size());
+    }
+}
+
+} // namespace savorydock
