--- a/servers/configuration/publish_protocol.cpp
+++ b/servers/configuration/publish_protocol.cpp
@@ -41,6 +41,19 @@
 
 } // namespace
 
+std::string_view name_of(publish_phase phase) {
+    switch (phase) {
+    case publish_phase::reading:
+        return "reading";
+    case publish_phase::swapping:
+        return "swapping";
+    case publish_phase::checking:
+        return "checking";
+    default:
+        return "finished";
+    }
+}
+
 publish_protocol::publish_protocol(publish_plan plan, steady_time deadline,
                                    random_source& random)
     : plan_(std::move(plan))
--- a/servers/configuration/publish_protocol.hpp
+++ b/servers/configuration/publish_protocol.hpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace savorydock {
@@ -57,8 +58,7 @@
     std::variant<platform_request, publish_result> next;
 };
 
-/// Where a publish stands. docs/models/configuration_spread.pml uses the same
-/// names.
+/// Where a publish stands. docs/models/publish_race.pml uses the same names.
 enum class publish_phase : std::uint8_t {
     reading,
     swapping,
@@ -66,6 +66,9 @@
     finished,
 };
 
+/// Returns the name of a phase. Thread safe.
+[[nodiscard]] std::string_view name_of(publish_phase phase);
+
 /// One publish of one service, from the read to a certain result: a
 /// compare-and-swap on the revision read, and, when an answer was lost, a read
 /// back that finds the publish id or shows that it can't have taken effect.
--- a/tests/servers/configuration/configuration_fleet.hpp
+++ b/tests/servers/configuration/configuration_fleet.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <queue>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace savorydock {
@@ -69,10 +70,13 @@
         one.random = std::make_unique<seeded_random_source>(
             seed_ + i + one.life * 100'000ULL);
         one.server = std::make_unique<configuration_server>(
-            configuration_server_options{
-                .instance = one.name,
-                .zone = one.zone,
-                .on_view = [this, &one](auto view) { check(one, *view); }},
+            configuration_server_options{.instance = one.name,
+                                         .zone = one.zone,
+                                         .on_view =
+                                             [this, &one](auto view) {
+                                                 has_news_ = true;
+                                                 check(one, *view);
+                                             }},
             *one.random);
         one.server->on_instances(known(), now);
         tick(i, one.life, std::chrono::milliseconds(i % tick_ms));
@@ -93,11 +97,16 @@
         run_until([] { return false; }, time);
     }
 
-    /// Runs until the condition holds; returns whether it came to hold.
+    /// Runs until the condition holds; returns whether it came to hold. It is
+    /// looked at when a view has changed or a publish has ended.
     bool run_until(const std::function<bool()>& condition,
                    std::chrono::milliseconds limit) {
         const steady_time end = now + limit;
-        while (!condition()) {
+        has_news_ = true;
+        while (true) {
+            if (std::exchange(has_news_, false) && condition()) {
+                return true;
+            }
             if (events_.empty() || events_.top().at > end) {
                 now = end;
                 return condition();
@@ -107,7 +116,6 @@
             now = next.at;
             next.run();
         }
-        return true;
     }
 
     /// Publishes over the same platform, with the same fates for its calls.
@@ -311,6 +319,7 @@
                  const publish_step& step,
                  const std::function<void(const publish_result&)>& on_result) {
         if (const auto* result = std::get_if<publish_result>(&step.next)) {
+            has_news_ = true;
             on_result(*result);
             return;
         }
@@ -334,6 +343,7 @@
     }
 
     std::uint64_t seed_;
+    bool has_news_ = false;
     seeded_random_source operator_random_{99};
     std::map<instance_id, std::size_t> index_;
     std::priority_queue<event> events_;
--- a/tests/servers/configuration/configuration_server_test.cpp
+++ b/tests/servers/configuration/configuration_server_test.cpp
@@ -20,8 +20,8 @@
 
 class configuration_server_test : public ::testing::Test {
 protected:
-    static constexpr std::size_t size_ = 9;
-    static constexpr std::size_t zones_ = 4;
+    static constexpr std::size_t fleet_size = 9;
+    static constexpr std::size_t zone_count = 4;
 
     /// Publishes and returns the result.
     publish_result publish(int mark, const service_name& service = depth) {
@@ -49,7 +49,7 @@
         };
     }
 
-    configuration_fleet fleet_{size_, zones_, 1};
+    configuration_fleet fleet_{fleet_size, zone_count, 1};
     int publishes_ = 0;
 };
 
@@ -80,7 +80,8 @@
                        [&](const publish_result& result) { told = result; });
         ASSERT_TRUE(fleet_.run_until(
             [&] {
-                return told && fleet_.count_at(depth, told->revision) == size_;
+                return told &&
+                       fleet_.count_at(depth, told->revision) == fleet_size;
             },
             30s));
         EXPECT_LT(fleet_.now - begun, 5s);
@@ -96,7 +97,7 @@
         callers[one->zone] +=
             one->server->counters().platform_calls > 0 ? 1 : 0;
     }
-    ASSERT_EQ(callers.size(), zones_);
+    ASSERT_EQ(callers.size(), zone_count);
     for (const auto& [zone, count] : callers) {
         EXPECT_EQ(count, 2) << zone.text();
     }
@@ -105,7 +106,7 @@
 TEST_F(configuration_server_test, watcher_that_dies_is_replaced) {
     fleet_.start_all();
     fleet_.run_for(5s);
-    for (std::size_t i = 0; i < size_; ++i) {
+    for (std::size_t i = 0; i < fleet_size; ++i) {
         if (fleet_.members[i]->server->status(fleet_.now).is_watcher &&
             i != 8) {
             fleet_.stop(i);
@@ -168,7 +169,7 @@
     ASSERT_TRUE(is_everywhere(good.revision));
     fleet_.platform = memory_platform();
     fleet_.run_for(30s);
-    EXPECT_EQ(fleet_.count_at(depth, good.revision), size_);
+    EXPECT_EQ(fleet_.count_at(depth, good.revision), fleet_size);
 }
 
 TEST_F(configuration_server_test, restart_with_platform_out_starts_from_peers) {
@@ -200,13 +201,13 @@
     fleet_.run_for(3s);
     cut_platform(true);
     std::vector<std::size_t> ahead;
-    for (std::size_t i = 0; i < size_; ++i) {
+    for (std::size_t i = 0; i < fleet_size; ++i) {
         if (configuration_fleet::revision_at(*fleet_.members[i], depth) ==
             next.revision) {
             ahead.push_back(i);
         }
     }
-    ASSERT_LT(ahead.size(), size_);
+    ASSERT_LT(ahead.size(), fleet_size);
     for (const std::size_t i : ahead) {
         fleet_.stop(i);
     }
--- a/tests/servers/configuration/publish_protocol_test.cpp
+++ b/tests/servers/configuration/publish_protocol_test.cpp
@@ -1,9 +1,11 @@
+#include "core/text_file.hpp"
 #include "servers/configuration/publish_protocol.hpp"
 #include "tests/servers/configuration/memory_platform.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <regex>
 #include <set>
 
 namespace savorydock {
@@ -34,9 +36,10 @@
 /// One operator's publish against the store, a call at a time.
 class publisher_run {
 public:
-    publisher_run(publish_plan plan, random_source& random)
+    publisher_run(publish_plan plan, random_source& random,
+                  std::chrono::milliseconds timeout = 30s)
         : id(plan.publish_id)
-        , protocol_(std::move(plan), steady_time{} + 30s, random)
+        , protocol_(std::move(plan), steady_time{} + timeout, random)
         , step_(protocol_.begin()) {}
 
     [[nodiscard]] bool is_over() const {
@@ -67,6 +70,10 @@
         call(store, fate, delayed);
     }
 
+    [[nodiscard]] std::string_view phase() const {
+        return name_of(protocol_.phase());
+    }
+
     const publish_result& finish(memory_platform& store) {
         while (!is_over()) {
             call(store);
@@ -219,6 +226,37 @@
     EXPECT_EQ(run.result().code, result_code::publish_unknown);
 }
 
+// All runs of up to six calls, each with any fate, with or without a publish
+// by somebody else before it: the code takes exactly the model's transitions.
+TEST_F(publish_protocol_test, transitions_are_those_of_the_model) {
+    constexpr std::size_t ways = 6;
+    constexpr std::size_t runs = ways * ways * ways * ways * ways * ways;
+    std::set<std::string> taken;
+    for (std::size_t code = 0; code < runs; ++code) {
+        memory_platform store;
+        publisher_run run(plan_of("mine", "mine\n"), random_, 500ms);
+        for (std::size_t rest = code; !run.is_over(); rest /= ways) {
+            if (rest % 2 == 1) {
+                const std::string id = "other" + std::to_string(rest);
+                publisher_run(plan_of(id, id), random_).finish(store);
+            }
+            const std::string before(run.phase());
+            run.call(store, static_cast<call_fate>(rest % ways / 2));
+            taken.insert(before + " -> " + std::string(run.phase()));
+        }
+    }
+    const auto model =
+        read_text_file(SAVORYDOCK_SOURCE_DIR "/docs/models/publish_race.pml");
+    ASSERT_TRUE(model) << model.reason().detail;
+    std::set<std::string> modelled;
+    const std::regex line("// transition: (\\w+ -> \\w+)");
+    for (std::sregex_iterator found(model->begin(), model->end(), line), end;
+         found != end; ++found) {
+        modelled.insert((*found)[1]);
+    }
+    EXPECT_EQ(taken, modelled);
+}
+
 // Any interleaving of any fates: a told result is a true one.
 RC_GTEST_PROP(publish_protocol_property, told_results_are_true, ()) {
     seeded_random_source random(7);
