--- /dev/null
+++ b/tests/fakes/child_process.cpp
@@ -0,0 +1,108 @@
+#include "tests/fakes/child_process.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <csignal>
+#include <fcntl.h>
+#include <poll.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <utility>
+
+namespace savorydock {
+
+child_process::child_process(const std::string& bin, const std::string& program,
+                             std::vector<std::string> flags) {
+    std::string path = bin + "/" + program;
+    std::vector<char*> arguments{path.data()};
+    for (std::string& flag : flags) {
+        arguments.push_back(flag.data());
+    }
+    arguments.push_back(nullptr);
+    std::array<int, 2> ends{};
+    if (pipe2(ends.data(), O_CLOEXEC) != 0) {
+        throw std::runtime_error("no pipe");
+    }
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    const int error = posix_spawn(&pid_, path.c_str(), &actions, nullptr,
+                                  arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    close(ends[1]);
+    output_ = ends[0];
+    if (error != 0) {
+        close(output_);
+        throw std::runtime_error("can't start " + path);
+    }
+}
+
+child_process::~child_process() {
+    if (pid_ > 0) {
+        send(SIGKILL);
+        wait();
+    }
+    close(output_);
+}
+
+void child_process::send(int signal) const {
+    kill(pid_, signal);
+}
+
+int child_process::wait() {
+    int status = 0;
+    waitpid(std::exchange(pid_, 0), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+std::string child_process::wait_for_line(const std::string& prefix,
+                                         std::chrono::milliseconds limit) {
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (true) {
+        std::size_t line_end = 0;
+        while ((line_end = read_.find('\n')) != std::string::npos) {
+            const std::string line = read_.substr(0, line_end);
+            read_.erase(0, line_end + 1);
+            if (line.starts_with(prefix)) {
+                return line;
+            }
+        }
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            end - std::chrono::steady_clock::now());
+        pollfd watched{.fd = output_, .events = POLLIN};
+        if (left.count() <= 0 ||
+            poll(&watched, 1, static_cast<int>(left.count())) <= 0) {
+            return {};
+        }
+        std::array<char, 4096> bytes{};
+        const ssize_t count = read(output_, bytes.data(), bytes.size());
+        if (count <= 0) {
+            return {};
+        }
+        read_.append(bytes.data(), static_cast<std::size_t>(count));
+    }
+}
+
+std::string child_process::read_all() {
+    std::array<char, 4096> bytes{};
+    ssize_t count = 0;
+    while ((count = read(output_, bytes.data(), bytes.size())) > 0) {
+        read_.append(bytes.data(), static_cast<std::size_t>(count));
+    }
+    return std::exchange(read_, {});
+}
+
+std::uint16_t find_free_port() {
+    boost::asio::io_context context;
+    return boost::asio::ip::tcp::acceptor(
+               context,
+               {boost::asio::ip::address_v4::loopback(), std::uint16_t{0}})
+        .local_endpoint()
+        .port();
+}
+
+} // namespace savorydock
