--- a/tests/servers/configuration/configuration_fleet.hpp
+++ b/tests/servers/configuration/configuration_fleet.hpp
@@ -165,6 +165,10 @@
         [](const peer_message&) { return message_fate{}; };
     std::function<platform_fate(const platform_request&)> fate_of_call =
         [](const platform_request&) { return platform_fate{}; };
+    /// Whether an instance is cut off from the platform.
+    std::function<bool(const member&)> is_cut_off = [](const member&) {
+        return false;
+    };
     /// A message as it arrives, before the instance gets it.
     std::function<void(const peer_message&)> on_arrival =
         [](const peer_message&) {};
@@ -183,6 +187,7 @@
 private:
     static constexpr std::size_t tick_ms = 250;
     static constexpr std::chrono::seconds watch_time{10};
+    static constexpr std::chrono::seconds cut_timeout{5};
 
     struct event {
         steady_time at;
@@ -232,15 +237,26 @@
                 send(*message);
             } else if (const auto* call =
                            std::get_if<platform_call>(&command)) {
-                const std::uint32_t life = members[i]->life;
-                submit(call->request,
-                       [this, i, life, ticket = call->ticket](auto answer) {
-                           reply(i, life, {ticket, std::move(answer)});
-                       });
+                call_platform(i, *call);
             }
         }
     }
 
+    void call_platform(std::size_t i, const platform_call& call) {
+        const std::uint32_t life = members[i]->life;
+        const auto on_reply = [this, i, life,
+                               ticket = call.ticket](auto answer) {
+            reply(i, life, {ticket, std::move(answer)});
+        };
+        if (!is_cut_off(*members[i])) {
+            submit(call.request, on_reply);
+            return;
+        }
+        at(now + cut_timeout, [on_reply] {
+            on_reply(failure{result_code::platform_unreachable, "cut"});
+        });
+    }
+
     void send(const peer_message& message) {
         const message_fate fate = fate_of_message(message);
         for (std::uint32_t copy = 0; copy < fate.copies; ++copy) {
--- a/tests/servers/configuration/configuration_server_test.cpp
+++ b/tests/servers/configuration/configuration_server_test.cpp
@@ -237,6 +237,37 @@
     EXPECT_TRUE(is_everywhere(result.revision));
 }
 
+TEST_F(configuration_server_test, zone_cut_off_serves_on_and_catches_up) {
+    fleet_.start_all();
+    const auto before = publish(1);
+    ASSERT_TRUE(is_everywhere(before.revision));
+    const availability_zone cut("z0");
+    const auto zone_of = [this](const instance_id& name) {
+        return fleet_.members[std::stoul(name.text().substr(1))]->zone;
+    };
+    fleet_.fate_of_message = [&](const peer_message& message) {
+        const bool is_across =
+            (zone_of(message.from) == cut) != (zone_of(message.to) == cut);
+        return message_fate{.copies = is_across ? 0U : 1U};
+    };
+    fleet_.is_cut_off = [&](const auto& one) { return one.zone == cut; };
+    const auto during = publish(2);
+    fleet_.run_for(20s);
+    // A restart inside the cut zone still finds its neighbours' revision.
+    fleet_.stop(0);
+    fleet_.start(0);
+    fleet_.run_for(10s);
+    for (const auto& one : fleet_.members) {
+        EXPECT_EQ(configuration_fleet::revision_at(*one, depth),
+                  one->zone == cut ? before.revision : during.revision)
+            << one->name.text();
+    }
+    fleet_.fate_of_message = [](const peer_message&) { return message_fate{}; };
+    fleet_.is_cut_off = [](const auto&) { return false; };
+    EXPECT_TRUE(is_everywhere(during.revision, 5s));
+    EXPECT_EQ(fleet_.times_back(), 0U);
+}
+
 TEST_F(configuration_server_test, platform_out_is_called_with_growing_pauses) {
     cut_platform(true);
     fleet_.start_all();
