Tell operators why an instance waits or a store is not followed

Two conditions were logged as configuration_stale_ignored at level debug, so an operator would not have seen why an instance stays without configuration after a restart (3004, warning) or why publishes don't take hold after the store was set back (3005, error, once for each spell). The tests of both now look for the event.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -54,6 +54,12 @@
                     "an older revision than the one held was ignored"},
     log_event_entry{configuration_published, info, "configuration_published",
                     "an operator's publish took effect"},
+    log_event_entry{configuration_held_back, warning, "configuration_held_back",
+                    "served a newer revision before its restart and waits for "
+                    "it"},
+    log_event_entry{platform_store_behind, error, "platform_store_behind",
+                    "the store is older than what is in force; was it "
+                    "restored without a bumped revision?"},
     log_event_entry{platform_unreachable, warning, "platform_unreachable",
                     "the platform's service does not answer"},
     log_event_entry{platform_reachable, info, "platform_reachable",
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -34,6 +34,8 @@
     configuration_refused = 3001,
     configuration_stale_ignored = 3002,
     configuration_published = 3003,
+    configuration_held_back = 3004,
+    platform_store_behind = 3005,
 
     platform_unreachable = 3100,
     platform_reachable = 3101,
--- a/servers/configuration/configuration_server.cpp
+++ b/servers/configuration/configuration_server.cpp
@@ -4,6 +4,7 @@
 #include "servers/configuration/service_envelope.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace savorydock {
 
@@ -169,11 +170,12 @@
         newest = std::max(newest, value.modified);
         apply(to_entry(value), now, out);
     }
-    if (news.revision < before) {
-        out.push_back(log_command{
-            log_event::configuration_stale_ignored,
-            "from=platform revision=" + std::to_string(news.revision) +
-                " held=" + std::to_string(before)});
+    const bool was_behind =
+        std::exchange(is_store_behind_, news.revision < before);
+    if (is_store_behind_ && !was_behind) {
+        out.push_back(log_command{log_event::platform_store_behind,
+                                  "store=" + std::to_string(news.revision) +
+                                      " in_force=" + std::to_string(before)});
     }
     table_.complete_through(newest);
     start_.note_store_read();
@@ -209,8 +211,8 @@
         if (!is_held_back_told_ && start_.is_held_back(complete, now)) {
             is_held_back_told_ = true;
             out.push_back(log_command{
-                log_event::configuration_stale_ignored,
-                "from=peers revision=" + std::to_string(complete) +
+                log_event::configuration_held_back,
+                "peers_have=" + std::to_string(complete) +
                     " served_before=" + std::to_string(start_.floor())});
         }
         return;
--- a/servers/configuration/configuration_server.hpp
+++ b/servers/configuration/configuration_server.hpp
@@ -114,6 +114,7 @@
     cold_start start_;
     steady_time next_greeting_{};
     bool is_held_back_told_ = false;
+    bool is_store_behind_ = false;
     bool has_change_ = false;
     std::shared_ptr<const configuration_view> published_;
     configuration_counters counters_;
--- a/tests/servers/configuration/configuration_fleet.hpp
+++ b/tests/servers/configuration/configuration_fleet.hpp
@@ -160,7 +160,7 @@
     memory_platform platform;
     std::vector<std::unique_ptr<member>> members;
     std::uint64_t platform_calls = 0;
-    std::uint64_t published_bytes = 0;
+    std::map<log_event, int> logged;
     std::function<message_fate(const peer_message&)> fate_of_message =
         [](const peer_message&) { return message_fate{}; };
     std::function<platform_fate(const platform_request&)> fate_of_call =
@@ -238,6 +238,8 @@
             } else if (const auto* call =
                            std::get_if<platform_call>(&command)) {
                 call_platform(i, *call);
+            } else if (const auto* log = std::get_if<log_command>(&command)) {
+                ++logged[log->event];
             }
         }
     }
--- a/tests/servers/configuration/configuration_server_test.cpp
+++ b/tests/servers/configuration/configuration_server_test.cpp
@@ -163,13 +163,14 @@
     EXPECT_TRUE(is_everywhere(publish(2).revision));
 }
 
-TEST_F(configuration_server_test, key_removed_by_hand_leaves_the_last_good) {
+TEST_F(configuration_server_test, store_set_back_is_told_and_not_followed) {
     fleet_.start_all();
     const auto good = publish(1);
     ASSERT_TRUE(is_everywhere(good.revision));
     fleet_.platform = memory_platform();
     fleet_.run_for(30s);
     EXPECT_EQ(fleet_.count_at(depth, good.revision), fleet_size);
+    EXPECT_GT(fleet_.logged[log_event::platform_store_behind], 0);
 }
 
 TEST_F(configuration_server_test, restart_with_platform_out_starts_from_peers) {
@@ -215,6 +216,7 @@
     fleet_.start(ahead.front());
     fleet_.run_for(20s);
     EXPECT_EQ(fleet_.members[ahead.front()]->server->view(), nullptr);
+    EXPECT_EQ(fleet_.logged[log_event::configuration_held_back], 1);
     cut_platform(false);
     EXPECT_TRUE(is_everywhere(next.revision));
     EXPECT_EQ(fleet_.times_back(), 0U);
