--- a/servers/membership/member_table.cpp
+++ b/servers/membership/member_table.cpp
@@ -176,6 +176,18 @@
     return living_home().size() + living_away().size() + 1;
 }
 
+missing_members member_table::count_missing() const {
+    missing_members counted;
+    for (const auto& [name, held] : members_) {
+        const member_condition condition = held.record.condition;
+        const bool is_missing = condition == member_condition::suspect ||
+                                condition == member_condition::dead;
+        counted.missing += is_missing ? 1 : 0;
+        counted.known += condition == member_condition::left ? 0 : 1;
+    }
+    return counted;
+}
+
 std::size_t member_table::bucket_of(const instance_id& name) {
     return stable_hash(name.text()) % bucket_count;
 }
--- a/servers/membership/member_table.hpp
+++ b/servers/membership/member_table.hpp
@@ -24,6 +24,11 @@
     bool is_seed = false;
 };
 
+struct missing_members {
+    std::size_t missing = 0;
+    std::size_t known = 0;
+};
+
 /// What became of a record that was merged.
 enum class merge_result : std::uint8_t {
     /// Nothing new.
@@ -82,6 +87,9 @@
     [[nodiscard]] std::span<const instance_id> not_living() const;
     [[nodiscard]] std::size_t living_count() const;
 
+    /// Others that are suspect or dead, out of all that did not leave.
+    [[nodiscard]] missing_members count_missing() const;
+
     /// One hash per bucket over the names and incarnations of the living.
     [[nodiscard]] std::vector<std::uint64_t> digest() const;
     [[nodiscard]] static std::size_t bucket_of(const instance_id& name);
--- a/servers/membership/membership_server.cpp
+++ b/servers/membership/membership_server.cpp
@@ -1,7 +1,7 @@
 #include "servers/membership/membership_server.hpp"
 
-#include "core/object_reader.hpp"
 #include "core/wire_codec.hpp"
+#include "servers/membership/platform_list_entry.hpp"
 #include "servers/membership/stable_hash.hpp"
 
 #include <algorithm>
@@ -13,8 +13,6 @@
 
 namespace {
 
-constexpr std::string_view instance_prefix = "/savorydock/instances/";
-constexpr std::string_view upstream_prefix = "/savorydock/upstreams/";
 constexpr std::uint64_t instance_tickets = 1ULL << 32U;
 constexpr std::uint64_t upstream_tickets = 2ULL << 32U;
 constexpr std::size_t readers_per_zone = 2;
@@ -27,24 +25,6 @@
 /// Fewer missing instances than this are no sign of a cut.
 constexpr std::size_t min_cut_size = 2;
 
-/// Reads an entry of the platform's list; not the list's faults but its
-/// words matter, so a bad entry is passed over.
-std::optional<boost::json::object> read_entry(const stored_value& value) {
-    auto parsed = parse_commented_json(value.value);
-    if (!parsed || !parsed->is_object()) {
-        return std::nullopt;
-    }
-    return parsed->as_object();
-}
-
-std::string text_member(const boost::json::object& entry,
-                        std::string_view name) {
-    const auto* found = entry.if_contains(name);
-    return found != nullptr && found->is_string()
-               ? std::string(found->as_string())
-               : std::string();
-}
-
 } // namespace
 
 membership_server::membership_server(membership_options options,
@@ -55,11 +35,12 @@
     , table_(options_.self)
     , detector_(table_, options_.detector, random)
     , health_(chart, options_.health, random)
-    , instance_list_(std::string(instance_prefix), instance_tickets, random)
-    , upstream_list_(std::string(upstream_prefix), upstream_tickets, random) {}
+    , instance_list_(std::string(instance_list_prefix), instance_tickets,
+                     random)
+    , upstream_list_(std::string(upstream_list_prefix), upstream_tickets,
+                     random) {}
 
-void membership_server::begin(steady_time now, command_list& out) {
-    static_cast<void>(out);
+void membership_server::begin(steady_time now) {
     has_begun_ = true;
     for (const member_record& seed : options_.seeds) {
         table_.add_listed(seed, now, true);
@@ -72,7 +53,7 @@
 
 void membership_server::on_tick(steady_time now, command_list& out) {
     if (!has_begun_) {
-        begin(now, out);
+        begin(now);
     }
     std::vector<probe_action> actions;
     for (const instance_id& name : detector_.on_tick(now, actions)) {
@@ -272,16 +253,7 @@
 }
 
 void membership_server::judge_cut(command_list& out) {
-    std::size_t missing = 0;
-    std::size_t known = 0;
-    for (const auto& [name, held] : table_.members()) {
-        const member_condition condition = held.record.condition;
-        known += condition == member_condition::left ? 0 : 1;
-        missing += condition == member_condition::suspect ||
-                           condition == member_condition::dead
-                       ? 1
-                       : 0;
-    }
+    const auto [missing, known] = table_.count_missing();
     const bool is_cut = missing >= min_cut_size && 2 * missing > known;
     if (is_cut == is_cut_off_) {
         return;
@@ -326,50 +298,22 @@
 void membership_server::on_platform_reply(const platform_reply& reply,
                                           steady_time now, command_list& out) {
     for (const auto& value : instance_list_.on_reply(reply, now)) {
-        take_listed_instance(value, now);
+        const auto listed = read_listed_instance(value);
+        if (listed && table_.add_listed(*listed, now, false)) {
+            queue_member(listed->name);
+        }
     }
     for (const auto& value : upstream_list_.on_reply(reply, now)) {
-        take_listed_upstream(value, now, out);
+        if (const auto listed = read_listed_upstream(value)) {
+            health_.on_listed(listed->key, value.created, value.modified,
+                              listed->is_leaving, now, out);
+        }
     }
     list_revision_ = std::max(
         {list_revision_, instance_list_.revision(), upstream_list_.revision()});
     take_health_news(now);
 }
 
-void membership_server::take_listed_instance(const stored_value& value,
-                                             steady_time now) {
-    const auto entry = read_entry(value);
-    if (!entry || value.key.size() <= instance_prefix.size()) {
-        return;
-    }
-    const auto address = parse_endpoint(text_member(*entry, "address"));
-    if (!address) {
-        return;
-    }
-    const instance_id name(value.key.substr(instance_prefix.size()));
-    const availability_zone zone(text_member(*entry, "zone"));
-    if (table_.add_listed({.name = name, .zone = zone, .address = *address},
-                          now, false)) {
-        queue_member(name);
-    }
-}
-
-void membership_server::take_listed_upstream(const stored_value& value,
-                                             steady_time now,
-                                             command_list& out) {
-    const auto entry = read_entry(value);
-    const std::size_t slash = value.key.find('/', upstream_prefix.size());
-    if (!entry || slash == std::string::npos) {
-        return;
-    }
-    const upstream_key key{
-        service_name(value.key.substr(upstream_prefix.size(),
-                                      slash - upstream_prefix.size())),
-        upstream_id(value.key.substr(slash + 1))};
-    health_.on_listed(key, value.created, value.modified,
-                      text_member(*entry, "state") == "leaving", now, out);
-}
-
 void membership_server::on_observation(const upstream_observation& observation,
                                        steady_time now, command_list& out) {
     health_.observe(observation, list_revision_, now, out);
--- a/servers/membership/membership_server.hpp
+++ b/servers/membership/membership_server.hpp
@@ -83,7 +83,7 @@
     [[nodiscard]] membership_counters counters() const { return counters_; }
 
 private:
-    void begin(steady_time now, command_list& out);
+    void begin(steady_time now);
     void act(const std::vector<probe_action>& actions, command_list& out);
     void push_news(steady_time now, command_list& out);
     void send_digest(const instance_id& to, command_list& out);
@@ -97,9 +97,6 @@
     void tell_condition(const instance_id& name, command_list& out);
     void judge_cut(command_list& out);
     void read_lists(steady_time now, command_list& out);
-    void take_listed_instance(const stored_value& value, steady_time now);
-    void take_listed_upstream(const stored_value& value, steady_time now,
-                              command_list& out);
     [[nodiscard]] bool is_reader() const;
     [[nodiscard]] bool is_prober(const upstream_key& key) const;
     [[nodiscard]] std::uint32_t budget() const;
--- a/tests/servers/membership/membership_fleet.hpp
+++ b/tests/servers/membership/membership_fleet.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/random_source.hpp"
+#include "servers/configuration/configuration_view.hpp"
 #include "servers/membership/membership_server.hpp"
 
 #include <algorithm>
@@ -32,6 +33,24 @@
     bool knows_incarnations = false;
 };
 
+/// One service with upstreams engine-0, engine-1 and so on, in turn in zones
+/// zone-0 to zone-2.
+inline std::shared_ptr<const configuration_view>
+make_view(std::size_t upstreams) {
+    auto document = std::make_shared<service_document>();
+    document->service = service_name("chat");
+    for (std::size_t i = 0; i < upstreams; ++i) {
+        upstream_rule rule;
+        rule.name = upstream_id("engine-" + std::to_string(i));
+        rule.zone = availability_zone("zone-" + std::to_string(i % 3));
+        document->upstreams.push_back(rule);
+    }
+    return std::make_shared<configuration_view>(
+        std::map<service_name, service_in_force>{
+            {document->service, {.revision = 1, .document = document}}},
+        1);
+}
+
 /// Membership servers in one process that exchange messages in virtual time.
 class membership_fleet {
 public:
