--- a/drivers/peer/peer_link.cpp
+++ b/drivers/peer/peer_link.cpp
@@ -1,8 +1,8 @@
 #include "drivers/peer/peer_link.hpp"
 
-#include "core/random_source.hpp"
 #include "core/secret.hpp"
 #include "core/wire_codec.hpp"
+#include "drivers/peer/peer_backoff.hpp"
 #include "drivers/peer/peer_connection.hpp"
 #include "drivers/peer/peer_envelope.hpp"
 
@@ -37,14 +37,31 @@
 constexpr std::chrono::seconds refusal_log_period{1};
 /// Zones of peers that the fault switch has to know.
 constexpr std::size_t max_known_zones = 4'096;
-/// Peers whose last failed connection is remembered.
-constexpr std::size_t max_known_failures = 4'096;
 
 bool is_known(peer_topic topic) {
     const auto number = static_cast<std::size_t>(topic);
     return number > 0 && number < peer_counters::topic_count;
 }
 
+/// Returns the status of the answer, and why a message is refused.
+unsigned check(const peer_envelope& envelope, const peer_link_options& options,
+               failure& reason) {
+    reason.code = result_code::bad_frame;
+    if (!is_same_secret(envelope.secret, options.peer_key)) {
+        reason.detail = "wrong peer key";
+        return status_wrong_key;
+    }
+    if (envelope.to != options.instance) {
+        reason.detail = "for instance " + envelope.to.text();
+        return status_wrong_receiver;
+    }
+    if (envelope.from.is_empty() || !is_known(envelope.topic)) {
+        reason.detail = "no sender or no such topic";
+        return status_bad_envelope;
+    }
+    return status_taken;
+}
+
 outcome<tcp::endpoint> resolve(const endpoint& target) {
     error_code error;
     const auto address = asio::ip::make_address(target.address, error);
@@ -63,7 +80,9 @@
         : context_(context)
         , options_(std::move(options))
         , log_(log)
-        , random_(options_.seed)
+        , backoff_({.min_delay = options_.min_backoff,
+                    .max_delay = options_.max_backoff,
+                    .seed = options_.seed})
         , acceptor_(context)
         , sweep_timer_(context)
         , accept_timer_(context) {}
@@ -85,12 +104,6 @@
 private:
     using connection_ptr = std::shared_ptr<peer_connection>;
 
-    /// Why a peer is not tried just now.
-    struct backoff {
-        steady_time retry_at;
-        std::chrono::milliseconds delay{0};
-    };
-
     template <class Change>
     void count(Change change) {
         const std::lock_guard lock(counters_mutex_);
@@ -103,7 +116,6 @@
     void adopt(tcp::socket socket);
     void sweep_later();
     void sweep();
-    void forget_old_failures(steady_time now);
     void deliver(std::string bytes, peer_topic topic, const endpoint& to);
     connection_ptr connection_to(const endpoint& to);
     connection_ptr open(const endpoint& to);
@@ -119,15 +131,14 @@
     asio::io_context& context_;
     const peer_link_options options_;
     logger& log_;
-    seeded_random_source random_;
     message_handler handler_;
     peer_fault_switch faults_;
+    peer_backoff backoff_;
     tcp::acceptor acceptor_;
     asio::steady_timer sweep_timer_;
     asio::steady_timer accept_timer_;
     bool is_stopped_ = false;
     std::unordered_map<std::string, connection_ptr> outgoing_;
-    std::unordered_map<std::string, backoff> failures_;
     std::set<connection_ptr> incoming_;
     steady_time last_refusal_log_{};
     std::uint64_t refusals_since_log_ = 0;
@@ -287,16 +298,10 @@
         connection->close();
         return true;
     });
-    forget_old_failures(now);
+    backoff_.forget(now);
     publish_open_counts();
 }
 
-void peer_link::impl::forget_old_failures(steady_time now) {
-    std::erase_if(failures_, [&](const auto& entry) {
-        return now - entry.second.retry_at > options_.max_backoff;
-    });
-}
-
 void peer_link::impl::send(const peer_message& message, const endpoint& to) {
     if (faults_.is_cut(message.to, zone_of(message.to))) {
         count([](peer_counters& all) { ++all.cut; });
@@ -339,10 +344,8 @@
     if (found != outgoing_.end()) {
         return found->second;
     }
-    const auto failed = failures_.find(key);
     const bool must_wait =
-        failed != failures_.end() &&
-        std::chrono::steady_clock::now() < failed->second.retry_at;
+        backoff_.must_wait(key, std::chrono::steady_clock::now());
     if (must_wait || !make_room()) {
         return nullptr;
     }
@@ -386,7 +389,7 @@
                          .on_response =
                              [this, key](unsigned status) {
                                  if (status == status_taken) {
-                                     failures_.erase(key);
+                                     backoff_.note_success(key);
                                      return;
                                  }
                                  count([](peer_counters& all) { ++all.lost; });
@@ -419,34 +422,17 @@
         all.connect_failures += was_connected ? 0 : 1;
     });
     publish_open_counts();
-    if (failures_.size() >= max_known_failures && !failures_.contains(key)) {
-        return;
-    }
-    backoff& entry = failures_[key];
-    entry.delay =
-        std::clamp(entry.delay * 2, options_.min_backoff, options_.max_backoff);
-    const auto half = static_cast<std::uint64_t>(entry.delay.count()) / 2;
-    const std::chrono::milliseconds jittered(half + random_.below(half + 1));
-    entry.retry_at = std::chrono::steady_clock::now() + jittered;
+    backoff_.note_failure(key, std::chrono::steady_clock::now());
 }
 
 unsigned peer_link::impl::take(const std::string& bytes) {
+    failure reason;
     const auto envelope = wire::decode<peer_envelope>(bytes);
-    if (!envelope) {
-        refuse(envelope.reason());
-        return status_bad_envelope;
-    }
-    if (!is_same_secret(envelope->secret, options_.peer_key)) {
-        refuse({result_code::bad_frame, "wrong peer key"});
-        return status_wrong_key;
-    }
-    if (envelope->to != options_.instance) {
-        refuse({result_code::bad_frame, "for instance " + envelope->to.text()});
-        return status_wrong_receiver;
-    }
-    if (envelope->from.is_empty() || !is_known(envelope->topic)) {
-        refuse({result_code::bad_frame, "no sender or no such topic"});
-        return status_bad_envelope;
+    const unsigned status =
+        envelope ? check(*envelope, options_, reason) : status_bad_envelope;
+    if (status != status_taken) {
+        refuse(envelope ? reason : envelope.reason());
+        return status;
     }
     remember_zone(*envelope);
     if (faults_.is_cut(envelope->from, envelope->zone)) {
