Search the queue for late calls on ticks only

Ticks walk the queue now; a release judges the call it takes out. The new test fails when a release looks at the deadline alone.

--- a/servers/admission/admission_queue.cpp
+++ b/servers/admission/admission_queue.cpp
@@ -156,17 +156,29 @@
     return nullptr;
 }
 
-void admission_queue::grant_waiting(steady_time now, admission_change& change) {
+steady_time admission_queue::last_start(const class_line& line,
+                                        steady_time now) {
+    // What can't be done by its deadline any more would only be late.
+    return now +
+           std::chrono::duration_cast<steady_time::duration>(line.mean_run);
+}
+
+void admission_queue::expire_waiting(steady_time now,
+                                     admission_change& change) {
     for (class_line& line : lines_) {
-        // What can't be done by its deadline any more would only be late.
-        const auto run =
-            std::chrono::duration_cast<steady_time::duration>(line.mean_run);
-        const auto expired = line.queue.remove_expired(now + run);
+        const auto expired = line.queue.remove_expired(last_start(line, now));
         change.expired.insert(change.expired.end(), expired.begin(),
                               expired.end());
     }
+}
+
+void admission_queue::grant_waiting(steady_time now, admission_change& change) {
     while (class_line* const line = next_line(now)) {
         const auto request = line->queue.pop();
+        if (request->deadline <= last_start(*line, now)) {
+            change.expired.push_back(request->ticket);
+            continue;
+        }
         grant(*line, request->ticket, now);
         change.granted.push_back(request->ticket);
     }
@@ -197,6 +209,7 @@
 
 admission_change admission_queue::on_tick(steady_time now) {
     admission_change change;
+    expire_waiting(now, change);
     grant_waiting(now, change);
     return change;
 }
--- a/servers/admission/admission_queue.hpp
+++ b/servers/admission/admission_queue.hpp
@@ -105,6 +105,10 @@
     [[nodiscard]] class_line* aged_line(steady_time now);
     [[nodiscard]] class_line* next_line(steady_time now);
     void grant(class_line& line, std::uint64_t ticket, steady_time now);
+    /// The deadline below which a request of the line can't be done in time.
+    [[nodiscard]] static steady_time last_start(const class_line& line,
+                                                steady_time now);
+    void expire_waiting(steady_time now, admission_change& change);
     void grant_waiting(steady_time now, admission_change& change);
 
     admission_options options_;
--- a/tests/servers/admission/admission_queue_test.cpp
+++ b/tests/servers/admission/admission_queue_test.cpp
@@ -149,6 +149,19 @@
     EXPECT_EQ(queue_.on_tick(now_ + seconds(15)).expired, std::vector{ticket_});
 }
 
+TEST_F(admission_queue_test, release_grants_nothing_that_would_be_late) {
+    for (int step = 0; step < 8; ++step) {
+        ASSERT_TRUE(submit("batch"));
+    }
+    ASSERT_TRUE(submit("batch", "t1", seconds(12)));
+    const std::uint64_t late = ticket_;
+    ASSERT_TRUE(submit("batch", "t1", seconds(60)));
+    now_ += seconds(10);
+    const auto change = queue_.release(1, now_);
+    EXPECT_EQ(change.expired, std::vector{late});
+    EXPECT_EQ(change.granted, std::vector{ticket_});
+}
+
 TEST_F(admission_queue_test, batch_moves_on_under_an_interactive_flood) {
     for (int step = 0; step < 10; ++step) {
         ASSERT_TRUE(submit("prompt"));
