--- a/drivers/entry/control_plane.cpp
+++ b/drivers/entry/control_plane.cpp
@@ -43,7 +43,9 @@
     , membership_(make_membership_options(options.settings),
                   options.charts.upstream_life, options.random)
     , orders_(options.settings.instance, options.settings.zone,
-              options.charts.order_life, candidates_)
+              options.charts.order_life, candidates_,
+              make_order_options(options.settings.orders.lease_time,
+                                 options.settings.orders.longest_order))
     , limits_(limit_options{}, membership_.table(), options.limiter)
     , delivery_(
           {.gate = {.self = options.settings.instance, .boot = options.boot},
