Send prompts as the trainer gave them; mend what the docs' reader found

Cause: reading the source for the docs showed that a slot's prompt got a suffix of ours, that a republished retry budget had no effect until a restart, that round robin and least in flight ignored cross_zone never, that /v1/ready was 200 with no service in force, and that a missing address did not exit with the usage code.

--- a/drivers/caller_http/generation_run.hpp
+++ b/drivers/caller_http/generation_run.hpp
@@ -14,6 +14,7 @@
     std::string stream;
     std::string prompt;
     std::uint32_t max_tokens = 0;
+    std::uint32_t seed = 0;
     std::uint64_t prefix_hash = 0;
     std::uint32_t expected_tokens = 0;
     /// Gives the number of the next attempt, or 0 if the run no longer
--- a/drivers/caller_http/retry_budgets.hpp
+++ b/drivers/caller_http/retry_budgets.hpp
@@ -12,20 +12,25 @@
 /// The retry budget of each service. Thread safe.
 class retry_budgets {
 public:
-    /// The budget of a service; `fraction` counts when it is made.
+    /// The budget of a service; a new fraction begins a new budget.
     [[nodiscard]] std::shared_ptr<retry_budget> of(const service_name& service,
                                                    double fraction) {
         const std::lock_guard lock(mutex_);
-        auto& budget = budgets_[service];
-        if (!budget) {
-            budget = std::make_shared<retry_budget>(fraction);
+        entry& current = budgets_[service];
+        if (!current.budget || current.fraction != fraction) {
+            current = {fraction, std::make_shared<retry_budget>(fraction)};
         }
-        return budget;
+        return current.budget;
     }
 
 private:
+    struct entry {
+        double fraction = 0;
+        std::shared_ptr<retry_budget> budget;
+    };
+
     std::mutex mutex_;
-    std::map<service_name, std::shared_ptr<retry_budget>> budgets_;
+    std::map<service_name, entry> budgets_;
 };
 
 } // namespace savorydock
--- a/drivers/caller_http/step_runner.cpp
+++ b/drivers/caller_http/step_runner.cpp
@@ -74,8 +74,9 @@
     answer_assembler answer(run.stream, run.attempt);
     generation_order order{
         .stream = run.stream,
-        .prompt = group.prompt + "\n#" + std::to_string(run.slot.index),
+        .prompt = group.prompt,
         .max_tokens = group.max_tokens,
+        .seed = run.slot.index,
         .prefix_hash = hash_prefix(group.prompt),
         .expected_tokens = group.max_tokens,
         .next_attempt = [&]() -> attempt_number {
--- a/drivers/entry/entry_instance.cpp
+++ b/drivers/entry/entry_instance.cpp
@@ -200,7 +200,8 @@
         answer({{"cleared", is_known}});
     };
     operators.is_ready = [this] {
-        return !traffic.is_draining && traffic.configuration.load() != nullptr;
+        const auto view = traffic.configuration.load();
+        return !traffic.is_draining && view && !view->services().empty();
     };
 }
 
--- a/drivers/operator_http/command_result.cpp
+++ b/drivers/operator_http/command_result.cpp
@@ -8,6 +8,8 @@
     switch (code) {
     case result_code::ok:
         return exit_code::ok;
+    case result_code::invalid_settings:
+        return exit_code::usage;
     case result_code::invalid_document:
     case result_code::invalid_json:
         return exit_code::invalid_document;
--- a/drivers/upstream_http/upstream_client.cpp
+++ b/drivers/upstream_http/upstream_client.cpp
@@ -62,10 +62,15 @@
 
 http_request to_request(const generation_call& call) {
     json::object body{
-        {"stream_id", call.stream},        {"attempt", call.attempt},
-        {"prompt", call.prompt},           {"max_tokens", call.max_tokens},
-        {"resume_from", call.resume_from}, {"resume_text", call.resume_text},
-        {"priority", call.priority},       {"stream", true},
+        {"stream_id", call.stream},
+        {"attempt", call.attempt},
+        {"prompt", call.prompt},
+        {"max_tokens", call.max_tokens},
+        {"seed", call.seed},
+        {"resume_from", call.resume_from},
+        {"resume_text", call.resume_text},
+        {"priority", call.priority},
+        {"stream", true},
     };
     return {
         .method = "POST",
--- a/drivers/upstream_http/upstream_client.hpp
+++ b/drivers/upstream_http/upstream_client.hpp
@@ -20,6 +20,8 @@
     attempt_number attempt = 0;
     std::string prompt;
     std::uint32_t max_tokens = 0;
+    /// Tells the samples of one prompt apart, so that the engine draws anew.
+    std::uint32_t seed = 0;
     /// Tokens that are there already, and their text: the engine goes on
     /// behind them.
     std::uint32_t resume_from = 0;
--- a/servers/routing/routing_policy.cpp
+++ b/servers/routing/routing_policy.cpp
@@ -24,6 +24,10 @@
 bool may_serve(const routed_service& service, std::uint32_t position,
                const route_query& query) {
     const service_layout& layout = *service.layout;
+    if (layout.document->cross_zone == cross_zone_use::never &&
+        !service.upstreams[position].is_home_zone) {
+        return false;
+    }
     if (service.upstreams[position].version < query.minimum_version ||
         layout.counters[position]->has_said_leaving()) {
         return false;
--- a/tests/fakes/child_process.hpp
+++ b/tests/fakes/child_process.hpp
@@ -21,6 +21,8 @@
 
     void send(int signal) const;
 
+    [[nodiscard]] pid_t pid() const { return pid_; }
+
     /// Waits for its end; returns the exit code, -1 if a signal ended it.
     int wait();
 
--- a/tests/fakes/fake_engine.cpp
+++ b/tests/fakes/fake_engine.cpp
@@ -34,6 +34,7 @@
     std::uint32_t tokens = 0;
     std::uint32_t first = 0;
     std::uint64_t attempt = 0;
+    std::uint32_t seed = 0;
 };
 
 outcome<completion_call> read_call(const std::string& body) {
@@ -52,6 +53,8 @@
             reader.integer("resume_from", any_number, 0)),
         .attempt = static_cast<std::uint64_t>(
             reader.integer("attempt", any_number, 0)),
+        .seed =
+            static_cast<std::uint32_t>(reader.integer("seed", any_number, 0)),
     };
     if (!faults.empty()) {
         return failure{result_code::not_run_bad_request, to_text(faults)};
@@ -75,10 +78,10 @@
     return server_.listen(address);
 }
 
-std::string fake_engine::token_at(const std::string& prompt,
+std::string fake_engine::token_at(const std::string& prompt, std::uint32_t seed,
                                   std::uint32_t position) {
-    const std::size_t hash =
-        std::hash<std::string>{}(prompt + '#' + std::to_string(position));
+    const std::size_t hash = std::hash<std::string>{}(
+        prompt + '#' + std::to_string(seed) + '#' + std::to_string(position));
     return " t" + std::to_string(hash % 1000);
 }
 
@@ -160,7 +163,7 @@
         json::object event{{"id", call->id},
                            {"attempt", call->attempt},
                            {"index", i},
-                           {"text", token_at(call->prompt, i)}};
+                           {"text", token_at(call->prompt, call->seed, i)}};
         if (!faults.has_no_version) {
             event["version"] = version();
         }
--- a/tests/fakes/fake_engine.hpp
+++ b/tests/fakes/fake_engine.hpp
@@ -33,8 +33,8 @@
 };
 
 /// A stand-in for a model engine: completions as server-sent events, resume,
-/// cancel, orders, load. The token at a position depends on the prompt only,
-/// so that a resumed answer can be compared with a whole one.
+/// cancel, orders, load. The token at a position depends on prompt and seed
+/// only, so that a resumed answer can be compared with a whole one.
 ///
 /// Thread safe. Runs on a pool of its own.
 class fake_engine {
@@ -45,6 +45,7 @@
 
     /// The token at a position of the answer to a prompt.
     [[nodiscard]] static std::string token_at(const std::string& prompt,
+                                              std::uint32_t seed,
                                               std::uint32_t position);
 
     [[nodiscard]] weight_version version() const;
--- a/tests/servers/routing/snapshot_router_test.cpp
+++ b/tests/servers/routing/snapshot_router_test.cpp
@@ -157,6 +157,15 @@
     EXPECT_TRUE(router_.pick(fixture_.query(), now_));
 }
 
+TEST_P(snapshot_router_test, other_zones_get_nothing_if_so_declared) {
+    auto document = std::make_shared<service_document>(fixture_.document());
+    document->cross_zone = cross_zone_use::never;
+    fixture_.replace_document(document);
+    fixture_.publish(router_);
+    const auto counts = pick_counts(200, fixture_.query());
+    EXPECT_EQ(counts[0] + counts[4], 200U);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     each_policy, snapshot_router_test,
     ::testing::Values(routing_policy_kind::adaptive,
