Run steps by the schedule: longest first, hedges, moves, restarts

After: the runner asks the schedule which slot starts, reports tokens, and carries out hedge, move and restart; the session gained run-by-name, the schedule reopen for samples that were too old at hand-over.

--- a/drivers/caller_http/generation_run.cpp
+++ b/drivers/caller_http/generation_run.cpp
@@ -110,7 +110,10 @@
     }
     const service_document& document = *request.service->document;
     suspect_guard guard(services, request, order.prompt, worker);
-    upstream_attempt attempt(services, request, guard.excluded());
+    std::vector<upstream_id> excluded = guard.excluded();
+    excluded.insert(excluded.end(), order.excluded.begin(),
+                    order.excluded.end());
+    upstream_attempt attempt(services, request, std::move(excluded));
     const auto budget =
         services.budgets.of(document.service, document.retries.budget);
     budget->earn();
@@ -126,6 +129,9 @@
             attempt.finish({}, true);
             co_return entered.reason();
         }
+        if (order.on_upstream) {
+            order.on_upstream(choice->upstream->name);
+        }
         call_evidence seen;
         const endpoint address = choice->upstream->address;
         last = co_await run_once(order, request, address, worker, answer,
@@ -135,7 +141,9 @@
         if (last.code == result_code::ok) {
             co_return done{};
         }
-        if (is_final(last) || !budget->try_spend()) {
+        const bool is_moved = last.code == result_code::cancelled_by_caller &&
+                              order.must_move && order.must_move();
+        if ((is_final(last) && !is_moved) || !budget->try_spend()) {
             break;
         }
         const attempt_number next = order.next_attempt();
--- a/drivers/caller_http/generation_run.hpp
+++ b/drivers/caller_http/generation_run.hpp
@@ -17,6 +17,12 @@
     std::uint32_t seed = 0;
     std::uint64_t prefix_hash = 0;
     std::uint32_t expected_tokens = 0;
+    /// Upstreams that it should not run on.
+    std::vector<upstream_id> excluded;
+    /// Hears which upstream runs it.
+    std::function<void(const upstream_id&)> on_upstream;
+    /// Whether it should be resumed on another upstream now.
+    std::function<bool()> must_move;
     /// Gives the number of the next attempt, or 0 if the run no longer
     /// counts.
     std::function<attempt_number()> next_attempt;
--- a/drivers/caller_http/step_runner.hpp
+++ b/drivers/caller_http/step_runner.hpp
@@ -3,16 +3,20 @@
 #include "drivers/caller_http/generation_run.hpp"
 #include "drivers/caller_http/step_body.hpp"
 #include "servers/delivery/step_session.hpp"
+#include "servers/step_schedule/step_schedule.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <map>
 #include <memory>
+#include <set>
 
 namespace savorydock {
 
 /// Runs the slots of one step session on upstreams and writes the samples to
-/// the trainer. Lives on one traffic thread; runs that end after the trainer
-/// left keep it alive until they do.
+/// the trainer: the schedule says which slot runs when and what becomes of
+/// stragglers, the session what may be handed over. Lives on one traffic
+/// thread; runs that end after the trainer left keep it alive until they do.
 class step_runner : public std::enable_shared_from_this<step_runner> {
 public:
     step_runner(caller_request request, step_body body, step_session session,
@@ -24,21 +28,47 @@
     [[nodiscard]] const step_session& session() const { return session_; }
 
 private:
+    /// One run in flight. Its coroutine looks at the marks at each token.
+    struct live_run {
+        slot_run run;
+        run_key key;
+        upstream_id upstream;
+        bool must_move = false;
+        bool is_dropped = false;
+    };
+
     void open();
     void close();
     void start_runs();
-    boost::asio::awaitable<void> run_slot(slot_run run);
+    void start_run(const slot_run& run, std::vector<upstream_id> excluded);
+    void review_runs(steady_time now);
+    void act_on(const straggler_action& action);
+    void drop_others(slot_place place);
+    void reopen_discarded();
+    void check_end(http_exchange& exchange);
+    boost::asio::awaitable<void> run_slot(std::shared_ptr<live_run> live,
+                                          std::vector<upstream_id> excluded);
+    void end_run(const live_run& live, const answer_assembler& answer,
+                 const outcome<done>& result);
     boost::asio::awaitable<void> hand_over(http_exchange& exchange);
     boost::asio::awaitable<void> wait_for_change();
     [[nodiscard]] weight_version newest_version() const;
+    [[nodiscard]] slot_id to_slot(slot_place place) const;
 
     caller_request request_;
     step_body body_;
     step_session session_;
     std::size_t worker_;
     traffic_services& services_;
+    step_knowledge& knowledge_;
+    step_schedule schedule_;
     boost::asio::steady_timer change_;
-    std::uint32_t running_ = 0;
+    std::map<run_key, std::shared_ptr<live_run>> live_;
+    /// Slots with an answer that the trainer does not have yet.
+    std::set<slot_place> answered_;
+    std::uint32_t next_key_ = 0;
+    std::uint32_t too_old_ = 0;
+    steady_time next_review_{};
 };
 
 } // namespace savorydock
--- a/drivers/caller_http/traffic_services.hpp
+++ b/drivers/caller_http/traffic_services.hpp
@@ -13,9 +13,12 @@
 #include "servers/explain/decision_log.hpp"
 #include "servers/limits/rate_limiter.hpp"
 #include "servers/routing/upstream_router.hpp"
+#include "servers/step_schedule/length_estimator.hpp"
+#include "servers/step_schedule/weights_outlook.hpp"
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -24,6 +27,12 @@
 
 class admission_gate;
 
+/// What the steps of one service have taught a traffic thread.
+struct step_knowledge {
+    length_estimator lengths;
+    weights_outlook outlook;
+};
+
 /// What the traffic threads of one instance share. Every member is thread
 /// safe, or belongs to one traffic thread by its index.
 struct traffic_services {
@@ -42,6 +51,8 @@
     std::function<void(upstream_observation)> observe;
     /// The I/O context of each traffic thread.
     std::vector<std::reference_wrapper<boost::asio::io_context>> contexts;
+    /// What each traffic thread has learnt of each service's samples.
+    std::vector<std::map<service_name, step_knowledge>> knowledge;
     /// One client a traffic thread.
     std::vector<std::unique_ptr<upstream_client>> clients;
 
--- a/drivers/entry/entry_instance.cpp
+++ b/drivers/entry/entry_instance.cpp
@@ -96,6 +96,7 @@
         , operator_server(control_io, settings.limits,
                           make_operator_api(operators)) {
         traffic.incarnation = to_hex(seed);
+        traffic.knowledge.resize(traffic_io.size());
         for (std::size_t i = 0; i < traffic_io.size(); ++i) {
             traffic.contexts.emplace_back(traffic_io.context(i));
             traffic.clients.push_back(
--- a/servers/delivery/step_session.cpp
+++ b/servers/delivery/step_session.cpp
@@ -60,14 +60,31 @@
 }
 
 std::optional<slot_run> step_session::next_run() {
-    if (!is_open() || waiting_.empty() || ready_.size() >= options_.max_ready) {
+    // Slots that were run by name have left their place in the queue.
+    while (!waiting_.empty() && !is_in(waiting_.front(), "waiting")) {
+        waiting_.pop_front();
+    }
+    return waiting_.empty() ? std::nullopt : run(slot_at(waiting_.front()));
+}
+
+bool step_session::is_waiting(const slot_id& slot) const {
+    const auto position = position_of(slot);
+    return position && is_in(*position, "waiting");
+}
+
+bool step_session::is_settled(const slot_id& slot) const {
+    const auto position = position_of(slot);
+    return position && charts_->slot.is_final(slots_[*position].state);
+}
+
+std::optional<slot_run> step_session::run(const slot_id& slot) {
+    const auto position = position_of(slot);
+    if (!position || !is_in(*position, "waiting") || !has_room()) {
         return std::nullopt;
     }
-    const std::size_t position = waiting_.front();
-    waiting_.pop_front();
-    fire(position, "run");
+    fire(*position, "run");
     ++counts_.running;
-    return start(position);
+    return start(*position);
 }
 
 std::optional<slot_run> step_session::hedge(const slot_id& slot) {
--- a/servers/delivery/step_session.hpp
+++ b/servers/delivery/step_session.hpp
@@ -92,6 +92,10 @@
     /// The next slot to run, or nothing for now.
     [[nodiscard]] std::optional<slot_run> next_run();
 
+    /// Runs this slot next, or nothing if it does not wait or too many samples
+    /// wait for the trainer.
+    [[nodiscard]] std::optional<slot_run> run(const slot_id& slot);
+
     /// A second run beside the one in flight; the first whole answer counts.
     [[nodiscard]] std::optional<slot_run> hedge(const slot_id& slot);
 
@@ -118,6 +122,15 @@
     void lose_trainer();
     void pass_deadline();
 
+    /// Whether the slot waits for a run.
+    [[nodiscard]] bool is_waiting(const slot_id& slot) const;
+    /// Whether the slot needs no further run: held, handed over or refused.
+    [[nodiscard]] bool is_settled(const slot_id& slot) const;
+    /// Whether further runs may start before the trainer takes a sample.
+    [[nodiscard]] bool has_room() const {
+        return is_open() && ready_.size() < options_.max_ready;
+    }
+
     /// How the session ended, or nothing while it is open.
     [[nodiscard]] std::optional<result_code> result() const;
 
--- a/servers/step_schedule/step_schedule.cpp
+++ b/servers/step_schedule/step_schedule.cpp
@@ -176,6 +176,15 @@
     put_back(run.slot);
 }
 
+void step_schedule::reopen(slot_place slot) {
+    if (!entry(slot).is_done) {
+        return;
+    }
+    entry(slot).is_done = false;
+    ++open_slots_;
+    put_back(slot);
+}
+
 void step_schedule::finish(slot_place slot) {
     if (entry(slot).is_done) {
         return;
--- a/servers/step_schedule/step_schedule.hpp
+++ b/servers/step_schedule/step_schedule.hpp
@@ -103,6 +103,9 @@
     /// The slot has its answer. Its other runs no longer count.
     void finish(slot_place slot);
 
+    /// The slot's answer was discarded after all: it waits again.
+    void reopen(slot_place slot);
+
     /// Decides about the runs in flight. Call it about once a second; carry
     /// out every action and report what came of it. A run that is restarted or
     /// resumed is forgotten here.
--- a/tests/servers/delivery/step_session_test.cpp
+++ b/tests/servers/delivery/step_session_test.cpp
@@ -47,6 +47,21 @@
     std::shared_ptr<const step_charts> charts_ = load_charts();
 };
 
+TEST_F(step_session_test, slot_run_by_name_is_not_run_again_in_turn) {
+    auto session = open({false, false, false, true});
+    const slot_id third{.trainer = "t", .step = 7, .group = 1, .index = 0};
+    ASSERT_TRUE(session.run(third));
+    EXPECT_FALSE(session.run(third));
+    EXPECT_TRUE(session.is_settled(
+        {.trainer = "t", .step = 7, .group = 1, .index = 1}));
+    std::set<slot_id> others;
+    while (const auto run = session.next_run()) {
+        others.insert(run->slot);
+    }
+    EXPECT_EQ(others.size(), 2U);
+    EXPECT_FALSE(others.contains(third));
+}
+
 TEST_F(step_session_test, only_slots_that_the_trainer_lacks_are_run) {
     auto session = open({true, false, true, true}, 3);
     const auto run = session.next_run();
