--- a/core/instance_settings.hpp
+++ b/core/instance_settings.hpp
@@ -52,7 +52,7 @@
     std::vector<peer_rule> peers;
     std::uint32_t traffic_threads = 2;
     std::chrono::milliseconds drain_timeout{60'000};
-    std::string log_file;
+    std::string log_file = "-";
     std::string log_level = "info";
     std::string chart_folder;
     caller_limits limits;
