Fit steps, claims and notices to the future size

After: a step may come in parts, claims are split from a fleet budget of 60/s (test: the second of two at once is refused among 1,900, not among 9), and only reconnects tell the peers.

--- a/drivers/caller_http/step_body.cpp
+++ b/drivers/caller_http/step_body.cpp
@@ -11,6 +11,7 @@
 constexpr integer_range any_number{0, std::numeric_limits<std::int64_t>::max()};
 constexpr integer_range epoch_range{1, 1'000'000};
 constexpr integer_range group_size_range{1, 1'024};
+constexpr integer_range part_range{0, 65'535};
 constexpr integer_range token_range{1, 1'000'000};
 constexpr std::int64_t default_max_tokens = 256;
 constexpr std::size_t max_slots = 65'536;
@@ -46,6 +47,8 @@
         .step = static_cast<std::uint64_t>(reader.integer("step", any_number)),
         .epoch =
             static_cast<session_epoch>(reader.integer("epoch", epoch_range, 1)),
+        .part =
+            static_cast<std::uint32_t>(reader.integer("part", part_range, 0)),
         .group_size = static_cast<std::uint32_t>(
             reader.integer("group_size", group_size_range, 1)),
         .held = read_bitmap(reader),
--- a/drivers/caller_http/step_body.hpp
+++ b/drivers/caller_http/step_body.hpp
@@ -18,6 +18,8 @@
 struct step_body {
     std::uint64_t step = 0;
     session_epoch epoch = 1;
+    /// Large steps come in parts, each a session of its own on any instance.
+    std::uint32_t part = 0;
     std::uint32_t group_size = 1;
     std::vector<step_group> groups;
     /// One bit a slot, group by group: what the trainer holds already.
--- a/drivers/caller_http/step_call.cpp
+++ b/drivers/caller_http/step_call.cpp
@@ -14,11 +14,13 @@
                                    const step_body& body,
                                    const traffic_services& services) {
     const service_document& document = *request.service->document;
+    const std::string part =
+        body.part == 0 ? "" : '#' + std::to_string(body.part);
     return step_session::open(
         services.charts,
         {
             .key = {.trainer = document.service.text() + '/' +
-                               request.caller->name.text(),
+                               request.caller->name.text() + part,
                     .step = body.step},
             .epoch = body.epoch,
             .group_count = static_cast<std::uint32_t>(body.groups.size()),
--- a/servers/delivery/attempt_gate.cpp
+++ b/servers/delivery/attempt_gate.cpp
@@ -54,6 +54,10 @@
 void attempt_gate::set_peers(std::vector<instance_id> peers) {
     std::erase(peers, options_.self);
     peers_ = std::move(peers);
+    const auto instances = static_cast<double>(peers_.size() + 1);
+    claim_budget_.set_rate(
+        std::min(options_.claims_per_second,
+                 options_.fleet_claims_per_second / instances));
 }
 
 void attempt_gate::ask_next(search& one, steady_time now, command_list& out) {
--- a/servers/delivery/attempt_gate.hpp
+++ b/servers/delivery/attempt_gate.hpp
@@ -52,8 +52,10 @@
     double asks_per_second = 2;
     /// Peers that one question goes to.
     std::size_t max_peers = 256;
-    /// Claims that this instance may put to the platform's store.
+    /// Claims that this instance may put to the platform's store, and those
+    /// of all instances together, split evenly.
     double claims_per_second = 2;
+    double fleet_claims_per_second = 60;
     /// How long claims stay in the store; must exceed every caller's repeats.
     std::chrono::seconds claim_retention{86'400};
     std::string claim_prefix = "/savorydock/claims/";
--- a/servers/delivery/delivery_server.cpp
+++ b/servers/delivery/delivery_server.cpp
@@ -6,6 +6,12 @@
 
 namespace savorydock {
 
+namespace {
+
+constexpr session_epoch first_epoch = 1;
+
+} // namespace
+
 delivery_server::delivery_server(const delivery_server_options& options,
                                  key_ledger& ledger, delivery_port& port)
     : options_(options)
@@ -162,9 +168,13 @@
 
 void delivery_server::serve(step_opening& event, steady_time now,
                             command_list& out) {
+    // A first session has no older one that would have to hear of it.
+    const bool is_first = event.epoch == first_epoch;
     delivery_message body;
     body.step_opened = steps_.open(std::move(event), now);
-    send_all(body, out);
+    if (!is_first) {
+        send_all(body, out);
+    }
 }
 
 void delivery_server::serve(const step_closing& event, steady_time /*now*/,
--- a/servers/delivery/rate_budget.hpp
+++ b/servers/delivery/rate_budget.hpp
@@ -16,6 +16,13 @@
         , burst_(std::max(1.0, per_second))
         , left_(burst_) {}
 
+    /// Changes the rate; what is left over is kept, up to the new burst.
+    void set_rate(double per_second) {
+        per_second_ = per_second;
+        burst_ = std::max(1.0, per_second);
+        left_ = std::min(left_, burst_);
+    }
+
     /// Takes one action out of the budget; false if it is used up.
     [[nodiscard]] bool try_spend(steady_time now) {
         const std::chrono::duration<double> passed = now - filled_;
--- a/tests/servers/delivery/attempt_gate_test.cpp
+++ b/tests/servers/delivery/attempt_gate_test.cpp
@@ -436,6 +436,39 @@
     EXPECT_EQ(claimed_.runs(), 0U);
 }
 
+/// Sends two unnumbered keys at once; returns how many were refused at once.
+std::size_t refused_claims(std::size_t peer_count) {
+    key_ledger ledger({});
+    attempt_gate gate({.self = instance_id("self"), .boot = "b"}, ledger);
+    std::vector<instance_id> peers;
+    for (std::size_t i = 0; i < peer_count; ++i) {
+        peers.emplace_back("p" + std::to_string(i));
+    }
+    gate.set_peers(std::move(peers));
+    const steady_time now = steady_time{} + 1h;
+    std::size_t refused = 0;
+    command_list out;
+    for (const char* const name : {"k1", "k2"}) {
+        const call_key key{.service = service_name("s"),
+                           .caller = caller_id("c"),
+                           .key = idempotency_key(name)};
+        EXPECT_EQ(ledger.begin(key, 0, now).verdict, key_verdict::ask);
+        gate.seek({.key = key,
+                   .deadline = now + 10s,
+                   .done =
+                       [&](const right_answer& answer) {
+                           refused += answer.may_run ? 0 : 1;
+                       }},
+                  now, out);
+    }
+    return refused;
+}
+
+TEST(claim_budget_test, claims_are_shared_out_over_a_large_fleet) {
+    EXPECT_EQ(refused_claims(8), 0U);
+    EXPECT_EQ(refused_claims(1'899), 1U);
+}
+
 TEST(refusal_test, only_a_first_sending_keeps_a_refusal_as_not_run) {
     const auto code = result_code::not_run_limit;
     EXPECT_EQ(refusal_of(code, false, 0), code);
