--- a/drivers/caller_http/generation_run.cpp
+++ b/drivers/caller_http/generation_run.cpp
@@ -143,7 +143,8 @@
         }
         const bool is_moved = last.code == result_code::cancelled_by_caller &&
                               order.must_move && order.must_move();
-        if ((is_final(last) && !is_moved) || !budget->try_spend()) {
+        // Moves are bounded by the schedule, not by the retry budget.
+        if (!is_moved && (is_final(last) || !budget->try_spend())) {
             break;
         }
         const attempt_number next = order.next_attempt();
--- a/tests/load/entry_load_main.cpp
+++ b/tests/load/entry_load_main.cpp
@@ -271,6 +271,9 @@
            {"failures", result.failures},
            {"tokens_per_s",
             tokens / std::chrono::duration<double>(options.duration).count()},
+           {"entry_resident_mib",
+            static_cast<double>(fleet.usage().resident_bytes) /
+                (1024.0 * 1024.0)},
            {"entry_processor_us_per_token",
             tokens == 0
                 ? 0.0
