--- a/drivers/caller_http/generation_run.cpp
+++ b/drivers/caller_http/generation_run.cpp
@@ -70,6 +70,15 @@
     co_return judge(answer, result.reason());
 }
 
+/// "Not run" is said only if no run of the request can have begun.
+failure keep_honest(const failure& reason, const failure& begun) {
+    const bool is_lie = classify(reason.code) == result_class::not_run &&
+                        begun.code != result_code::ok;
+    return is_lie
+               ? failure{begun.code, begun.detail + "; then " + reason.detail}
+               : reason;
+}
+
 void fire(const generation_order& order, std::string_view event) {
     if (order.life != nullptr) {
         order.life->fire(event);
@@ -125,12 +134,14 @@
         services.budgets.of(document.service, document.retries.budget);
     budget->earn();
     failure last{result_code::not_run_no_upstream, "nobody was tried"};
+    // How the last run ended that an upstream may have begun.
+    failure begun;
     while (attempt.count() < document.retries.max_attempts) {
         const auto choice =
             attempt.begin(order.prefix_hash, order.expected_tokens);
         if (!choice) {
-            const failure reason =
-                attempt.count() == 0 ? choice.reason() : last;
+            const failure reason = keep_honest(
+                attempt.count() == 0 ? choice.reason() : last, begun);
             fire(order, end_event_of(classify(reason.code)));
             co_return reason;
         }
@@ -138,8 +149,9 @@
         const auto entered = co_await guard.enter(choice->upstream->name);
         if (!entered) {
             attempt.finish({}, true);
-            fire(order, "refuse");
-            co_return entered.reason();
+            const failure reason = keep_honest(entered.reason(), begun);
+            fire(order, end_event_of(classify(reason.code)));
+            co_return reason;
         }
         if (order.on_upstream) {
             order.on_upstream(choice->upstream->name);
@@ -152,6 +164,7 @@
         attempt.finish(seen, false);
         if (classify(last.code) != result_class::not_run) {
             fire(order, "hand_bytes");
+            begun = last;
         }
         if (last.code == result_code::ok) {
             fire(order, "receive");
@@ -172,8 +185,9 @@
              classify(last.code) == result_class::not_run ? "retry" : "resume");
         note_resume(order, request, last, answer.next_token(), services);
     }
-    fire(order, end_event_of(classify(last.code)));
-    co_return last;
+    const failure reason = keep_honest(last, begun);
+    fire(order, end_event_of(classify(reason.code)));
+    co_return reason;
 }
 
 } // namespace savorydock
--- a/drivers/upstream_http/upstream_client.cpp
+++ b/drivers/upstream_http/upstream_client.cpp
@@ -2,6 +2,7 @@
 
 #include "core/object_reader.hpp"
 #include "drivers/http/event_stream_reader.hpp"
+#include "servers/delivery/upstream_failure_map.hpp"
 
 #include <boost/json.hpp>
 
@@ -97,10 +98,7 @@
 }
 
 failure refused_by_engine(unsigned status) {
-    const bool is_unavailable =
-        status == status_unavailable || status == status_too_many_requests;
-    return {is_unavailable ? result_code::not_run_refused_by_upstream
-                           : result_code::failed_by_upstream,
+    return {rule_on_status(status, service_kind::model).code,
             "HTTP status " + std::to_string(status)};
 }
 
--- a/tests/main/bad_input_test.cpp
+++ b/tests/main/bad_input_test.cpp
@@ -262,6 +262,23 @@
         << metrics->body;
 }
 
+TEST_F(bad_input_test, drain_lets_the_running_call_end) {
+    service_.set_faults({.delay = 700ms});
+    std::thread caller([this] {
+        const auto answer =
+            call_blocking(instance_->caller_address(),
+                          post("/v1/services/plain/read", "early"), 5s);
+        ASSERT_TRUE(answer) << answer.reason().detail;
+        EXPECT_EQ(answer->status, 200U) << answer->body;
+    });
+    while (!service_.runs().contains("early")) {
+        std::this_thread::sleep_for(5ms);
+    }
+    EXPECT_TRUE(instance_->drain());
+    instance_.reset();
+    caller.join();
+}
+
 TEST_F(bad_input_test, draining_instance_refuses_as_not_run) {
     instance_->drain();
     const auto answer =
