Load idle engines first; read a prefix anew after each failed watch

Half of the engines now skip every other version; a failed watch is followed by a reading.

Kept for fewer loads.

--- a/drivers/store/store_mirror.cpp
+++ b/drivers/store/store_mirror.cpp
@@ -13,9 +13,8 @@
 
 namespace {
 
-/// How long one watch waits. The store may cut a waiting watch without a sign,
-/// so a change that falls into such a gap is seen after this time at the
-/// latest; configuration must be in force within two seconds.
+/// How long one watch waits. Each wait is a paid call; a watch that the store
+/// cuts shows by its connection, which the kernel probes.
 constexpr std::chrono::milliseconds watch_wait{1'500};
 /// Pause before a failed call is repeated: the bound of configuration is two
 /// seconds on the smallest sites, so a return is noticed well within it.
@@ -43,7 +42,9 @@
             failures_in_row_ = 0;
             continue;
         }
-        must_read = must_read || revision_ == 0;
+        // After a cut the store may have dropped its history, and a new watch
+        // at an old revision would wait for ever: only a reading tells.
+        must_read = true;
         co_await pause();
     }
 }
@@ -59,6 +60,9 @@
 asio::awaitable<bool> store_mirror::reread() {
     auto page = co_await client_.read_range(prefix_);
     if (!page) {
+        log_.write(log_event::store_call_failed,
+                   "call=range prefix=" + prefix_ + " reason=\"" +
+                       page.reason().detail + '"');
         co_return false;
     }
     std::vector<store_change> changes;
@@ -92,9 +96,10 @@
 asio::awaitable<bool> store_mirror::follow() {
     auto changes = co_await client_.watch(prefix_, revision_, watch_wait);
     if (!changes) {
-        if (changes.reason().code == result_code::store_history_gone) {
-            revision_ = 0;
-        }
+        log_.write(log_event::store_call_failed,
+                   "call=watch prefix=" + prefix_ +
+                       " after=" + std::to_string(revision_) + " reason=\"" +
+                       changes.reason().detail + '"');
         co_return false;
     }
     std::vector<store_change> fresh;
--- a/servers/batch/engine_control.cpp
+++ b/servers/batch/engine_control.cpp
@@ -11,9 +11,8 @@
                       steady_time now) {
                    return roller_.is_loading(upstream, model, now);
                })
-    , roller_(std::move(roller), [this](const upstream_id& upstream) {
-        return planner_.runs_on(upstream);
-    }) {}
+    , work_(planner_)
+    , roller_(std::move(roller), work_) {}
 
 void engine_control::on_term(std::optional<fencing_number> term,
                              steady_time now, engine_commands& out) {
--- a/servers/batch/engine_control.hpp
+++ b/servers/batch/engine_control.hpp
@@ -41,7 +41,29 @@
     [[nodiscard]] std::optional<steady_time> next_wakeup() const;
 
 private:
+    /// The planner's work as the roller asks for it.
+    class planned_work final : public engine_work {
+    public:
+        explicit planned_work(const item_planner& planner)
+            : planner_(planner) {}
+
+        std::size_t runs_on(const upstream_id& upstream,
+                            const std::string& model) const override {
+            return planner_.runs_on(upstream, model);
+        }
+        weight_version least_version(const std::string& model) const override {
+            return planner_.least_version(model);
+        }
+        bool has_waiting(const std::string& model) const override {
+            return planner_.has_waiting(model);
+        }
+
+    private:
+        const item_planner& planner_;
+    };
+
     item_planner planner_;
+    planned_work work_;
     version_roller roller_;
 };
 
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -636,9 +636,30 @@
     return ids;
 }
 
-std::size_t item_planner::runs_on(const upstream_id& upstream) const {
-    const auto found = engines_.find(upstream);
-    return found == engines_.end() ? 0 : found->second.running;
+std::size_t item_planner::runs_on(const upstream_id& upstream,
+                                  const std::string& model) const {
+    return static_cast<std::size_t>(
+        std::count_if(runs_.begin(), runs_.end(), [&](const auto& row) {
+            const auto job = jobs_.find(row.second.job);
+            return row.second.upstream == upstream && job != jobs_.end() &&
+                   job->second.source->model == model;
+        }));
+}
+
+weight_version item_planner::least_version(const std::string& model) const {
+    weight_version least = 0;
+    for (const auto& [id, job] : jobs_) {
+        if (job.source->model == model) {
+            least = std::max(least, job.source->min_version);
+        }
+    }
+    return least;
+}
+
+bool item_planner::has_waiting(const std::string& model) const {
+    return std::any_of(jobs_.begin(), jobs_.end(), [&](const auto& row) {
+        return row.second.source->model == model && !row.second.waiting.empty();
+    });
 }
 
 std::size_t item_planner::waiting_items() const {
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -204,7 +204,12 @@
 
     [[nodiscard]] bool has_job(const job_id& job) const;
     [[nodiscard]] std::vector<job_id> jobs() const;
-    [[nodiscard]] std::size_t runs_on(const upstream_id& upstream) const;
+    /// Runs of the model on an upstream.
+    [[nodiscard]] std::size_t runs_on(const upstream_id& upstream,
+                                      const std::string& model) const;
+    /// The oldest version that all open jobs of the model allow; 0: any.
+    [[nodiscard]] weight_version least_version(const std::string& model) const;
+    [[nodiscard]] bool has_waiting(const std::string& model) const;
     [[nodiscard]] std::size_t waiting_items() const;
     [[nodiscard]] std::size_t running_items() const { return runs_.size(); }
 
--- a/servers/versions/version_roller.cpp
+++ b/servers/versions/version_roller.cpp
@@ -3,12 +3,14 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <tuple>
 
 namespace savorydock {
 
-version_roller::version_roller(version_roller_options options, work_of work)
+version_roller::version_roller(version_roller_options options,
+                               const engine_work& work)
     : options_(std::move(options))
-    , work_(std::move(work)) {}
+    , work_(work) {}
 
 void version_roller::on_term(std::optional<fencing_number> term) {
     term_ = term;
@@ -128,13 +130,45 @@
             ordered != progress.ordered.end() &&
             ordered->second >= wanted->second &&
             now < progress.ordered_at.at(model) + options_.confirm_time;
-        if (!is_pending) {
+        if (!is_pending && may_load(progress.entry, model)) {
             return model;
         }
     }
     return std::nullopt;
 }
 
+bool version_roller::may_load(const upstream_entry& entry,
+                              const std::string& model) const {
+    const bool is_too_old =
+        entry.versions.at(model) < work_.least_version(model);
+    const bool is_idle =
+        work_.runs_on(entry.id, model) == 0 && !work_.has_waiting(model);
+    return is_too_old || is_idle || !is_spread(model);
+}
+
+bool version_roller::is_spread(const std::string& model) const {
+    const weight_version wanted = wanted_.at(model);
+    std::size_t holders = 0;
+    std::size_t engines = 0;
+    for (const auto& [id, progress] : upstreams_) {
+        const auto held = progress.entry.versions.find(model);
+        if (held == progress.entry.versions.end() ||
+            progress.entry.is_draining) {
+            continue;
+        }
+        const auto ordered = progress.ordered.find(model);
+        const bool is_current =
+            held->second >= wanted ||
+            (ordered != progress.ordered.end() && ordered->second >= wanted) ||
+            (progress.current && progress.current->model == model &&
+             progress.current->version >= wanted);
+        ++engines;
+        holders += is_current ? 1 : 0;
+    }
+    return static_cast<double>(holders) >=
+           options_.prompt_share * static_cast<double>(engines);
+}
+
 std::size_t version_roller::loading_limit() const {
     const double share =
         options_.loading_share * static_cast<double>(upstreams_.size());
@@ -148,6 +182,7 @@
         return commands;
     }
     finish_loads(now);
+    last_advance_ = now;
     std::size_t loading = 0;
     std::vector<upstream_progress*> ready;
     for (auto& [id, progress] : upstreams_) {
@@ -166,19 +201,30 @@
         }
         ready.push_back(&progress);
     }
+    // Engines that open jobs can't use come first, then the oldest versions,
+    // then those with less work.
+    const auto key_of = [&](const upstream_progress* progress) {
+        const std::string model = *outdated_model(*progress, now);
+        const weight_version held = progress->entry.versions.at(model);
+        return std::tuple(held >= work_.least_version(model), held,
+                          work_.runs_on(progress->entry.id, model));
+    };
     std::stable_sort(ready.begin(), ready.end(),
                      [&](const auto* left, const auto* right) {
-                         return work_(left->entry.id) < work_(right->entry.id);
+                         return key_of(left) < key_of(right);
                      });
     for (upstream_progress* const progress : ready) {
         if (loading >= loading_limit()) {
             break;
         }
-        const std::string model = *outdated_model(*progress, now);
+        const auto model = outdated_model(*progress, now);
+        if (!model) {
+            continue;
+        }
         progress->current =
             version_order{.upstream = progress->entry.id,
-                          .model = model,
-                          .version = wanted_.at(model),
+                          .model = *model,
+                          .version = wanted_.at(*model),
                           .holder = options_.holder,
                           .fencing = *term_,
                           .expected_orders = progress->accepted_orders};
@@ -214,10 +260,16 @@
             const auto ordered = progress.ordered.find(model);
             const bool is_pending = ordered != progress.ordered.end() &&
                                     ordered->second >= wanted->second;
-            consider(is_pending ? std::max(progress.not_before,
-                                           progress.ordered_at.at(model) +
-                                               options_.confirm_time)
-                                : progress.not_before);
+            const steady_time due =
+                is_pending ? std::max(progress.not_before,
+                                      progress.ordered_at.at(model) +
+                                          options_.confirm_time)
+                           : progress.not_before;
+            // What is due already waits for the end of other work, which is
+            // an input of its own.
+            if (due > last_advance_) {
+                consider(due);
+            }
         }
     }
     return next;
--- a/servers/versions/version_roller.hpp
+++ b/servers/versions/version_roller.hpp
@@ -5,7 +5,6 @@
 #include "servers/versions/version_order.hpp"
 
 #include <chrono>
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -27,6 +26,8 @@
     std::chrono::milliseconds confirm_time{4'000};
     /// Pause before an order that failed is tried again.
     std::chrono::milliseconds retry_pause{300};
+    /// Share of the engines that get a version although they are busy.
+    double prompt_share = 0.5;
 };
 
 /// What the roller wants done: an order, or a look at an upstream's load.
@@ -35,20 +36,38 @@
     std::vector<upstream_id> load_requests;
 };
 
+/// What the roller asks about the work of the engines.
+class engine_work {
+public:
+    virtual ~engine_work() = default;
+
+    /// Runs of the model in progress on an upstream.
+    [[nodiscard]] virtual std::size_t
+    runs_on(const upstream_id& upstream, const std::string& model) const = 0;
+    /// The oldest version that all open jobs of the model allow; 0: any.
+    [[nodiscard]] virtual weight_version
+    least_version(const std::string& model) const = 0;
+    /// Whether items of the model wait for a slot.
+    [[nodiscard]] virtual bool
+    has_waiting(const std::string& model) const = 0;
+};
+
 /// Moves the engines of one service to the versions that trainers named.
 ///
-/// Load pattern: a version every few seconds while all engines are busy. A
-/// bounded share loads at a time, the ones with the least work first, so that
-/// the others keep the slots of the step in progress.
+/// Load pattern: a version every few seconds, named at the very moment at which
+/// the next job arrives, while a load costs each run on the engine a pause of a
+/// second, and a job allows the version before its own. So busy engines load
+/// until half of them hold the wanted version, those with the oldest version
+/// first: each half skips every other version. The rest load when they are
+/// idle, or when an open job doesn't allow their version any more. A bounded
+/// share loads at a time.
 ///
 /// Orders are absolute and carry the number of orders accepted before, so one
 /// that is carried out late fails. Not thread safe; deterministic.
 class version_roller {
 public:
-    /// Runs of an upstream in progress, for the order of the wave.
-    using work_of = std::function<std::size_t(const upstream_id&)>;
-
-    version_roller(version_roller_options options, work_of work);
+    /// `work` must outlive the roller.
+    version_roller(version_roller_options options, const engine_work& work);
 
     /// Begins a term as the holder, or ends it.
     void on_term(std::optional<fencing_number> term);
@@ -95,14 +114,20 @@
 
     [[nodiscard]] std::optional<std::string>
     outdated_model(const upstream_progress& progress, steady_time now) const;
+    /// Whether an order may interrupt the upstream's work on the model now.
+    [[nodiscard]] bool may_load(const upstream_entry& entry,
+                                const std::string& model) const;
+    /// Whether enough engines hold the wanted version, or are on the way.
+    [[nodiscard]] bool is_spread(const std::string& model) const;
     [[nodiscard]] std::size_t loading_limit() const;
     void finish_loads(steady_time now);
 
     version_roller_options options_;
-    work_of work_;
+    const engine_work& work_;
     std::optional<fencing_number> term_;
     std::map<std::string, weight_version> wanted_;
     std::map<upstream_id, upstream_progress> upstreams_;
+    steady_time last_advance_{};
 };
 
 } // namespace savorydock
