Make the control steps cheap; move only between measured engines

Counts by model are kept, inputs only note, one pass a step decides; moves need 24 events an engine.

--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -239,11 +239,10 @@
             continue;
         }
         decide([record, accepted, saved, loaded = std::move(*loaded),
-                terms = terms_of(record)](engine_control& control,
-                                          steady_time now,
+                terms = terms_of(record)](engine_control& control, steady_time,
                                           engine_commands& out) {
             control.planner().on_job(record, loaded.job, terms, loaded.listed,
-                                     saved, accepted, now, out.planner);
+                                     saved, accepted, out.planner);
         });
         break;
     }
@@ -400,9 +399,9 @@
                        "service=" + options_.service.text() +
                            " runs=" + std::to_string(lost.size()));
             decide([lost](engine_control& control, steady_time now,
-                          engine_commands& out) {
+                          engine_commands&) {
                 for (const run_ticket ticket : lost) {
-                    control.planner().on_run_lost(ticket, now, out.planner);
+                    control.planner().on_run_lost(ticket, now);
                 }
             });
         }
@@ -436,17 +435,16 @@
             planner.on_run_delta(delta, at, out.planner);
         }
         for (const run_report& end : news.ends) {
-            planner.on_run_ended(end, at, out.planner);
+            planner.on_run_ended(end, at);
         }
         for (const score_news& score : news.scores) {
             planner.on_scored({.ticket = score.ticket,
                                .score = score.has_score
                                             ? std::optional(score.score)
-                                            : std::nullopt},
-                              at, out.planner);
+                                            : std::nullopt});
         }
         for (const run_ticket ticket : missing) {
-            planner.on_run_lost(ticket, at, out.planner);
+            planner.on_run_lost(ticket, at);
         }
     });
 }
@@ -487,8 +485,8 @@
                    " term=" + (term ? std::to_string(term->revision) : "none") +
                    (end == commit_end::superseded ? " reason=superseded" : ""));
     decide([job, number, end](engine_control& control, steady_time now,
-                              engine_commands& out) {
-        control.planner().on_committed(job, number, end, now, out.planner);
+                              engine_commands&) {
+        control.planner().on_committed(job, number, end, now);
     });
     if (end == commit_end::superseded) {
         co_await pause(context_, load_pause);
--- a/servers/batch/engine_control.cpp
+++ b/servers/batch/engine_control.cpp
@@ -18,7 +18,7 @@
 void engine_control::on_term(std::optional<fencing_number> term,
                              steady_time now, engine_commands& out) {
     roller_.on_term(term);
-    planner_.on_term(term.has_value(), now, out.planner);
+    planner_.on_term(term.has_value());
     advance(now, out);
 }
 
@@ -26,7 +26,7 @@
                                   const engine_terms& terms, steady_time now,
                                   engine_commands& out) {
     roller_.on_upstreams(upstreams, now);
-    planner_.on_upstreams(upstreams, terms, now, out.planner);
+    planner_.on_upstreams(upstreams, terms, now);
     advance(now, out);
 }
 
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -22,14 +22,12 @@
     , is_loading_(std::move(is_loading))
     , next_ticket_(first_ticket) {}
 
-void item_planner::on_term(bool is_held, steady_time now,
-                           planner_commands& out) {
+void item_planner::on_term(bool is_held) {
     has_term_ = is_held;
     for (auto& [id, job] : jobs_) {
         job.is_confirmed = false;
         job.is_committing = false;
     }
-    advance(now, out);
 }
 
 void item_planner::drop_all(planner_commands& out) {
@@ -47,6 +45,7 @@
     for (auto& [id, engine] : engines_) {
         engine.running = 0;
         engine.cache_tokens = 0;
+        engine.running_by_model.clear();
     }
 }
 
@@ -55,8 +54,7 @@
                           const job_terms& terms,
                           const std::vector<item_id>& listed,
                           const std::map<std::size_t, item_progress>& saved,
-                          steady_time accepted_at, steady_time now,
-                          planner_commands& out) {
+                          steady_time accepted_at, planner_commands& out) {
     auto [position, is_new] = jobs_.try_emplace(record.id);
     job_state& state = position->second;
     if (is_new) {
@@ -105,7 +103,6 @@
     state.is_committing = false;
     state.next_position = listed.size();
     state.is_confirmed = true;
-    advance(now, out);
 }
 
 bool item_planner::append(item_progress& progress, const run_delta& delta) {
@@ -242,11 +239,7 @@
         }
         out.emplace_back(stop_run{.ticket = at->first});
         found->second.items[run.item].progress = std::move(run.progress);
-        if (const auto engine = engines_.find(run.upstream);
-            engine != engines_.end()) {
-            --engine->second.running;
-            engine->second.cache_tokens -= run.cache_tokens;
-        }
+        release(run);
         at = runs_.erase(at);
     }
     std::erase_if(scorings_, [&](const auto& row) {
@@ -263,8 +256,7 @@
 }
 
 void item_planner::on_upstreams(const std::vector<upstream_entry>& upstreams,
-                                const engine_terms& terms, steady_time now,
-                                planner_commands& out) {
+                                const engine_terms& terms, steady_time now) {
     engine_terms_ = terms;
     std::set<upstream_id> listed;
     for (const upstream_entry& entry : upstreams) {
@@ -285,7 +277,6 @@
     std::erase_if(engines_, [&](const auto& row) {
         return !listed.contains(row.first) && row.second.running == 0;
     });
-    advance(now, out);
 }
 
 void item_planner::measure(const run_state& run, std::uint64_t events,
@@ -298,6 +289,7 @@
     }
     const double sample = to_milliseconds(now - run.last_event_at) /
                           static_cast<double>(events - run.progress.events);
+    engine->second.measured_events += events - run.progress.events;
     double& smoothed = engine->second.event_milliseconds;
     smoothed = smoothed == 0 ? sample
                              : smoothed + event_smoothing * (sample - smoothed);
@@ -320,6 +312,17 @@
     }
 }
 
+void item_planner::release(const run_state& run) {
+    const auto found = engines_.find(run.upstream);
+    if (found == engines_.end()) {
+        return;
+    }
+    engine_state& engine = found->second;
+    --engine.running;
+    engine.cache_tokens -= run.cache_tokens;
+    --engine.running_by_model[run.model];
+}
+
 void item_planner::set_aside(engine_state& engine, steady_time now) {
     const auto factor =
         1U << std::min<std::uint32_t>(engine.failures_in_row, 6);
@@ -350,8 +353,7 @@
     job.ready.push_back(item);
 }
 
-void item_planner::on_run_ended(run_report report, steady_time now,
-                                planner_commands& out) {
+void item_planner::on_run_ended(run_report report, steady_time now) {
     const auto found = runs_.find(report.ticket);
     if (found == runs_.end()) {
         return;
@@ -362,11 +364,8 @@
     if (!is_joined && report.end == run_end::complete) {
         report.end = run_end::interrupted;
     }
+    release(run);
     const auto engine = engines_.find(run.upstream);
-    if (engine != engines_.end()) {
-        --engine->second.running;
-        engine->second.cache_tokens -= run.cache_tokens;
-    }
     const auto owner = jobs_.find(run.job);
     if (owner == jobs_.end()) {
         return;
@@ -377,7 +376,6 @@
         run.progress = {};
     }
     if (item.phase != item_phase::running) {
-        advance(now, out);
         return;
     }
     if (report.end == run_end::complete) {
@@ -385,13 +383,11 @@
             engine->second.failures_in_row = 0;
         }
         finish_text(job, run.item, std::move(run.progress));
-        advance(now, out);
         return;
     }
     if (report.end == run_end::impossible) {
         item.is_lost = true;
         make_ready(job, run.item);
-        advance(now, out);
         return;
     }
     item.progress = std::move(run.progress);
@@ -401,18 +397,15 @@
         if (item.failures >= job.terms.max_attempts) {
             item.is_lost = true;
             make_ready(job, run.item);
-            advance(now, out);
             return;
         }
     } else if (report.end != run_end::stopped && engine != engines_.end()) {
         set_aside(engine->second, now);
     }
     put_back(job, run.item);
-    advance(now, out);
 }
 
-void item_planner::on_run_lost(run_ticket ticket, steady_time now,
-                               planner_commands& out) {
+void item_planner::on_run_lost(run_ticket ticket, steady_time now) {
     if (const auto scoring = scorings_.find(ticket);
         scoring != scorings_.end()) {
         const scoring_state lost = scoring->second;
@@ -423,7 +416,6 @@
             owner->second.items[lost.item].phase = item_phase::to_score;
             to_score_.emplace_back(lost.job, lost.item);
         }
-        advance(now, out);
         return;
     }
     const auto run = runs_.find(ticket);
@@ -432,11 +424,10 @@
     }
     on_run_ended(
         {.ticket = ticket, .end = run_end::stopped, .rest = {.ticket = ticket}},
-        now, out);
+        now);
 }
 
-void item_planner::on_scored(score_report report, steady_time now,
-                             planner_commands& out) {
+void item_planner::on_scored(score_report report) {
     const auto found = scorings_.find(report.ticket);
     if (found == scorings_.end()) {
         return;
@@ -453,12 +444,10 @@
         item.score = report.score.value_or("");
         make_ready(owner->second, scoring.item);
     }
-    advance(now, out);
 }
 
 void item_planner::on_committed(const job_id& id, std::uint64_t number,
-                                commit_end end, steady_time now,
-                                planner_commands& out) {
+                                commit_end end, steady_time now) {
     const auto found = jobs_.find(id);
     if (found == jobs_.end() || !found->second.is_committing ||
         found->second.commit_number != number) {
@@ -485,7 +474,6 @@
     if (job.next_position >= job.items.size()) {
         jobs_.erase(found);
     }
-    advance(now, out);
 }
 
 std::vector<item_planner::job_state*> item_planner::jobs_by_urgency() {
@@ -505,7 +493,7 @@
     return item.prompt_tokens + item.expected_tokens;
 }
 
-double item_planner::typical_event_milliseconds() const {
+void item_planner::update_typical_time() {
     std::vector<double> times;
     for (const auto& [id, engine] : engines_) {
         if (engine.event_milliseconds > 0) {
@@ -513,12 +501,12 @@
         }
     }
     if (times.empty()) {
-        return 0;
+        return;
     }
     const auto middle =
         times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
     std::nth_element(times.begin(), middle, times.end());
-    return *middle;
+    typical_event_milliseconds_ = *middle;
 }
 
 item_planner::engine_state* item_planner::choose_engine(const job_state& job,
@@ -526,7 +514,6 @@
                                                         steady_time now) {
     engine_state* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
-    const double typical = typical_event_milliseconds();
     const std::string& model = job.source->model;
     for (auto& [id, engine] : engines_) {
         const bool has_room =
@@ -544,8 +531,9 @@
             version->second < job.source->min_version) {
             continue;
         }
-        const double speed =
-            engine.event_milliseconds > 0 ? engine.event_milliseconds : typical;
+        const double speed = engine.event_milliseconds > 0
+                                 ? engine.event_milliseconds
+                                 : typical_event_milliseconds_;
         // Speed decides; the share of taken slots breaks ties, and an engine
         // that failed on the item comes last.
         const double cost =
@@ -571,10 +559,11 @@
     item.phase = item_phase::running;
     ++engine.running;
     engine.cache_tokens += need;
+    ++engine.running_by_model[job.source->model];
     runs_[ticket] = {.job = job.record.id,
                      .item = index,
                      .upstream = engine.entry.id,
-                     .item_name = job.source->items[index].id,
+                     .model = job.source->model,
                      .cache_tokens = need,
                      .progress = std::move(item.progress),
                      .last_event_at = now};
@@ -632,19 +621,34 @@
     }
 }
 
+bool item_planner::is_measured(const engine_state& engine) const {
+    return engine.measured_events >= options_.measured_least;
+}
+
 void item_planner::move_stragglers(steady_time now, planner_commands& out) {
+    // The fastest engine with room, by model; looked for once a move.
+    std::map<std::string, engine_state*> targets;
+    std::size_t moves = 0;
     for (auto& [ticket, run] : runs_) {
         const auto owner = jobs_.find(run.job);
         const auto engine = engines_.find(run.upstream);
         if (owner == jobs_.end() || engine == engines_.end() ||
-            run.is_stopping || !owner->second.waiting.empty()) {
+            run.is_stopping || !owner->second.waiting.empty() ||
+            run.progress.events < run.first_events + options_.move_events ||
+            !is_measured(engine->second)) {
             continue;
         }
         item_state& item = owner->second.items[run.item];
-        engine_state* const target = choose_engine(owner->second, item, now);
+        if (item.moves >= options_.max_moves) {
+            continue;
+        }
+        const auto [known, is_new] = targets.try_emplace(run.model, nullptr);
+        if (is_new) {
+            known->second = choose_engine(owner->second, item, now);
+        }
+        const engine_state* const target = known->second;
         const double here = engine->second.event_milliseconds;
-        if (target == nullptr || item.moves >= options_.max_moves ||
-            here <= 0 || target->event_milliseconds <= 0 ||
+        if (target == nullptr || !is_measured(*target) ||
             here < options_.move_ratio * target->event_milliseconds) {
             continue;
         }
@@ -663,6 +667,10 @@
         ++item.moves;
         run.is_stopping = true;
         out.emplace_back(stop_run{.ticket = ticket});
+        targets.erase(run.model);
+        if (++moves >= options_.moves_per_round) {
+            break;
+        }
     }
 }
 
@@ -765,6 +773,7 @@
     place_items(now, out);
     if (has_term_ && is_starting_ && now >= next_check_) {
         next_check_ = now + options_.check_period;
+        update_typical_time();
         stop_stalled(now, out);
         move_stragglers(now, out);
     }
@@ -810,12 +819,12 @@
 
 std::size_t item_planner::runs_on(const upstream_id& upstream,
                                   const std::string& model) const {
-    return static_cast<std::size_t>(
-        std::count_if(runs_.begin(), runs_.end(), [&](const auto& row) {
-            const auto job = jobs_.find(row.second.job);
-            return row.second.upstream == upstream && job != jobs_.end() &&
-                   job->second.source->model == model;
-        }));
+    const auto engine = engines_.find(upstream);
+    if (engine == engines_.end()) {
+        return 0;
+    }
+    const auto runs = engine->second.running_by_model.find(model);
+    return runs == engine->second.running_by_model.end() ? 0 : runs->second;
 }
 
 weight_version item_planner::least_version(const std::string& model) const {
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -176,6 +176,11 @@
     /// Time saved below which an item stays where it is.
     std::chrono::milliseconds move_least{300};
     std::uint32_t max_moves = 4;
+    std::size_t moves_per_round = 8;
+    /// Events of a run, and of all runs on an engine, before its speed is
+    /// believed.
+    std::uint64_t move_events = 8;
+    std::uint64_t measured_least = 24;
     /// A run without events for that long is taken off an engine that is not
     /// loading weights; reports come every 400 ms.
     std::chrono::milliseconds stall_time{1'000};
@@ -199,7 +204,8 @@
 /// move off slow engines once slots are free.
 ///
 /// Not thread safe; deterministic. Inputs carry the time; commands are
-/// appended to `out`.
+/// appended to `out`. After one or more inputs `advance` must be called, which
+/// starts, moves, gives up and lists what is due.
 class item_planner {
 public:
     /// Whether an upstream refuses new runs of a model.
@@ -212,7 +218,7 @@
 
     /// Begins (true) or ends a term as the service's planner. Without a term
     /// nothing starts and nothing is listed, but runs in progress go on.
-    void on_term(bool is_held, steady_time now, planner_commands& out);
+    void on_term(bool is_held);
 
     /// Starts nothing from now on; what runs may finish and is listed.
     void stop_starting() { is_starting_ = false; }
@@ -226,25 +232,22 @@
     void on_job(const job_record& record, std::shared_ptr<const batch_job> job,
                 const job_terms& terms, const std::vector<item_id>& listed,
                 const std::map<std::size_t, item_progress>& saved,
-                steady_time accepted_at, steady_time now,
-                planner_commands& out);
+                steady_time accepted_at, planner_commands& out);
 
     /// The job was ended: its runs stop and nothing more is listed.
     void on_job_ended(const job_id& job, planner_commands& out);
 
     void on_upstreams(const std::vector<upstream_entry>& upstreams,
-                      const engine_terms& terms, steady_time now,
-                      planner_commands& out);
+                      const engine_terms& terms, steady_time now);
 
     void on_run_delta(run_delta delta, steady_time now, planner_commands& out);
-    void on_run_ended(run_report report, steady_time now,
-                      planner_commands& out);
+    void on_run_ended(run_report report, steady_time now);
     /// The instance that ran or scored the ticket's item is lost.
-    void on_run_lost(run_ticket ticket, steady_time now, planner_commands& out);
-    void on_scored(score_report report, steady_time now, planner_commands& out);
+    void on_run_lost(run_ticket ticket, steady_time now);
+    void on_scored(score_report report);
     /// `number` is that of the commit. A report on an older try is ignored.
     void on_committed(const job_id& job, std::uint64_t number, commit_end end,
-                      steady_time now, planner_commands& out);
+                      steady_time now);
 
     /// Does what is due: starts, moves, gives up, commits.
     void advance(steady_time now, planner_commands& out);
@@ -311,7 +314,7 @@
         job_id job;
         std::size_t item = 0;
         upstream_id upstream;
-        item_id item_name;
+        std::string model;
         std::uint64_t cache_tokens = 0;
         item_progress progress;
         std::uint64_t first_events = 0;
@@ -331,7 +334,9 @@
     struct engine_state {
         upstream_entry entry;
         std::size_t running = 0;
+        std::map<std::string, std::size_t> running_by_model;
         std::uint64_t cache_tokens = 0;
+        std::uint64_t measured_events = 0;
         /// Smoothed time of one event; zero: not measured yet.
         double event_milliseconds = 0;
         steady_time not_before{};
@@ -369,7 +374,10 @@
     void carry(const job_state& job);
     void stop_stalled(steady_time now, planner_commands& out);
     void save_texts(steady_time now, planner_commands& out);
-    [[nodiscard]] double typical_event_milliseconds() const;
+    void update_typical_time();
+    [[nodiscard]] bool is_measured(const engine_state& engine) const;
+    /// Takes an ended run off its engine.
+    void release(const run_state& run);
     [[nodiscard]] std::vector<job_state*> jobs_by_urgency();
 
     item_planner_options options_;
@@ -384,6 +392,8 @@
     engine_terms engine_terms_;
     std::map<item_id, carried_text> carried_;
     run_ticket next_ticket_;
+    /// Median over the engines; 0: nothing is measured yet.
+    double typical_event_milliseconds_ = 0;
     steady_time next_check_{};
     steady_time next_save_{};
 };
--- a/servers/versions/version_roller.cpp
+++ b/servers/versions/version_roller.cpp
@@ -117,58 +117,63 @@
         load->is_busy_with_order ? now + options_.retry_pause : now;
 }
 
+std::map<std::string, version_roller::model_view>
+version_roller::view_models() const {
+    std::map<std::string, model_view> models;
+    for (const auto& [model, wanted] : wanted_) {
+        std::size_t holders = 0;
+        std::size_t engines = 0;
+        for (const auto& [id, progress] : upstreams_) {
+            const auto held = progress.entry.versions.find(model);
+            if (held == progress.entry.versions.end() ||
+                progress.entry.is_draining) {
+                continue;
+            }
+            const auto ordered = progress.ordered.find(model);
+            const bool is_current =
+                held->second >= wanted ||
+                (ordered != progress.ordered.end() &&
+                 ordered->second >= wanted) ||
+                (progress.current && progress.current->model == model &&
+                 progress.current->version >= wanted);
+            ++engines;
+            holders += is_current ? 1 : 0;
+        }
+        models[model] = {.wanted = wanted,
+                         .least = work_.least_version(model),
+                         .has_waiting = work_.has_waiting(model),
+                         .is_spread = static_cast<double>(holders) >=
+                                      options_.prompt_share *
+                                          static_cast<double>(engines)};
+    }
+    return models;
+}
+
 std::optional<std::string>
 version_roller::outdated_model(const upstream_progress& progress,
+                               const std::map<std::string, model_view>& models,
                                steady_time now) const {
     for (const auto& [model, held] : progress.entry.versions) {
-        const auto wanted = wanted_.find(model);
-        if (wanted == wanted_.end() || held >= wanted->second) {
+        const auto found = models.find(model);
+        if (found == models.end() || held >= found->second.wanted) {
             continue;
         }
+        const model_view& view = found->second;
         const auto ordered = progress.ordered.find(model);
         const bool is_pending =
             ordered != progress.ordered.end() &&
-            ordered->second >= wanted->second &&
+            ordered->second >= view.wanted &&
             now < progress.ordered_at.at(model) + options_.confirm_time;
-        if (!is_pending && may_load(progress.entry, model)) {
+        const bool may_load =
+            held < view.least || !view.is_spread ||
+            (!view.has_waiting && work_.runs_on(progress.entry.id, model) == 0);
+        if (!is_pending && may_load) {
             return model;
         }
     }
     return std::nullopt;
 }
 
-bool version_roller::may_load(const upstream_entry& entry,
-                              const std::string& model) const {
-    const bool is_too_old =
-        entry.versions.at(model) < work_.least_version(model);
-    const bool is_idle =
-        work_.runs_on(entry.id, model) == 0 && !work_.has_waiting(model);
-    return is_too_old || is_idle || !is_spread(model);
-}
-
-bool version_roller::is_spread(const std::string& model) const {
-    const weight_version wanted = wanted_.at(model);
-    std::size_t holders = 0;
-    std::size_t engines = 0;
-    for (const auto& [id, progress] : upstreams_) {
-        const auto held = progress.entry.versions.find(model);
-        if (held == progress.entry.versions.end() ||
-            progress.entry.is_draining) {
-            continue;
-        }
-        const auto ordered = progress.ordered.find(model);
-        const bool is_current =
-            held->second >= wanted ||
-            (ordered != progress.ordered.end() && ordered->second >= wanted) ||
-            (progress.current && progress.current->model == model &&
-             progress.current->version >= wanted);
-        ++engines;
-        holders += is_current ? 1 : 0;
-    }
-    return static_cast<double>(holders) >=
-           options_.prompt_share * static_cast<double>(engines);
-}
-
 std::size_t version_roller::loading_limit() const {
     const double share =
         options_.loading_share * static_cast<double>(upstreams_.size());
@@ -183,15 +188,24 @@
     }
     finish_loads(now);
     last_advance_ = now;
+    struct candidate {
+        /// Engines that open jobs can't use come first, then the oldest
+        /// versions, then those with less work.
+        std::tuple<bool, weight_version, std::size_t> rank;
+        upstream_progress* progress = nullptr;
+        std::string model;
+    };
+    auto models = view_models();
     std::size_t loading = 0;
-    std::vector<upstream_progress*> ready;
+    std::vector<candidate> ready;
     for (auto& [id, progress] : upstreams_) {
         loading += progress.current ? 1 : 0;
         if (progress.current || progress.not_before > now ||
-            progress.entry.is_draining || !outdated_model(progress, now)) {
+            progress.entry.is_draining || progress.is_load_asked) {
             continue;
         }
-        if (progress.is_load_asked) {
+        const auto model = outdated_model(progress, models, now);
+        if (!model) {
             continue;
         }
         if (progress.is_load_wanted) {
@@ -199,38 +213,36 @@
             commands.load_requests.push_back(id);
             continue;
         }
-        ready.push_back(&progress);
+        const weight_version held = progress.entry.versions.at(*model);
+        ready.push_back({.rank = {held >= models.at(*model).least, held,
+                                  work_.runs_on(id, *model)},
+                         .progress = &progress,
+                         .model = *model});
     }
-    // Engines that open jobs can't use come first, then the oldest versions,
-    // then those with less work.
-    const auto key_of = [&](const upstream_progress* progress) {
-        const std::string model = *outdated_model(*progress, now);
-        const weight_version held = progress->entry.versions.at(model);
-        return std::tuple(held >= work_.least_version(model), held,
-                          work_.runs_on(progress->entry.id, model));
-    };
     std::stable_sort(ready.begin(), ready.end(),
-                     [&](const auto* left, const auto* right) {
-                         return key_of(left) < key_of(right);
+                     [](const candidate& left, const candidate& right) {
+                         return left.rank < right.rank;
                      });
-    for (upstream_progress* const progress : ready) {
+    for (const candidate& next : ready) {
         if (loading >= loading_limit()) {
             break;
         }
-        const auto model = outdated_model(*progress, now);
-        if (!model) {
+        upstream_progress& progress = *next.progress;
+        // Orders of this round may have spread the version enough.
+        models = view_models();
+        if (!outdated_model(progress, models, now)) {
             continue;
         }
-        progress->current =
-            version_order{.upstream = progress->entry.id,
-                          .model = *model,
-                          .version = wanted_.at(*model),
+        progress.current =
+            version_order{.upstream = progress.entry.id,
+                          .model = next.model,
+                          .version = wanted_.at(next.model),
                           .holder = options_.holder,
                           .fencing = *term_,
-                          .expected_orders = progress->accepted_orders};
-        progress->is_accepted = false;
-        progress->busy_until = now + options_.load_time;
-        commands.orders.push_back(*progress->current);
+                          .expected_orders = progress.accepted_orders};
+        progress.is_accepted = false;
+        progress.busy_until = now + options_.load_time;
+        commands.orders.push_back(*progress.current);
         ++loading;
     }
     return commands;
--- a/servers/versions/version_roller.hpp
+++ b/servers/versions/version_roller.hpp
@@ -48,8 +48,7 @@
     [[nodiscard]] virtual weight_version
     least_version(const std::string& model) const = 0;
     /// Whether items of the model wait for a slot.
-    [[nodiscard]] virtual bool
-    has_waiting(const std::string& model) const = 0;
+    [[nodiscard]] virtual bool has_waiting(const std::string& model) const = 0;
 };
 
 /// Moves the engines of one service to the versions that trainers named.
@@ -112,13 +111,21 @@
         steady_time not_before{};
     };
 
+    /// What counts for all orders of one model.
+    struct model_view {
+        weight_version wanted = 0;
+        weight_version least = 0;
+        bool has_waiting = false;
+        /// Enough engines hold the wanted version, or are on the way.
+        bool is_spread = false;
+    };
+
+    [[nodiscard]] std::map<std::string, model_view> view_models() const;
+    /// A model whose version an order may change now.
     [[nodiscard]] std::optional<std::string>
-    outdated_model(const upstream_progress& progress, steady_time now) const;
-    /// Whether an order may interrupt the upstream's work on the model now.
-    [[nodiscard]] bool may_load(const upstream_entry& entry,
-                                const std::string& model) const;
-    /// Whether enough engines hold the wanted version, or are on the way.
-    [[nodiscard]] bool is_spread(const std::string& model) const;
+    outdated_model(const upstream_progress& progress,
+                   const std::map<std::string, model_view>& models,
+                   steady_time now) const;
     [[nodiscard]] std::size_t loading_limit() const;
     void finish_loads(steady_time now);
 
