--- a/drivers/feed/store_feed.cpp
+++ b/drivers/feed/store_feed.cpp
@@ -26,6 +26,7 @@
 std::vector<std::string>
 prefixes_of(const std::vector<feed_subscription>& subscriptions) {
     std::vector<std::string> prefixes;
+    prefixes.reserve(subscriptions.size());
     for (const feed_subscription& wanted : subscriptions) {
         prefixes.push_back(wanted.prefix);
     }
--- a/drivers/store/scope_term.cpp
+++ b/drivers/store/scope_term.cpp
@@ -19,8 +19,7 @@
 scope_term::scope_term(asio::io_context& context, store_client& client,
                        scope_term_options options, gained on_gained,
                        lost on_lost, logger& log)
-    : context_(context)
-    , client_(client)
+    : client_(client)
     , options_(std::move(options))
     , on_gained_(std::move(on_gained))
     , on_lost_(std::move(on_lost))
--- a/drivers/store/scope_term.hpp
+++ b/drivers/store/scope_term.hpp
@@ -90,7 +90,6 @@
     boost::asio::awaitable<void> wait(std::chrono::milliseconds time);
     void end_term(term_end reason);
 
-    boost::asio::io_context& context_;
     store_client& client_;
     scope_term_options options_;
     gained on_gained_;
--- a/drivers/store/store_mirror.cpp
+++ b/drivers/store/store_mirror.cpp
@@ -33,8 +33,7 @@
 store_mirror::store_mirror(asio::io_context& context, store_client& client,
                            std::string prefix, store_mirror_listener& listener,
                            logger& log)
-    : context_(context)
-    , client_(client)
+    : client_(client)
     , prefix_(std::move(prefix))
     , listener_(listener)
     , log_(log)
--- a/drivers/store/store_mirror.hpp
+++ b/drivers/store/store_mirror.hpp
@@ -69,7 +69,6 @@
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds time);
     boost::asio::awaitable<void> pause();
 
-    boost::asio::io_context& context_;
     store_client& client_;
     std::string prefix_;
     store_mirror_listener& listener_;
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -195,6 +195,7 @@
     // longest item go last. Groups at the front may be carried over from an
     // earlier job and are always waited for.
     std::vector<std::pair<std::uint64_t, std::string>> by_length;
+    by_length.reserve(group_tokens.size());
     for (const auto& [group, tokens] : group_tokens) {
         by_length.emplace_back(tokens, group);
     }
--- /dev/null
+++ b/tests/drivers/store/store_test.cpp
@@ -0,0 +1,279 @@
+#include "drivers/batch/job_store.hpp"
+#include "drivers/store/scope_term.hpp"
+#include "drivers/store/store_mirror.hpp"
+#include "servers/batch/job_keys.hpp"
+#include "tests/fakes/fake_users_store.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <gtest/gtest.h>
+
+using namespace savorydock;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::string_view submission =
+    R"({"model":"m","items":[{"id":"i","path":"/p","body":"YWJj"}]})";
+
+class store_test : public ::testing::Test {
+protected:
+    store_test()
+        : client(context, {.address = fake.address()}, log)
+        , jobs(client, log) {}
+
+    template <class Value>
+    static asio::awaitable<void> run_into(asio::awaitable<Value> call,
+                                          std::optional<Value>& result) {
+        result = co_await std::move(call);
+    }
+
+    /// Runs a call to its end and returns its value.
+    template <class Value>
+    Value run(asio::awaitable<Value> call) {
+        std::optional<Value> result;
+        asio::co_spawn(context, run_into(std::move(call), result),
+                       asio::detached);
+        while (!result) {
+            context.restart();
+            context.run_one();
+        }
+        return std::move(*result);
+    }
+
+    /// Lets background work run until `is_done`, for two seconds at most.
+    template <class Test>
+    bool wait(Test is_done) {
+        const auto end = std::chrono::steady_clock::now() + 2s;
+        while (!is_done() && std::chrono::steady_clock::now() < end) {
+            context.restart();
+            context.run_for(5ms);
+        }
+        return is_done();
+    }
+
+    accept_end accept(std::chrono::milliseconds time = 1s) {
+        return run(jobs.accept({.id = job_id("j"),
+                                .route = "r",
+                                .host = "h",
+                                .service = service_name("e"),
+                                .total = 1},
+                               std::string(submission),
+                               std::chrono::steady_clock::now() + time));
+    }
+
+    held_term hold() {
+        fake.put("c/term/e", "me");
+        return {.key = "c/term/e",
+                .revision = fake.values().at("c/term/e").modified};
+    }
+
+    commit_results results(std::size_t position) {
+        commit_results commit{.job = job_id("j"), .first_position = position};
+        commit.results.push_back(
+            {.item = item_id("i"), .is_completed = true, .text = "t"});
+        return commit;
+    }
+
+    fake_users_store fake;
+    null_logger log;
+    asio::io_context context;
+    store_client client;
+    job_store jobs;
+};
+
+class noting_listener final : public store_mirror_listener {
+public:
+    void on_changes(const std::vector<store_change>& changes, bool) override {
+        for (const store_change& change : changes) {
+            values[change.value.key] =
+                change.is_removed ? "" : change.value.value;
+        }
+    }
+    std::map<std::string, std::string> values;
+};
+
+} // namespace
+
+TEST_F(store_test, accepted_job_is_whole_in_the_store) {
+    EXPECT_EQ(accept(), accept_end::accepted);
+    const auto values = fake.values();
+    EXPECT_EQ(values.at(submission_key(job_id("j"), 0)).value, submission);
+    EXPECT_TRUE(values.contains(job_key(job_id("j"))));
+}
+
+TEST_F(store_test, job_accepted_elsewhere_is_accepted_once) {
+    EXPECT_EQ(accept(), accept_end::accepted);
+    job_store other(client, log);
+    const auto before = fake.values().at(job_key(job_id("j"))).modified;
+    EXPECT_EQ(run(other.accept({.id = job_id("j"), .total = 1},
+                               std::string(submission),
+                               std::chrono::steady_clock::now() + 1s)),
+              accept_end::accepted);
+    EXPECT_EQ(fake.values().at(job_key(job_id("j"))).modified, before);
+}
+
+TEST_F(store_test, lost_answer_of_an_acceptance_is_never_a_refusal) {
+    fake.fail_transactions(store_fault::lose_answer, 1);
+    EXPECT_EQ(accept(), accept_end::accepted);
+    EXPECT_EQ(fake.values().count(job_key(job_id("j"))), 1U);
+}
+
+TEST_F(store_test, acceptance_left_open_at_its_deadline_promises_nothing) {
+    fake.fail_transactions(store_fault::lose_answer, 1);
+    EXPECT_EQ(accept(1ms), accept_end::unknown);
+}
+
+TEST_F(store_test, refused_acceptance_leaves_nothing_and_is_told_at_once) {
+    fake.set_refusing(true);
+    const auto begin = std::chrono::steady_clock::now();
+    EXPECT_EQ(accept(5s), accept_end::refused);
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 1s);
+    EXPECT_TRUE(fake.values().empty());
+}
+
+TEST_F(store_test, results_are_read_back_from_any_position) {
+    accept();
+    const held_term term = hold();
+    EXPECT_EQ(run(jobs.commit(term, results(0))), commit_end::listed);
+    job_store reader(client, log);
+    const auto page = run(reader.read_results(job_id("j"), 0, 0ms));
+    ASSERT_TRUE(page);
+    EXPECT_EQ(page->rows.size(), 1U);
+    EXPECT_EQ(page->next_position, 1U);
+    const auto later = run(reader.read_results(job_id("j"), 1, 0ms));
+    ASSERT_TRUE(later);
+    EXPECT_TRUE(later->rows.empty());
+}
+
+TEST_F(store_test, commit_of_a_lost_term_lists_nothing) {
+    accept();
+    held_term term = hold();
+    fake.put("c/term/e", "another");
+    EXPECT_EQ(run(jobs.commit(term, results(0))), commit_end::superseded);
+    EXPECT_FALSE(fake.values().contains(results_key(job_id("j"), 0)));
+}
+
+TEST_F(store_test, commit_whose_answer_was_lost_is_listed_once) {
+    accept();
+    const held_term term = hold();
+    fake.fail_transactions(store_fault::lose_answer, 1);
+    EXPECT_EQ(run(jobs.commit(term, results(0))), commit_end::not_listed);
+    EXPECT_EQ(run(jobs.commit(term, results(0))), commit_end::listed);
+}
+
+TEST_F(store_test, position_taken_by_other_results_is_superseded) {
+    accept();
+    const held_term term = hold();
+    fake.put(results_key(job_id("j"), 0), R"({"id":"x","state":"lost"})");
+    EXPECT_EQ(run(jobs.commit(term, results(0))), commit_end::superseded);
+}
+
+TEST_F(store_test, unknown_job_is_not_found_but_a_dark_store_is_not_sure) {
+    EXPECT_EQ(run(jobs.read_results(job_id("x"), 0, 0ms)).reason().code,
+              result_code::not_found);
+    fake.set_refusing(true);
+    EXPECT_EQ(run(jobs.read_results(job_id("y"), 0, 0ms)).reason().code,
+              result_code::store_refused);
+}
+
+TEST_F(store_test, end_is_durable_and_repeatable) {
+    accept();
+    EXPECT_TRUE(run(jobs.end(job_id("j"))));
+    fake.fail_transactions(store_fault::lose_answer, 1);
+    EXPECT_TRUE(run(jobs.end(job_id("j"))));
+    const auto value = fake.values().at(job_key(job_id("j")));
+    EXPECT_TRUE(decode_job_record(value.key, value.value)->is_ended);
+    EXPECT_EQ(run(jobs.end(job_id("x"))).reason().code, result_code::not_found);
+}
+
+TEST_F(store_test, saved_texts_join_over_terms_and_skip_gaps) {
+    accept();
+    held_term term = hold();
+    const auto save = [&](std::uint64_t base, std::uint64_t events,
+                          const std::string& text) {
+        save_progress progress{.job = job_id("j")};
+        progress.parts.push_back({.item = 0,
+                                  .base_events = base,
+                                  .events = events,
+                                  .text = text,
+                                  .versions = {1}});
+        bool is_done = false;
+        asio::co_spawn(context, jobs.save_progress(term, std::move(progress)),
+                       [&](const std::exception_ptr&) { is_done = true; });
+        EXPECT_TRUE(wait([&] { return is_done; }));
+    };
+    save(0, 2, "a\nb");
+    save(2, 3, "c");
+    save(5, 6, "lost between");
+    const auto texts = run(jobs.load_progress(job_id("j")));
+    ASSERT_EQ(texts.size(), 1U);
+    EXPECT_EQ(texts.at(0).text, "a\nb\nc");
+    EXPECT_EQ(texts.at(0).events, 3U);
+}
+
+TEST_F(store_test, mirror_reads_anew_after_the_history_is_dropped) {
+    noting_listener listener;
+    fake.put("p/a", "1");
+    store_mirror mirror(context, client, "p/", listener, log);
+    asio::co_spawn(context, mirror.run(), asio::detached);
+    ASSERT_TRUE(wait([&] { return listener.values["p/a"] == "1"; }));
+    fake.put("p/a", "2");
+    ASSERT_TRUE(wait([&] { return listener.values["p/a"] == "2"; }));
+    fake.put("p/b", "3");
+    fake.remove("p/a");
+    fake.drop_history();
+    EXPECT_TRUE(wait([&] {
+        return listener.values["p/b"] == "3" && listener.values["p/a"].empty();
+    }));
+    context.stop();
+}
+
+TEST_F(store_test, term_is_gained_lost_with_its_key_and_gained_again) {
+    std::vector<store_revision> terms;
+    int losses = 0;
+    scope_term scope(
+        context, client,
+        {.key = "c/term/e", .self = instance_id("n"), .lease_time = 600ms},
+        [&](const held_term& term) { terms.push_back(term.revision); },
+        [&](term_end) { ++losses; }, log);
+    asio::co_spawn(context, scope.run(), asio::detached);
+    scope.on_key(nullptr);
+    ASSERT_TRUE(wait([&] { return terms.size() == 1; }));
+    EXPECT_TRUE(scope.is_held_now());
+    const auto held = fake.values().at("c/term/e");
+    scope.on_key(&held);
+    EXPECT_EQ(losses, 0);
+    // The store takes the key away without a sign on any call.
+    fake.end_all_leases();
+    scope.on_key(nullptr);
+    EXPECT_EQ(losses, 1);
+    EXPECT_FALSE(scope.is_held_now());
+    ASSERT_TRUE(wait([&] { return terms.size() == 2; }));
+    EXPECT_GT(terms[1], terms[0]);
+    context.stop();
+}
+
+TEST_F(store_test, term_ends_on_the_own_clock_and_resumes_if_its_lease_lives) {
+    int gains = 0;
+    int losses = 0;
+    scope_term scope(
+        context, client,
+        {.key = "c/term/e",
+         .self = instance_id("n"),
+         .lease_time = 600ms,
+         .safety = 100ms},
+        [&](const held_term&) { ++gains; }, [&](term_end) { ++losses; }, log);
+    asio::co_spawn(context, scope.run(), asio::detached);
+    scope.on_key(nullptr);
+    ASSERT_TRUE(wait([&] { return gains == 1; }));
+    const store_revision first = scope.term()->revision;
+    fake.set_refusing(true);
+    ASSERT_TRUE(wait([&] { return losses == 1; }));
+    EXPECT_FALSE(scope.is_held_now());
+    fake.set_refusing(false);
+    ASSERT_TRUE(wait([&] { return gains == 2; }));
+    EXPECT_EQ(scope.term()->revision, first);
+    context.stop();
+}
--- /dev/null
+++ b/tests/fakes/fake_users_store.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "core/endpoint.hpp"
+#include "drivers/http/http_server.hpp"
+#include "servers/platform/platform_message.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace savorydock {
+
+/// What the stand-in does with one coming transaction.
+enum class store_fault : std::uint8_t {
+    /// It answers 503 and does nothing.
+    refuse,
+    /// It carries the call out and closes the connection without an answer.
+    lose_answer,
+};
+
+/// A stand-in of the users' store: keys with revisions, conditions, leases and
+/// watches over HTTP, in one process. Thread safe.
+class fake_users_store {
+public:
+    fake_users_store();
+    ~fake_users_store();
+
+    [[nodiscard]] const endpoint& address() const { return address_; }
+
+    /// The next transactions meet the fault.
+    void fail_transactions(store_fault fault, std::size_t count);
+    /// All calls are answered with 503.
+    void set_refusing(bool is_refusing) { is_refusing_ = is_refusing; }
+
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+    /// Forgets all changes so far: watches of older revisions get 410.
+    void drop_history();
+    /// Ends a lease with its keys, without a sign to its holder.
+    void end_all_leases();
+    [[nodiscard]] std::map<std::string, stored_value> values() const;
+
+private:
+    boost::asio::awaitable<void> handle(http_exchange& exchange);
+    http_response answer(const http_request& request, bool& is_lost);
+    http_response read_key(const std::string& key);
+    http_response read_range(const std::string& prefix,
+                             const std::string& after);
+    http_response transact(const std::string& body, bool& is_lost);
+    [[nodiscard]] http_response changes(const std::string& prefix,
+                                        store_revision after, bool& is_empty);
+    void write(const std::string& key, const std::string& value,
+               std::uint64_t lease);
+    void erase(const std::string& key);
+
+    mutable std::mutex mutex_;
+    std::map<std::string, stored_value> values_;
+    /// Changes by revision: the key, and whether it was removed.
+    std::map<store_revision, std::pair<stored_value, bool>> history_;
+    store_revision revision_ = 1;
+    store_revision oldest_ = 0;
+    std::uint64_t next_lease_ = 100;
+    std::map<std::uint64_t, bool> leases_;
+    store_fault fault_ = store_fault::refuse;
+    std::size_t faults_left_ = 0;
+    std::atomic<bool> is_refusing_{false};
+    traffic_pool pool_{1};
+    http_server server_;
+    endpoint address_;
+};
+
+} // namespace savorydock
--- /dev/null
+++ b/tests/platform/codec_test.cpp
@@ -0,0 +1,293 @@
+#include "platform/batch_codec.hpp"
+#include "platform/configuration_codec.hpp"
+#include "platform/order_codec.hpp"
+#include "platform/request_codec.hpp"
+#include "platform/settings_file.hpp"
+#include "platform/store_codec.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace savorydock;
+using namespace savorydock::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view settings_text = R"(
+node_name = "front-a-1"
+zone = "a"
+ip = "10.0.0.1"
+internal_ports = [7000, 7015]
+heartbeat_ms = 1200
+a_field_of_tomorrow = [1, 2]
+[listen]
+front = "10.0.0.1:8000"
+ready = "10.0.0.1:8001"
+[limits]
+cpu_share = 0.25
+[bounds]
+grace_s = 8
+lease_ms = 3000
+[platform]
+address = "10.9.0.1:9000"
+writes_per_s = 400
+reads_per_s = 2000
+value_bytes = 1048576
+ttl_min_ms = 1000
+)";
+
+std::string without(std::string text, const std::string& line) {
+    const std::size_t at = text.find(line);
+    return text.erase(at, text.find('\n', at) - at);
+}
+
+class codec_test : public ::testing::Test {};
+
+} // namespace
+
+TEST_F(codec_test, settings_of_a_machine_are_read) {
+    const auto settings = read_settings(settings_text);
+    ASSERT_TRUE(settings) << settings.reason().detail;
+    EXPECT_EQ(settings->instance, instance_id("front-a-1"));
+    EXPECT_EQ(settings->caller_listen->port, 8000);
+    EXPECT_EQ(settings->store.address.port, 9000);
+    EXPECT_EQ(settings->internal_port, 7000);
+    EXPECT_EQ(settings->shutdown_grace, 8s);
+    EXPECT_DOUBLE_EQ(settings->processor_share, 0.25);
+}
+
+TEST_F(codec_test, settings_with_faults_name_field_and_reason) {
+    const std::string text(settings_text);
+    EXPECT_FALSE(read_settings("node_name = "));
+    EXPECT_FALSE(read_settings(without(text, "zone =")));
+    const auto missing = read_settings(without(text, "address ="));
+    ASSERT_FALSE(missing);
+    EXPECT_NE(missing.reason().detail.find("platform.address"),
+              std::string::npos);
+    std::string wrong = text;
+    wrong.replace(wrong.find("10.0.0.1:8001"), 13, "nowhere");
+    EXPECT_FALSE(read_settings(wrong));
+}
+
+TEST_F(codec_test, configuration_decodes_routes_services_and_bounds) {
+    const auto configuration = decode_configuration(
+        R"({"version":7,"routes":[
+            {"name":"r","host":"h","prefix":"/a/","route_type":"safe",
+             "timeout_ms":2000,"target_latency_ms":150,"priority":2,
+             "max_attempts":3,
+             "backends":[{"service":"s1","weight":90},{"service":"s2","weight":10}]},
+            {"name":"b","host":"h","prefix":"/b/","route_type":"rollout",
+             "service":"e","run_target_ms":7500,"queue_ttl_s":40,
+             "single_version":true}],
+          "services":[{"name":"e","max_conns":150,
+             "engine":{"slots":8,"kv_token_cap":72728,"stride":51,
+                       "models":[{"name":"m"}]}}],
+          "limits":{"max_body_bytes":99,"idle_timeout_ms":15000},
+          "a_field_of_tomorrow":{}})",
+        42);
+    ASSERT_TRUE(configuration) << configuration.reason().detail;
+    EXPECT_EQ(configuration->version, 7U);
+    EXPECT_EQ(configuration->revision, 42U);
+    ASSERT_EQ(configuration->routes.size(), 2U);
+    EXPECT_EQ(configuration->routes[0].services[1].weight, 10U);
+    EXPECT_EQ(configuration->routes[0].max_attempts, 3U);
+    EXPECT_EQ(configuration->routes[1].kind, request_kind::sample_batch);
+    EXPECT_EQ(configuration->routes[1].batch_time_to_live, 40s);
+    EXPECT_TRUE(configuration->routes[1].is_single_version);
+    EXPECT_EQ(configuration->services[0].engine->tokens_per_event, 51U);
+    EXPECT_EQ(configuration->bounds.max_body_bytes, 99U);
+}
+
+TEST_F(codec_test, configuration_with_faults_is_refused_whole) {
+    for (
+        const char* const text :
+        {"", "[]", R"({"routes":[]})", R"({"version":1})",
+         R"({"version":1,"routes":[1]})",
+         R"({"version":1,"routes":[{"host":"h","prefix":"/"}]})",
+         R"({"version":1,"routes":[{"host":"h","prefix":"/","route_type":"x"}]})"}) {
+        EXPECT_FALSE(decode_configuration(text, 1)) << text;
+    }
+}
+
+TEST_F(codec_test, upstream_entries_of_other_writers_name_no_upstream) {
+    const std::string good =
+        R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":8,)"
+        R"("state":"ready","sequence":4,"born":1700000000000,)"
+        R"("models":[{"name":"m","version":3}]})";
+    const auto entry = decode_upstream("servers/i-1", good);
+    ASSERT_TRUE(entry) << entry.reason().detail;
+    EXPECT_EQ(entry->id, upstream_id("i-1"));
+    EXPECT_EQ(entry->versions.at("m"), 3U);
+    EXPECT_EQ(entry->started_at, 1'700'000'000'000U);
+    for (const auto& [from, to] :
+         std::vector<std::pair<std::string, std::string>>{
+             {"\"s\"", "7"},
+             {"10.0.0.9:80", "somewhere"},
+             {"\"ready\"", "\"asleep\""},
+             {"\"slots\":8", "\"slots\":\"8\""},
+             {"\"slots\":8", "\"slots\":0"},
+             {"{\"service\"", "\xff\xfe"}}) {
+        std::string bad = good;
+        bad.replace(bad.find(from), from.size(), to);
+        EXPECT_FALSE(decode_upstream("servers/i-1", bad)) << bad;
+    }
+}
+
+TEST_F(codec_test, wanted_versions_and_retirements_are_told_apart) {
+    const auto wanted =
+        decode_wanted_version("op/version/m", R"({"model":"m","version":4})");
+    ASSERT_TRUE(wanted);
+    EXPECT_EQ(wanted->version, 4U);
+    EXPECT_FALSE(decode_wanted_version("op/config", R"({"version":4})"));
+    EXPECT_FALSE(decode_wanted_version("op/version/m", "{}"));
+    EXPECT_EQ(decode_retirement("op/retire/store-1"), "store-1");
+    EXPECT_FALSE(decode_retirement("op/config"));
+}
+
+TEST_F(codec_test, forwarded_request_keeps_all_but_connection_headers) {
+    const http_request request{.method = "POST",
+                               .target = "/a/b?c=d",
+                               .headers = {{"Host", "h"},
+                                           {"Request-Id", "r1"},
+                                           {"Deadline-Ms", "2000"},
+                                           {"Connection", "keep-alive"},
+                                           {"Transfer-Encoding", "chunked"},
+                                           {"Expect-Instance", "forged"},
+                                           {"X-Own", "1"}},
+                               .body = "body"};
+    const auto forwarded = forward_request(
+        request, {.upstream = upstream_id("i-1"), .time_left = 1500ms});
+    EXPECT_EQ(forwarded.target, "/a/b?c=d");
+    EXPECT_EQ(forwarded.body, "body");
+    EXPECT_EQ(forwarded.header("Host"), "h");
+    EXPECT_EQ(forwarded.header("Request-Id"), "r1");
+    EXPECT_EQ(forwarded.header("X-Own"), "1");
+    EXPECT_EQ(forwarded.header("Deadline-Ms"), "1500");
+    EXPECT_EQ(forwarded.header("Expect-Instance"), "i-1");
+    EXPECT_TRUE(forwarded.header("Connection").empty());
+    EXPECT_TRUE(forwarded.header("Transfer-Encoding").empty());
+}
+
+TEST_F(codec_test, calls_about_jobs_are_decoded) {
+    http_request read{.target = "/savorydock/lots/j1?after=12",
+                      .headers = {{"Wait-Ms", "1000"}}};
+    const auto results = decode_job_call(read);
+    ASSERT_TRUE(results);
+    EXPECT_EQ(std::get<read_results_call>(*results).first, 12U);
+    EXPECT_EQ(std::get<read_results_call>(*results).wait, 1s);
+    const auto item =
+        decode_job_call({.target = "/savorydock/items/j1?id=i%3A"});
+    ASSERT_TRUE(item);
+    EXPECT_EQ(std::get<read_item_call>(*item).item, "i:");
+    const auto end =
+        decode_job_call({.method = "DELETE", .target = "/savorydock/lots/j1"});
+    ASSERT_TRUE(end);
+    EXPECT_TRUE(std::holds_alternative<end_job_call>(*end));
+    EXPECT_FALSE(decode_job_call({.target = "/a/savorydock/lots/j1"}));
+}
+
+TEST_F(codec_test, submission_decodes_items_bodies_and_scoring) {
+    const auto job = decode_submission(
+        job_id("j"), "h",
+        R"({"step":7,"model":"m","min_version":6,"target_groups":12,"items":[
+            {"id":"i","path":"/p/1","headers":{"Model":"m",
+             "Token-Usage":"540,400","Length-Hint":"120"},"body":"q83vEjRWeJA=",
+             "tokens":940,"group":"g","scorer_url":{"id":"s","host":"h",
+             "path":"/q","body":"3q2+7w=="}}]})");
+    ASSERT_TRUE(job) << job.reason().detail;
+    EXPECT_EQ(job->min_version, 6U);
+    ASSERT_EQ(job->items.size(), 1U);
+    EXPECT_EQ(job->items[0].prompt_tokens, 540U);
+    EXPECT_EQ(job->items[0].max_tokens, 400U);
+    EXPECT_EQ(job->items[0].expected_tokens, 120U);
+    EXPECT_EQ(job->items[0].body.size(), 8U);
+    EXPECT_EQ(job->items[0].scoring->body.size(), 4U);
+}
+
+TEST_F(codec_test, submission_with_faults_is_refused) {
+    for (const char* const text :
+         {"", "{}", R"({"items":{}})", R"({"items":[1]})",
+          R"({"items":[{"id":"i"}]})",
+          R"({"items":[{"id":"i","path":"/p","body":"%%%%"}]})",
+          R"({"items":[{"id":"i","path":"/p","scorer_url":{"id":"s"}}]})"}) {
+        EXPECT_FALSE(decode_submission(job_id("j"), "h", text)) << text;
+    }
+}
+
+TEST_F(codec_test, result_page_holds_rows_that_name_their_items) {
+    const std::string row = encode_result({.item = item_id("i"),
+                                           .is_completed = true,
+                                           .text = "a\nb",
+                                           .versions = {6, 7},
+                                           .score = "sig"});
+    EXPECT_EQ(row.find('\n'), std::string::npos);
+    EXPECT_EQ(decode_result_item(row), item_id("i"));
+    const std::vector<std::string> rows{row};
+    const std::string page = encode_result_page(40, 13, rows);
+    EXPECT_NE(page.find(R"("total":40,"next_token":13)"), std::string::npos);
+    EXPECT_NE(page.find(R"("versions":[6,7])"), std::string::npos);
+    EXPECT_EQ(encode_result({.item = item_id("i")}).find("versions"),
+              std::string::npos);
+}
+
+TEST_F(codec_test, event_lines_give_number_data_and_version) {
+    const auto event =
+        decode_item_event("weight-versions: 7\nid: 3\ndata: a\ndata:b");
+    EXPECT_EQ(event.version, 7U);
+    EXPECT_EQ(event.number, 3U);
+    EXPECT_EQ(event.data, "a\nb");
+    EXPECT_FALSE(decode_item_event(": comment").number);
+}
+
+TEST_F(codec_test, store_statuses_keep_not_done_and_unknown_apart) {
+    struct row {
+        unsigned status;
+        result_code code;
+    };
+    for (const row& expected : {row{429, result_code::store_refused},
+                                row{503, result_code::store_refused},
+                                row{500, result_code::store_unanswered},
+                                row{410, result_code::store_history_gone}}) {
+        const auto result = decode_range({.status = expected.status});
+        ASSERT_FALSE(result);
+        EXPECT_EQ(result.reason().code, expected.code) << expected.status;
+    }
+    EXPECT_EQ(decode_transaction({.status = 404}).reason().code,
+              result_code::lease_not_held);
+    EXPECT_EQ(decode_lease_renewal({.status = 404}).reason().code,
+              result_code::lease_not_held);
+    const auto absent = decode_key({.status = 404});
+    ASSERT_TRUE(absent);
+    EXPECT_FALSE(*absent);
+    EXPECT_FALSE(decode_range({.status = 200, .body = "no json"}));
+}
+
+TEST_F(codec_test, failed_condition_brings_the_current_items) {
+    const auto result = decode_transaction(
+        {.status = 412,
+         .body = R"({"items":[{"key":"k","value":"bm9kZS0x","revision":9}]})"});
+    ASSERT_TRUE(result);
+    const auto& conflict = std::get<transaction_conflict>(*result);
+    ASSERT_EQ(conflict.current.size(), 1U);
+    EXPECT_EQ(conflict.current[0].value, "node-1");
+    EXPECT_EQ(conflict.current[0].modified, 9U);
+}
+
+TEST_F(codec_test, order_answers_are_told_apart) {
+    EXPECT_EQ(decode_order_answer({.status = 202}), order_answer::accepted);
+    EXPECT_EQ(decode_order_answer({.status = 200}),
+              order_answer::already_holds);
+    EXPECT_EQ(decode_order_answer({.status = 409}), order_answer::conflict);
+    EXPECT_EQ(decode_order_answer({.status = 412}), order_answer::fenced_off);
+    EXPECT_EQ(decode_order_answer({.status = 421}),
+              order_answer::wrong_upstream);
+    EXPECT_EQ(decode_order_answer({.status = 500}), order_answer::unknown);
+    const auto order = make_version_order({.upstream = upstream_id("i"),
+                                           .model = "m",
+                                           .version = 2,
+                                           .holder = "n",
+                                           .fencing = 41,
+                                           .expected_orders = 3});
+    EXPECT_EQ(order.header("Expect-Instance"), "i");
+    EXPECT_NE(order.body.find(R"("expected":3)"), std::string::npos);
+}
--- /dev/null
+++ b/tests/servers/batch/item_planner_test.cpp
@@ -0,0 +1,448 @@
+#include "servers/batch/item_planner.hpp"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+using namespace savorydock;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t tokens_per_event = 50;
+
+/// A planner with its term and some engines; carries commands out by noting
+/// them.
+class item_planner_test : public ::testing::Test {
+protected:
+    item_planner_test()
+        : planner({}, 1,
+                  [this](const upstream_id& upstream, const std::string&,
+                         steady_time) { return loading.contains(upstream); }) {
+        planner.on_term(true);
+    }
+
+    void give_engines(std::size_t count, std::uint32_t slots) {
+        engines.clear();
+        for (std::size_t at = 0; at < count; ++at) {
+            engines.push_back({.id = upstream_id("e" + std::to_string(at)),
+                               .service = service_name("engine"),
+                               .slots = slots,
+                               .versions = {{"m", 1}}});
+        }
+        planner.on_upstreams(engines,
+                             {.cache_tokens = 1'000'000,
+                              .tokens_per_event = tokens_per_event,
+                              .scoring_slots = 4},
+                             now);
+    }
+
+    /// A job of groups; `events[g]` are the expected events of a group's items.
+    std::shared_ptr<const batch_job>
+    make_job(const std::string& id, std::uint32_t target_groups,
+             const std::vector<std::vector<std::uint64_t>>& events,
+             weight_version min_version = 0, bool has_scoring = false) {
+        auto job = std::make_shared<batch_job>();
+        job->id = job_id(id);
+        job->model = "m";
+        job->min_version = min_version;
+        job->target_groups = target_groups;
+        for (std::size_t group = 0; group < events.size(); ++group) {
+            for (std::size_t at = 0; at < events[group].size(); ++at) {
+                batch_item item{.id = item_id("g" + std::to_string(group) +
+                                              "i" + std::to_string(at)),
+                                .prompt_tokens = 10,
+                                .max_tokens = 100'000,
+                                .expected_tokens =
+                                    events[group][at] * tokens_per_event,
+                                .group = "g" + std::to_string(group)};
+                if (has_scoring) {
+                    item.scoring = scoring_call{.id = "s"};
+                }
+                job->items.push_back(std::move(item));
+            }
+        }
+        return job;
+    }
+
+    void add_job(const std::shared_ptr<const batch_job>& job,
+                 const std::vector<item_id>& listed = {},
+                 const std::map<std::size_t, item_progress>& saved = {},
+                 job_terms terms = {}) {
+        planner.on_job({.id = job->id,
+                        .total = static_cast<std::uint32_t>(job->items.size())},
+                       job, terms, listed, saved, now, commands);
+        step();
+    }
+
+    void step() { planner.advance(now, commands); }
+
+    template <class Command>
+    std::vector<Command> take() {
+        std::vector<Command> found;
+        planner_commands rest;
+        for (planner_command& command : commands) {
+            if (auto* const one = std::get_if<Command>(&command)) {
+                found.push_back(std::move(*one));
+            } else {
+                rest.push_back(std::move(command));
+            }
+        }
+        commands = std::move(rest);
+        return found;
+    }
+
+    void report(run_ticket ticket, std::uint64_t base, std::uint64_t events,
+                run_end end, const std::string& text = "t") {
+        planner.on_run_ended({.ticket = ticket,
+                              .end = end,
+                              .rest = {.ticket = ticket,
+                                       .base_events = base,
+                                       .events = events,
+                                       .text = text,
+                                       .versions = {1}}},
+                             now);
+        step();
+    }
+
+    void progress(run_ticket ticket, std::uint64_t base, std::uint64_t events) {
+        planner.on_run_delta({.ticket = ticket,
+                              .base_events = base,
+                              .events = events,
+                              .text = "t",
+                              .versions = {1}},
+                             now, commands);
+    }
+
+    steady_time now{1h};
+    std::set<upstream_id> loading;
+    std::vector<upstream_entry> engines;
+    planner_commands commands;
+    item_planner planner;
+};
+
+} // namespace
+
+TEST_F(item_planner_test, burst_over_all_slots_starts_longest_wanted_first) {
+    give_engines(1, 2);
+    // The trainer waits for two of three groups: the one with the longest item
+    // goes last, although longest goes first among the others.
+    const auto job = make_job("j", 2, {{10}, {100}, {20}});
+    add_job(job);
+    const auto started = take<start_run>();
+    ASSERT_EQ(started.size(), 2U);
+    EXPECT_EQ(job->items[started[0].item].id, item_id("g2i0"));
+    EXPECT_EQ(job->items[started[1].item].id, item_id("g0i0"));
+    report(started[0].ticket, 0, 20, run_end::complete);
+    const auto next = take<start_run>();
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(job->items[next[0].item].id, item_id("g1i0"));
+}
+
+TEST_F(item_planner_test, more_items_than_slots_never_queue_at_engines) {
+    give_engines(3, 4);
+    add_job(make_job(
+        "j", 0, std::vector<std::vector<std::uint64_t>>(10, {5, 5, 5, 5})));
+    std::map<upstream_id, std::size_t> placed;
+    for (const start_run& run : take<start_run>()) {
+        ++placed[run.upstream];
+    }
+    ASSERT_EQ(placed.size(), 3U);
+    for (const auto& [engine, count] : placed) {
+        EXPECT_EQ(count, 4U) << engine.text();
+    }
+    EXPECT_EQ(planner.waiting_items(), 28U);
+}
+
+TEST_F(item_planner_test, full_cache_keeps_items_waiting) {
+    give_engines(1, 8);
+    planner.on_upstreams(
+        engines, {.cache_tokens = 1'000, .tokens_per_event = tokens_per_event},
+        now);
+    add_job(make_job("j", 0, {{8, 8, 8}}));
+    // Each needs 410 tokens of the 900 that may be planned.
+    EXPECT_EQ(take<start_run>().size(), 2U);
+}
+
+TEST_F(item_planner_test, interrupted_run_goes_on_behind_its_last_event) {
+    give_engines(2, 1);
+    add_job(make_job("j", 0, {{50}}));
+    const auto first = take<start_run>();
+    ASSERT_EQ(first.size(), 1U);
+    report(first[0].ticket, 0, 7, run_end::interrupted);
+    const auto second = take<start_run>();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second[0].after_event, 7U);
+    EXPECT_EQ(second[0].last_version, 1U);
+    EXPECT_NE(second[0].upstream, first[0].upstream)
+        << "an engine that broke off is set aside";
+}
+
+TEST_F(item_planner_test, missing_events_of_a_finished_run_are_run_again) {
+    give_engines(1, 1);
+    add_job(make_job("j", 0, {{50}}));
+    const auto first = take<start_run>();
+    progress(first[0].ticket, 0, 5);
+    // The report on events 6 to 8 was lost between instances.
+    now += 100ms;
+    report(first[0].ticket, 8, 12, run_end::complete);
+    now += 10s;
+    step();
+    const auto again = take<start_run>();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].after_event, 5U);
+    EXPECT_TRUE(take<commit_results>().empty());
+}
+
+TEST_F(item_planner_test, silent_run_is_taken_off_unless_its_engine_loads) {
+    give_engines(2, 1);
+    add_job(make_job("j", 0, {{50}}));
+    const auto first = take<start_run>();
+    ASSERT_EQ(first.size(), 1U);
+    progress(first[0].ticket, 0, 3);
+    loading.insert(first[0].upstream);
+    now += 1'100ms;
+    step();
+    EXPECT_TRUE(take<stop_run>().empty());
+    loading.clear();
+    now += 1'100ms;
+    step();
+    const auto stopped = take<stop_run>();
+    ASSERT_EQ(stopped.size(), 1U);
+    EXPECT_EQ(stopped[0].ticket, first[0].ticket);
+}
+
+TEST_F(item_planner_test, long_item_moves_off_a_slow_engine_once_slots_free) {
+    give_engines(2, 1);
+    add_job(make_job("j", 0, {{400, 60}}));
+    auto runs = take<start_run>();
+    ASSERT_EQ(runs.size(), 2U);
+    // The engine of the long item makes an event in 60 ms, the other in 30.
+    std::uint64_t events = 0;
+    for (int round = 0; round < 4; ++round) {
+        now += 600ms;
+        progress(runs[0].ticket, events, events + 10);
+        progress(runs[1].ticket, events * 2, (events + 10) * 2);
+        events += 10;
+        step();
+        EXPECT_TRUE(take<stop_run>().empty());
+    }
+    report(runs[1].ticket, events * 2, events * 2 + 1, run_end::complete);
+    now += 300ms;
+    step();
+    const auto moved = take<stop_run>();
+    ASSERT_EQ(moved.size(), 1U);
+    EXPECT_EQ(moved[0].ticket, runs[0].ticket);
+    report(runs[0].ticket, events, events, run_end::stopped);
+    const auto resumed = take<start_run>();
+    ASSERT_EQ(resumed.size(), 1U);
+    EXPECT_EQ(resumed[0].upstream, runs[1].upstream);
+    EXPECT_EQ(resumed[0].after_event, events);
+}
+
+TEST_F(item_planner_test, few_events_of_an_engine_move_nothing) {
+    give_engines(2, 2);
+    add_job(make_job("j", 0, {{400, 400}}));
+    const auto runs = take<start_run>();
+    for (const std::uint64_t round : {0U, 1U}) {
+        now += 300ms;
+        progress(runs[0].ticket, round * 2, round * 2 + 2);
+        progress(runs[1].ticket, round * 9, round * 9 + 9);
+        step();
+    }
+    EXPECT_TRUE(take<stop_run>().empty());
+}
+
+TEST_F(item_planner_test, engine_with_an_older_version_gets_no_item) {
+    give_engines(2, 1);
+    engines[0].versions["m"] = 2;
+    planner.on_upstreams(engines, {.tokens_per_event = tokens_per_event}, now);
+    add_job(make_job("j", 0, {{5, 5}}, 2));
+    const auto started = take<start_run>();
+    ASSERT_EQ(started.size(), 1U);
+    EXPECT_EQ(started[0].upstream, engines[0].id);
+}
+
+TEST_F(item_planner_test, results_wait_for_each_other_then_are_listed_once) {
+    give_engines(1, 4);
+    add_job(make_job("j", 0, {{5, 5, 5, 5}}));
+    const auto runs = take<start_run>();
+    report(runs[0].ticket, 0, 5, run_end::complete);
+    auto commits = take<commit_results>();
+    ASSERT_EQ(commits.size(), 1U);
+    EXPECT_EQ(commits[0].first_position, 0U);
+    planner.on_committed(job_id("j"), commits[0].number, commit_end::listed,
+                         now);
+    report(runs[1].ticket, 0, 5, run_end::complete);
+    report(runs[2].ticket, 0, 5, run_end::complete);
+    EXPECT_TRUE(take<commit_results>().empty());
+    now += 150ms;
+    step();
+    commits = take<commit_results>();
+    ASSERT_EQ(commits.size(), 1U);
+    EXPECT_EQ(commits[0].first_position, 1U);
+    EXPECT_EQ(commits[0].results.size(), 2U);
+}
+
+TEST_F(item_planner_test, refused_commit_is_tried_again_at_its_position) {
+    give_engines(1, 1);
+    add_job(make_job("j", 0, {{5}}));
+    report(take<start_run>()[0].ticket, 0, 5, run_end::complete);
+    const auto first = take<commit_results>();
+    planner.on_committed(job_id("j"), first[0].number, commit_end::not_listed,
+                         now);
+    // A late report on the older try changes nothing.
+    now += 150ms;
+    step();
+    const auto second = take<commit_results>();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second[0].first_position, 0U);
+    planner.on_committed(job_id("j"), first[0].number, commit_end::listed, now);
+    EXPECT_TRUE(planner.has_job(job_id("j")));
+    planner.on_committed(job_id("j"), second[0].number, commit_end::listed,
+                         now);
+    EXPECT_FALSE(planner.has_job(job_id("j")));
+}
+
+TEST_F(item_planner_test, lost_term_lists_nothing_but_keeps_results) {
+    give_engines(1, 1);
+    const auto job = make_job("j", 0, {{5, 5}});
+    add_job(job);
+    const auto runs = take<start_run>();
+    planner.on_term(false);
+    report(runs[0].ticket, 0, 5, run_end::complete);
+    EXPECT_TRUE(take<commit_results>().empty());
+    EXPECT_TRUE(take<start_run>().empty());
+    planner.on_term(true);
+    step();
+    EXPECT_TRUE(take<commit_results>().empty()) << "nothing is confirmed yet";
+    add_job(job);
+    EXPECT_EQ(take<commit_results>().size(), 1U);
+}
+
+TEST_F(item_planner_test, result_listed_by_another_planner_is_not_repeated) {
+    give_engines(1, 2);
+    const auto job = make_job("j", 0, {{5, 5}});
+    add_job(job);
+    const auto runs = take<start_run>();
+    report(runs[0].ticket, 0, 5, run_end::complete);
+    const auto lost = take<commit_results>();
+    ASSERT_EQ(lost.size(), 1U);
+    planner.on_committed(job_id("j"), lost[0].number, commit_end::superseded,
+                         now);
+    // The write took effect late after all: position 0 has the item.
+    add_job(job, {job->items[runs[0].item].id});
+    EXPECT_TRUE(take<commit_results>().empty());
+    report(runs[1].ticket, 0, 5, run_end::complete);
+    now += 150ms;
+    step();
+    const auto commits = take<commit_results>();
+    ASSERT_EQ(commits.size(), 1U);
+    EXPECT_EQ(commits[0].first_position, 1U);
+}
+
+TEST_F(item_planner_test, ended_job_stops_runs_and_carries_texts_on) {
+    give_engines(1, 2);
+    const auto first = make_job("j", 0, {{50, 50}});
+    add_job(first);
+    const auto runs = take<start_run>();
+    progress(runs[0].ticket, 0, 9);
+    planner.on_job_ended(job_id("j"), commands);
+    EXPECT_EQ(take<stop_run>().size(), 2U);
+    // The unfinished group comes again in the next job.
+    const auto second = make_job("k", 0, {{50, 50}});
+    add_job(second);
+    const auto again = take<start_run>();
+    ASSERT_EQ(again.size(), 2U);
+    std::multiset<std::uint64_t> after;
+    for (const start_run& run : again) {
+        after.insert(run.after_event);
+    }
+    EXPECT_EQ(after, (std::multiset<std::uint64_t>{0, 9}));
+}
+
+TEST_F(item_planner_test, carried_text_of_a_too_old_version_is_made_anew) {
+    give_engines(1, 1);
+    engines[0].versions["m"] = 5;
+    planner.on_upstreams(engines, {.tokens_per_event = tokens_per_event}, now);
+    add_job(make_job("j", 0, {{50}}));
+    progress(take<start_run>()[0].ticket, 0, 9);
+    planner.on_job_ended(job_id("j"), commands);
+    add_job(make_job("k", 0, {{50}}, 2));
+    EXPECT_EQ(take<start_run>()[0].after_event, 0U);
+}
+
+TEST_F(item_planner_test, new_planner_goes_on_from_saved_texts) {
+    give_engines(1, 1);
+    add_job(make_job("j", 0, {{50}}), {},
+            {{0, {.text = "a\nb", .events = 2, .versions = {1}}}});
+    EXPECT_EQ(take<start_run>()[0].after_event, 2U);
+}
+
+TEST_F(item_planner_test, long_text_is_saved_in_parts_that_join) {
+    give_engines(1, 1);
+    add_job(make_job("j", 0, {{100}}));
+    const auto runs = take<start_run>();
+    progress(runs[0].ticket, 0, 20);
+    now += 2s;
+    step();
+    auto saved = take<save_progress>();
+    ASSERT_EQ(saved.size(), 1U);
+    EXPECT_EQ(saved[0].parts[0].base_events, 0U);
+    EXPECT_EQ(saved[0].parts[0].events, 20U);
+    progress(runs[0].ticket, 20, 40);
+    now += 2s;
+    step();
+    saved = take<save_progress>();
+    ASSERT_EQ(saved.size(), 1U);
+    EXPECT_EQ(saved[0].parts[0].base_events, 20U);
+    EXPECT_EQ(saved[0].parts[0].text, "t");
+}
+
+TEST_F(item_planner_test, scorer_keeps_slots_for_callers) {
+    give_engines(2, 8);
+    add_job(make_job("j", 0, {{5, 5, 5, 5, 5, 5, 5, 5}}, 0, true));
+    for (const start_run& run : take<start_run>()) {
+        report(run.ticket, 0, 5, run_end::complete);
+    }
+    const auto scoring = take<start_scoring>();
+    EXPECT_EQ(scoring.size(), 4U);
+    planner.on_scored({.ticket = scoring[0].ticket, .score = "x"});
+    step();
+    EXPECT_EQ(take<start_scoring>().size(), 1U);
+}
+
+TEST_F(item_planner_test, engine_failures_end_in_a_lost_item) {
+    give_engines(1, 1);
+    add_job(make_job("j", 0, {{5}}), {}, {}, {.max_attempts = 2});
+    report(take<start_run>()[0].ticket, 0, 0, run_end::failed);
+    const auto second = take<start_run>();
+    ASSERT_EQ(second.size(), 1U);
+    report(second[0].ticket, 0, 0, run_end::failed);
+    EXPECT_TRUE(take<start_run>().empty());
+    const auto commits = take<commit_results>();
+    ASSERT_EQ(commits.size(), 1U);
+    EXPECT_FALSE(commits[0].results[0].is_completed);
+}
+
+TEST_F(item_planner_test, expired_items_are_listed_as_lost) {
+    give_engines(1, 1);
+    add_job(make_job("j", 0, {{5, 5}}), {}, {}, {.time_to_live = 3s});
+    now += 3s;
+    step();
+    const auto commits = take<commit_results>();
+    ASSERT_EQ(commits.size(), 1U);
+    EXPECT_EQ(commits[0].results.size(), 1U) << "the other one still runs";
+}
+
+TEST_F(item_planner_test, lost_runner_keeps_what_it_reported) {
+    give_engines(1, 1);
+    add_job(make_job("j", 0, {{50}}));
+    const auto runs = take<start_run>();
+    progress(runs[0].ticket, 0, 6);
+    planner.on_run_lost(runs[0].ticket, now);
+    step();
+    const auto again = take<start_run>();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].after_event, 6U);
+}
--- /dev/null
+++ b/tests/servers/feed/feed_test.cpp
@@ -0,0 +1,145 @@
+#include "servers/feed/feed_follower.hpp"
+#include "servers/feed/key_copy.hpp"
+#include "servers/feed/node_directory.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace savorydock;
+using namespace std::chrono_literals;
+
+namespace {
+
+stored_value value(const std::string& key, store_revision modified) {
+    return {.key = key, .value = "v", .modified = modified};
+}
+
+class feed_follower_test : public ::testing::Test {
+protected:
+    feed_follower_test()
+        : follower({.prefixes = {"a/", "b/"}}) {}
+
+    feed_push push(const std::string& prefix, std::uint64_t number,
+                   bool is_snapshot, store_revision term = 5) {
+        return {.prefix = prefix,
+                .term = term,
+                .number = number,
+                .is_snapshot = is_snapshot};
+    }
+
+    void follow(std::uint64_t number = 1) {
+        static_cast<void>(follower.on_beat(
+            feeder, {.term = 5, .numbers = {number, number}}, now));
+        for (const char* const prefix : {"a/", "b/"}) {
+            EXPECT_EQ(follower.on_push(feeder, push(prefix, number, true), now),
+                      push_verdict::take);
+        }
+    }
+
+    instance_id feeder{"f"};
+    feed_follower follower;
+    steady_time now{1h};
+};
+
+} // namespace
+
+TEST_F(feed_follower_test, complete_copies_of_a_fresh_feeder_are_followed) {
+    EXPECT_FALSE(follower.is_following(now));
+    const auto wanted = follower.on_beat(
+        feeder, {.term = 5, .age = 100ms, .numbers = {1, 1}}, now);
+    EXPECT_EQ(wanted, (std::vector<std::string>{"a/", "b/"}));
+    EXPECT_FALSE(follower.is_following(now));
+    follow();
+    EXPECT_TRUE(follower.is_following(now));
+}
+
+TEST_F(feed_follower_test, feeder_without_contact_to_the_store_is_left) {
+    follow();
+    // It lives and beats, but its last contact grows old.
+    now += 1s;
+    static_cast<void>(follower.on_beat(
+        feeder, {.term = 5, .age = 1s, .numbers = {1, 1}}, now));
+    now += 500ms;
+    EXPECT_FALSE(follower.is_following(now));
+}
+
+TEST_F(feed_follower_test, missing_push_is_requested_not_skipped) {
+    follow();
+    now += 300ms;
+    EXPECT_EQ(follower.on_push(feeder, push("a/", 3, false), now),
+              push_verdict::request);
+    EXPECT_EQ(follower.on_push(feeder, push("a/", 2, false), now),
+              push_verdict::take);
+    EXPECT_EQ(follower.on_push(feeder, push("a/", 2, false), now),
+              push_verdict::ignore);
+}
+
+TEST_F(feed_follower_test, push_lost_before_a_beat_is_requested) {
+    follow();
+    now += 300ms;
+    const auto wanted =
+        follower.on_beat(feeder, {.term = 5, .numbers = {2, 1}}, now);
+    EXPECT_EQ(wanted, (std::vector<std::string>{"a/"}));
+}
+
+// A feeder that lost its term and got the same one back began to count anew,
+// and followers ignored its pushes (CONFIG on ndiaye-curage trouble-1).
+TEST_F(feed_follower_test, numbers_of_a_term_that_came_back_must_go_on) {
+    follow(4);
+    EXPECT_EQ(follower.on_push(feeder, push("a/", 1, false), now),
+              push_verdict::ignore);
+    EXPECT_EQ(follower.on_push(feeder, push("a/", 5, true), now),
+              push_verdict::take);
+}
+
+TEST_F(feed_follower_test, feeder_of_an_older_term_is_ignored) {
+    follow();
+    EXPECT_EQ(follower.on_push(instance_id("g"), push("a/", 9, true, 4), now),
+              push_verdict::ignore);
+    EXPECT_EQ(follower.on_push(instance_id("g"), push("a/", 1, true, 6), now),
+              push_verdict::take);
+    EXPECT_EQ(follower.feeder(), instance_id("g"));
+    EXPECT_FALSE(follower.is_following(now)) << "b/ is not there yet";
+}
+
+TEST(key_copy_test, reading_older_than_a_change_takes_nothing_back) {
+    key_copy copy;
+    static_cast<void>(copy.replace({value("k", 3)}, 3));
+    EXPECT_EQ(copy.merge({{.value = value("k", 7)}}, 7).size(), 1U);
+    EXPECT_TRUE(copy.replace({value("k", 3)}, 4).empty());
+    EXPECT_EQ(copy.values().at("k").modified, 7U);
+}
+
+TEST(key_copy_test, key_newer_than_a_reading_stays_though_it_is_missing) {
+    key_copy copy;
+    EXPECT_EQ(copy.merge({{.value = value("n", 9)}}, 9).size(), 1U);
+    EXPECT_TRUE(copy.replace({}, 5).empty());
+    EXPECT_TRUE(copy.values().contains("n"));
+}
+
+TEST(key_copy_test, missing_key_of_a_reading_is_told_as_removed) {
+    key_copy copy;
+    static_cast<void>(copy.replace({value("k", 3)}, 3));
+    const auto changes = copy.replace({}, 8);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_TRUE(changes[0].is_removed);
+}
+
+TEST(key_copy_test, late_removal_of_a_rewritten_key_is_ignored) {
+    key_copy copy;
+    static_cast<void>(copy.replace({value("k", 8)}, 8));
+    EXPECT_TRUE(
+        copy.merge({{.value = value("k", 6), .is_removed = true}}, 8).empty());
+}
+
+TEST(node_directory_test, entry_reads_back) {
+    const node_entry entry{.instance = instance_id("n"),
+                           .zone = availability_zone("z"),
+                           .address = {.address = "10.0.0.1", .port = 77},
+                           .processor_share = 0.25};
+    const auto read =
+        decode_node_entry(node_key(entry.instance), encode_node_entry(entry));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->zone, entry.zone);
+    EXPECT_EQ(read->address, entry.address);
+    EXPECT_FALSE(decode_node_entry("c/node/n", "[]"));
+}
