--- a/drivers/feed/store_feed.cpp
+++ b/drivers/feed/store_feed.cpp
@@ -19,7 +19,7 @@
 /// A feeder with an older contact to the store says nothing.
 constexpr std::chrono::milliseconds max_contact_age{1'100};
 /// The feeder renews its lease that often: each renewal shows that the store
-/// lives, which its long watches don't.
+/// lives, which waiting watches don't.
 constexpr std::chrono::milliseconds feeder_lease{3'000};
 constexpr int feeder_renewals = 6;
 
@@ -147,9 +147,7 @@
                    "feeder=" + follower_.feeder().text() +
                        " zone=" + options_.zone.text());
     }
-    const mirror_mode mode = is_feeder() ? mirror_mode::feeding
-                             : is_fed    ? mirror_mode::off
-                                         : mirror_mode::alone;
+    const mirror_mode mode = is_fed ? mirror_mode::off : mirror_mode::watching;
     for (const auto& source : subscriptions_) {
         source->mirror.set_mode(mode);
     }
--- a/drivers/feed/store_feed.hpp
+++ b/drivers/feed/store_feed.hpp
@@ -33,7 +33,7 @@
     store_mirror_listener* listener = nullptr;
 };
 
-/// Brings the store's keys to an instance: as the feeder of its zone by long
+/// Brings the store's keys to an instance: as the feeder of its zone by
 /// watches, whose changes it passes on; as a follower by what the feeder
 /// passes on; without a fresh feeder by watches of its own. Belongs to one
 /// traffic thread.
--- a/drivers/store/store_mirror.cpp
+++ b/drivers/store/store_mirror.cpp
@@ -13,20 +13,17 @@
 
 namespace {
 
-/// How long a watch waits without another sign of the store's life. A watch
-/// that was sent before an outage may never be answered; the bound of
-/// configuration is two seconds.
-constexpr std::chrono::milliseconds short_wait{1'500};
-/// How long a watch waits beside frequent renewals of a lease. Each wait is a
-/// paid call.
-constexpr std::chrono::milliseconds long_wait{25'000};
+/// How long a watch waits. The store may lose a waiting watch without a sign
+/// on its connection, and the bound of configuration is two seconds.
+constexpr std::chrono::milliseconds watch_wait{1'500};
 /// Pause before a failed call is repeated.
 constexpr std::chrono::milliseconds first_pause{50};
 constexpr std::chrono::milliseconds longest_pause{400};
 constexpr std::uint32_t max_doublings = 3;
 constexpr std::chrono::hours until_woken{24};
-/// Changes that come close together are read by one call.
-constexpr std::chrono::milliseconds gather_time{60};
+/// Changes that come close together are read by one call: engines change their
+/// entries with each load, dozens of times a second on large sites.
+constexpr std::chrono::milliseconds gather_time{200};
 
 } // namespace
 
@@ -116,10 +113,9 @@
 }
 
 asio::awaitable<bool> store_mirror::follow() {
-    const auto wait = mode_ == mirror_mode::feeding ? long_wait : short_wait;
     wake_.expires_after(until_woken);
     auto result =
-        co_await (client_.watch(prefix_, copy_.revision(), wait) ||
+        co_await (client_.watch(prefix_, copy_.revision(), watch_wait) ||
                   wake_.async_wait(asio::as_tuple(asio::use_awaitable)));
     if (result.index() == 1) {
         co_return true;
--- a/drivers/store/store_mirror.hpp
+++ b/drivers/store/store_mirror.hpp
@@ -30,11 +30,8 @@
 enum class mirror_mode : std::uint8_t {
     /// Not at all: another instance passes changes on.
     off,
-    /// By short watches, with no other sign of the store's life.
-    alone,
-    /// By long watches: the instance renews a lease often, and `restart` is
-    /// called when that fails.
-    feeding,
+    /// By watches of its own.
+    watching,
 };
 
 /// Keeps a copy of all keys under one prefix up by watches. After any failed
@@ -74,7 +71,7 @@
     store_mirror_listener& listener_;
     logger& log_;
     key_copy copy_;
-    mirror_mode mode_ = mirror_mode::alone;
+    mirror_mode mode_ = mirror_mode::watching;
     bool must_read_ = true;
     /// Ends a sleep or a watch in progress.
     boost::asio::steady_timer wake_;
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -484,8 +484,12 @@
     }
     std::stable_sort(order.begin(), order.end(),
                      [](const job_state* left, const job_state* right) {
-                         return left->accepted_at + left->terms.target <
-                                right->accepted_at + right->terms.target;
+                         const auto key = [](const job_state* job) {
+                             return std::pair(job->terms.priority,
+                                              job->accepted_at +
+                                                  job->terms.target);
+                         };
+                         return key(left) < key(right);
                      });
     return order;
 }
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -168,7 +168,7 @@
     std::chrono::milliseconds longest_pause{4'000};
     /// Results wait that long for others, so that one write lists them all;
     /// readers ask about twice a second.
-    std::chrono::milliseconds commit_gap{150};
+    std::chrono::milliseconds commit_gap{220};
     /// An item moves off an engine that is so many times slower than another
     /// with a free slot. A move costs some ten milliseconds: the other engine
     /// reads prompt and text anew.
@@ -378,6 +378,7 @@
     [[nodiscard]] bool is_measured(const engine_state& engine) const;
     /// Takes an ended run off its engine.
     void release(const run_state& run);
+    /// By the rank of their routes, then by the time at which they are due.
     [[nodiscard]] std::vector<job_state*> jobs_by_urgency();
 
     item_planner_options options_;
