Reset connections that are given up; pause after a refused commit

A close sends what is held up, a reset drops it. Ruled out: a planner that did not know of the end (its records were current).

--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -53,7 +53,11 @@
     steady_time idle_until = steady_time::max();
 };
 
-void set_probes(tcp::socket& socket) {
+/// A connection that is given up is reset: bytes that a partition holds up
+/// must not reach their receiver once the call has failed.
+void prepare_socket(tcp::socket& socket) {
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
     const auto set = [&](int level, int option, int value) {
         // A platform without the option only notices silence later.
         ::setsockopt(socket.native_handle(), level, option, &value,
@@ -176,7 +180,7 @@
             co_return failed_before_write(error);
         }
         fresh->stream.socket().set_option(tcp::no_delay(true), error);
-        set_probes(fresh->stream.socket());
+        prepare_socket(fresh->stream.socket());
         co_return std::move(fresh);
     }
 
--- a/drivers/logging/log4cxx_logger.cpp
+++ b/drivers/logging/log4cxx_logger.cpp
@@ -70,7 +70,7 @@
     constexpr int buffered_lines = 2'048;
     const auto console = std::make_shared<log4cxx::ConsoleAppender>(
         std::make_shared<log4cxx::PatternLayout>(
-            "at=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%p instance=" + instance +
+            "at=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p instance=" + instance +
             " %m%n"),
         log4cxx::ConsoleAppender::getSystemOut());
     const auto buffer = std::make_shared<log4cxx::AsyncAppender>();
--- a/drivers/peer/peer_connection.cpp
+++ b/drivers/peer/peer_connection.cpp
@@ -35,6 +35,9 @@
     last_heard_ = std::chrono::steady_clock::now();
     error_code ignored;
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    // A message that was given up must not arrive after a partition has
+    // healed: its sender acts as if it was lost.
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     read();
     write();
 }
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -462,6 +462,7 @@
         return;
     }
     if (end == commit_end::not_listed) {
+        job.commit_not_before = now + options_.commit_gap;
         job.ready.insert(job.ready.begin(), job.in_commit.begin(),
                          job.in_commit.end());
         job.in_commit.clear();
@@ -745,7 +746,8 @@
         return;
     }
     for (auto& [id, job] : jobs_) {
-        if (job.ready.empty() || job.is_committing || !job.is_confirmed) {
+        if (job.ready.empty() || job.is_committing || !job.is_confirmed ||
+            now < job.commit_not_before) {
             continue;
         }
         const bool is_last =
@@ -795,7 +797,8 @@
     bool has_waiting = false;
     for (const auto& [id, job] : jobs_) {
         if (!job.ready.empty() && !job.is_committing && has_term_) {
-            consider(job.last_commit + options_.commit_gap);
+            consider(std::max(job.last_commit + options_.commit_gap,
+                              job.commit_not_before));
         }
         if (!job.waiting.empty()) {
             has_waiting = true;
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -306,6 +306,8 @@
         std::uint64_t commit_number = 0;
         std::vector<std::size_t> in_commit;
         steady_time last_commit{};
+        /// The store refused the last try; the next one waits until then.
+        steady_time commit_not_before{};
         /// Its results were read since the term began.
         bool is_confirmed = false;
     };
--- a/tests/servers/batch/item_planner_test.cpp
+++ b/tests/servers/batch/item_planner_test.cpp
@@ -305,6 +305,10 @@
     const auto first = take<commit_results>();
     planner.on_committed(job_id("j"), first[0].number, commit_end::not_listed,
                          now);
+    // A refusing store is asked again after a pause, also for the last
+    // results (incident inc-5a0b: a try each 20 ms).
+    step();
+    EXPECT_TRUE(take<commit_results>().empty());
     // A late report on the older try changes nothing.
     now += 220ms;
     step();
