--- a/drivers/operator_http/command_result.hpp
+++ b/drivers/operator_http/command_result.hpp
@@ -6,7 +6,7 @@
 
 namespace savorydock {
 
-/// Exit codes of the operators' command, see docs/OPERATING.md.
+/// Exit codes of the operators' command, see docs/OPERATIONS.md.
 enum class exit_code : int {
     ok = 0,
     failed = 1,
--- a/drivers/operator_http/operator_command.hpp
+++ b/drivers/operator_http/operator_command.hpp
@@ -23,7 +23,7 @@
 [[nodiscard]] std::string operator_usage();
 
 /// Runs one subcommand; prints to the standard streams. Returns the exit
-/// code, see docs/OPERATING.md. Blocks.
+/// code, see docs/OPERATIONS.md. Blocks.
 [[nodiscard]] int run_operator_command(const operator_command_line& line);
 
 } // namespace savorydock
--- a/main/savorydock_entry.cpp
+++ b/main/savorydock_entry.cpp
@@ -51,7 +51,7 @@
     gflags::SetUsageMessage("runs one entry instance\n\n"
                             "  savorydock-entry --settings FILE [--check]\n\n"
                             "SIGTERM drains the instance. Exit codes: "
-                            "docs/OPERATING.md.");
+                            "docs/OPERATIONS.md.");
     gflags::SetVersionString(SAVORYDOCK_VERSION);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_settings.empty() || argc > 1) {
