--- a/drivers/batch/run_host.cpp
+++ b/drivers/batch/run_host.cpp
@@ -38,11 +38,13 @@
 } // namespace
 
 run_host::run_host(asio::io_context& context, item_runner& runner,
-                   instance_id self, reporter report, logger& log)
+                   instance_id self, reporter report, end_test is_ended,
+                   logger& log)
     : context_(context)
     , runner_(runner)
     , self_(std::move(self))
     , report_(std::move(report))
+    , is_ended_(std::move(is_ended))
     , log_(log)
     , timer_(context) {}
 
@@ -57,7 +59,32 @@
     }
 }
 
+void run_host::refuse(const planner_key& planner, run_ticket ticket) {
+    // The planner will learn of the end itself; an answer at once would make
+    // it place the item again and again until then.
+    const auto timer = std::make_shared<asio::steady_timer>(context_);
+    timer->expires_after(report_period);
+    timer->async_wait(
+        [this, timer, planner, ticket](const boost::system::error_code& error) {
+            if (error) {
+                return;
+            }
+            run_news news{.service = planner.second};
+            news.ends.push_back({.ticket = ticket,
+                                 .end = run_end::stopped,
+                                 .rest = {.ticket = ticket}});
+            report_(planner.first, std::move(news));
+        });
+}
+
 void run_host::start(const planner_key& planner, run_task task) {
+    if (is_ended_(task.job)) {
+        log_.write(log_event::item_interrupted,
+                   "item=" + task.id + " job=" + task.job.text() +
+                       " end=refused reason=\"the job is ended\"");
+        refuse(planner, task.ticket);
+        return;
+    }
     auto run = std::make_shared<active_run>();
     run->planner = planner.first;
     run->service = planner.second;
--- a/drivers/batch/run_host.hpp
+++ b/drivers/batch/run_host.hpp
@@ -30,9 +30,12 @@
     /// Brings news to a planner.
     using reporter = std::function<void(const instance_id& planner, run_news)>;
 
+    /// Whether this instance knows that a job was ended.
+    using end_test = std::function<bool(const job_id& job)>;
+
     /// All references must outlive the host's context.
     run_host(boost::asio::io_context& context, item_runner& runner,
-             instance_id self, reporter report, logger& log);
+             instance_id self, reporter report, end_test is_ended, logger& log);
 
     /// An order of a planner came.
     void on_order(const instance_id& planner, run_order order);
@@ -52,6 +55,7 @@
 
     void start(const planner_key& planner, run_task task);
     void stop(run_ticket ticket);
+    void refuse(const planner_key& planner, run_ticket ticket);
     void start_run(const run_pointer& run);
     void start_scoring(const run_pointer& run);
     void on_run_ended(const run_pointer& run, run_end end);
@@ -63,6 +67,7 @@
     item_runner& runner_;
     instance_id self_;
     reporter report_;
+    end_test is_ended_;
     logger& log_;
     std::map<run_ticket, run_pointer> runs_;
     std::map<planner_key, steady_time> heard_at_;
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -163,6 +163,10 @@
           [this](const instance_id& planner, run_news news) {
               report_runs(planner, std::move(news));
           },
+          [this](const job_id& job) {
+              const auto record = jobs_.records().find(job);
+              return record != jobs_.records().end() && record->second.is_ended;
+          },
           log)
     , fleet_mirror_(
           context_, store_, fleet_,
