Deal engines out to the models of a service

Cause: with four models on 45 engines the roller took the first outdated model of each engine in the order of names, nine loads at a time.

Ruled out: the planner's order of routes (the engines had free slots), unanswered orders (39, all after the planner had lost its term).

Each model's version now goes to its part of the engines, more only while items wait, the model with the fewest usable engines first.

--- a/servers/versions/version_roller.cpp
+++ b/servers/versions/version_roller.cpp
@@ -32,8 +32,12 @@
 void version_roller::on_upstreams(const std::vector<upstream_entry>& upstreams,
                                   steady_time now) {
     std::set<upstream_id> listed;
+    std::set<std::string> models;
     for (const upstream_entry& entry : upstreams) {
         listed.insert(entry.id);
+        for (const auto& [model, version] : entry.versions) {
+            models.insert(model);
+        }
         upstream_progress& progress = upstreams_[entry.id];
         if (progress.entry.started_at != entry.started_at ||
             progress.entry.id != entry.id) {
@@ -50,6 +54,7 @@
     }
     std::erase_if(upstreams_,
                   [&](const auto& row) { return !listed.contains(row.first); });
+    models_ = std::max<std::size_t>(1, models.size());
     finish_loads(now);
 }
 
@@ -117,61 +122,129 @@
         load->is_busy_with_order ? now + options_.retry_pause : now;
 }
 
-std::map<std::string, version_roller::model_view>
-version_roller::view_models() const {
-    std::map<std::string, model_view> models;
+bool version_roller::is_on_the_way(const upstream_progress& progress,
+                                   const std::string& model,
+                                   weight_version wanted,
+                                   steady_time now) const {
+    const auto ordered = progress.ordered.find(model);
+    return (ordered != progress.ordered.end() && ordered->second >= wanted &&
+            now < progress.ordered_at.at(model) + options_.confirm_time) ||
+           (progress.current && progress.current->model == model &&
+            progress.current->version >= wanted);
+}
+
+version_roller::model_views version_roller::view_models(steady_time now) const {
+    model_views models;
     for (const auto& [model, wanted] : wanted_) {
-        std::size_t holders = 0;
-        std::size_t engines = 0;
+        model_view view{.wanted = wanted,
+                        .least = work_.least_version(model),
+                        .has_waiting = work_.has_waiting(model)};
         for (const auto& [id, progress] : upstreams_) {
             const auto held = progress.entry.versions.find(model);
             if (held == progress.entry.versions.end() ||
                 progress.entry.is_draining) {
                 continue;
             }
-            const auto ordered = progress.ordered.find(model);
-            const bool is_current =
-                held->second >= wanted ||
-                (ordered != progress.ordered.end() &&
-                 ordered->second >= wanted) ||
-                (progress.current && progress.current->model == model &&
-                 progress.current->version >= wanted);
-            ++engines;
-            holders += is_current ? 1 : 0;
+            const bool is_current = held->second >= wanted ||
+                                    is_on_the_way(progress, model, wanted, now);
+            ++view.engines;
+            view.current += is_current ? 1 : 0;
+            view.usable += is_current || held->second >= view.least ? 1 : 0;
         }
-        models[model] = {.wanted = wanted,
-                         .least = work_.least_version(model),
-                         .has_waiting = work_.has_waiting(model),
-                         .is_spread = static_cast<double>(holders) >=
-                                      options_.prompt_share *
-                                          static_cast<double>(engines)};
+        models[model] = view;
     }
     return models;
 }
 
-std::optional<std::string>
-version_roller::outdated_model(const upstream_progress& progress,
-                               const std::map<std::string, model_view>& models,
-                               steady_time now) const {
-    for (const auto& [model, held] : progress.entry.versions) {
-        const auto found = models.find(model);
-        if (found == models.end() || held >= found->second.wanted) {
+std::size_t version_roller::busy_target(const model_view& view) const {
+    const auto share =
+        std::min(options_.prompt_share, 1.0 / static_cast<double>(models_));
+    return static_cast<std::size_t>(
+        std::ceil(share * static_cast<double>(view.engines)));
+}
+
+std::size_t version_roller::idle_target(const model_view& view) const {
+    return (view.engines + models_ - 1) / models_;
+}
+
+bool version_roller::may_load(const candidate& load,
+                              const model_view& view) const {
+    const bool is_idle = !view.has_waiting && load.runs == 0;
+    const bool is_missed = view.has_waiting && load.held < view.least;
+    // With a single model an engine that its jobs can't use has nothing else
+    // to do; with several it may serve the others.
+    const bool is_useless = models_ == 1 && load.held < view.least;
+    return view.current < busy_target(view) ||
+           (is_idle && view.current < idle_target(view)) || is_missed ||
+           is_useless;
+}
+
+std::vector<version_roller::candidate>
+version_roller::find_candidates(const model_views& models, steady_time now) {
+    std::vector<candidate> found;
+    for (auto& [id, progress] : upstreams_) {
+        if (progress.current || progress.not_before > now ||
+            progress.entry.is_draining || progress.is_load_asked) {
             continue;
         }
-        const model_view& view = found->second;
-        const auto ordered = progress.ordered.find(model);
-        const bool is_pending =
-            ordered != progress.ordered.end() &&
-            ordered->second >= view.wanted &&
-            now < progress.ordered_at.at(model) + options_.confirm_time;
-        const bool may_load =
-            held < view.least || !view.is_spread ||
-            (!view.has_waiting && work_.runs_on(progress.entry.id, model) == 0);
-        if (!is_pending && may_load) {
-            return model;
+        const std::size_t first = found.size();
+        std::size_t usable = 0;
+        for (const auto& [model, held] : progress.entry.versions) {
+            const auto view = models.find(model);
+            if (view == models.end()) {
+                continue;
+            }
+            usable += held >= view->second.least ? 1 : 0;
+            const bool is_pending =
+                is_on_the_way(progress, model, view->second.wanted, now);
+            if (held < view->second.wanted && !is_pending) {
+                found.push_back({.progress = &progress,
+                                 .model = &view->first,
+                                 .held = held,
+                                 .runs = work_.runs_on(id, model)});
+            }
+        }
+        for (std::size_t at = first; at < found.size(); ++at) {
+            const bool is_itself =
+                found[at].held >= models.at(*found[at].model).least;
+            found[at].other_models = usable - (is_itself ? 1 : 0);
         }
     }
-    return std::nullopt;
+    return found;
+}
+
+std::vector<version_roller::candidate>::iterator
+version_roller::choose(std::vector<candidate>& candidates,
+                       const model_views& models) const {
+    const auto rank = [&](const candidate& load) {
+        const model_view& view = models.at(*load.model);
+        return std::tuple(!view.has_waiting, view.usable,
+                          load.held >= view.least, load.runs > 0,
+                          load.other_models, load.held, load.runs);
+    };
+    auto best = candidates.end();
+    for (auto at = candidates.begin(); at != candidates.end(); ++at) {
+        if (may_load(*at, models.at(*at->model)) &&
+            (best == candidates.end() || rank(*at) < rank(*best))) {
+            best = at;
+        }
+    }
+    return best;
+}
+
+version_order version_roller::make_order(const candidate& load,
+                                         steady_time now) {
+    upstream_progress& progress = *load.progress;
+    progress.current =
+        version_order{.upstream = progress.entry.id,
+                      .model = *load.model,
+                      .version = wanted_.at(*load.model),
+                      .holder = options_.holder,
+                      .fencing = *term_,
+                      .expected_orders = progress.accepted_orders};
+    progress.is_accepted = false;
+    progress.busy_until = now + options_.load_time;
+    return *progress.current;
 }
 
 std::size_t version_roller::loading_limit() const {
@@ -188,62 +261,37 @@
     }
     finish_loads(now);
     last_advance_ = now;
-    struct candidate {
-        /// Engines that open jobs can't use come first, then the oldest
-        /// versions, then those with less work.
-        std::tuple<bool, weight_version, std::size_t> rank;
-        upstream_progress* progress = nullptr;
-        std::string model;
-    };
-    auto models = view_models();
     std::size_t loading = 0;
-    std::vector<candidate> ready;
-    for (auto& [id, progress] : upstreams_) {
+    for (const auto& [id, progress] : upstreams_) {
         loading += progress.current ? 1 : 0;
-        if (progress.current || progress.not_before > now ||
-            progress.entry.is_draining || progress.is_load_asked) {
-            continue;
-        }
-        const auto model = outdated_model(progress, models, now);
-        if (!model) {
-            continue;
-        }
-        if (progress.is_load_wanted) {
-            progress.is_load_asked = true;
-            commands.load_requests.push_back(id);
-            continue;
-        }
-        const weight_version held = progress.entry.versions.at(*model);
-        ready.push_back({.rank = {held >= models.at(*model).least, held,
-                                  work_.runs_on(id, *model)},
-                         .progress = &progress,
-                         .model = *model});
     }
-    std::stable_sort(ready.begin(), ready.end(),
-                     [](const candidate& left, const candidate& right) {
-                         return left.rank < right.rank;
-                     });
-    for (const candidate& next : ready) {
-        if (loading >= loading_limit()) {
+    const std::size_t limit = loading_limit();
+    if (loading >= limit) {
+        return commands;
+    }
+    model_views models = view_models(now);
+    std::vector<candidate> candidates = find_candidates(models, now);
+    while (loading < limit) {
+        const auto next = choose(candidates, models);
+        if (next == candidates.end()) {
             break;
         }
-        upstream_progress& progress = *next.progress;
-        // Orders of this round may have spread the version enough.
-        models = view_models();
-        if (!outdated_model(progress, models, now)) {
-            continue;
-        }
-        progress.current =
-            version_order{.upstream = progress.entry.id,
-                          .model = next.model,
-                          .version = wanted_.at(next.model),
-                          .holder = options_.holder,
-                          .fencing = *term_,
-                          .expected_orders = progress.accepted_orders};
-        progress.is_accepted = false;
-        progress.busy_until = now + options_.load_time;
-        commands.orders.push_back(*progress.current);
+        const candidate load = *next;
+        model_view& view = models.at(*load.model);
+        view.usable += load.held < view.least ? 1 : 0;
+        ++view.current;
         ++loading;
+        if (load.progress->is_load_wanted) {
+            // Counts as a load, so that no more engines are asked than may
+            // load.
+            load.progress->is_load_asked = true;
+            commands.load_requests.push_back(load.progress->entry.id);
+        } else {
+            commands.orders.push_back(make_order(load, now));
+        }
+        std::erase_if(candidates, [&](const candidate& other) {
+            return other.progress == load.progress;
+        });
     }
     return commands;
 }
--- a/servers/versions/version_roller.hpp
+++ b/servers/versions/version_roller.hpp
@@ -26,7 +26,8 @@
     std::chrono::milliseconds confirm_time{4'000};
     /// Pause before an order that failed is tried again.
     std::chrono::milliseconds retry_pause{300};
-    /// Share of the engines that get a version although they are busy.
+    /// Share of the engines that get a version although they are busy, where
+    /// one model is served; with more models each gets its part of the engines.
     double prompt_share = 0.5;
 };
 
@@ -61,6 +62,12 @@
 /// idle, or when an open job doesn't allow their version any more. A bounded
 /// share loads at a time.
 ///
+/// Several models on the same engines would need more loads than that share
+/// allows, and a model at the end of the queue would have no engine at all. So
+/// each model's version goes to its part of the engines only, to more of them
+/// only while its items wait, and the model with the fewest engines that its
+/// jobs can use loads next, on an engine that serves few other models.
+///
 /// Orders are absolute and carry the number of orders accepted before, so one
 /// that is carried out late fails. Not thread safe; deterministic.
 class version_roller {
@@ -116,16 +123,42 @@
         weight_version wanted = 0;
         weight_version least = 0;
         bool has_waiting = false;
-        /// Enough engines hold the wanted version, or are on the way.
-        bool is_spread = false;
+        /// Engines that serve the model.
+        std::size_t engines = 0;
+        /// Those that hold the wanted version, or are on the way to it.
+        std::size_t current = 0;
+        /// Those whose version all open jobs allow, or soon will.
+        std::size_t usable = 0;
+    };
+    using model_views = std::map<std::string, model_view>;
+
+    /// A load that may be ordered.
+    struct candidate {
+        upstream_progress* progress = nullptr;
+        const std::string* model = nullptr;
+        weight_version held = 0;
+        std::size_t runs = 0;
+        /// Other models whose jobs can use the engine.
+        std::size_t other_models = 0;
     };
 
-    [[nodiscard]] std::map<std::string, model_view> view_models() const;
-    /// A model whose version an order may change now.
-    [[nodiscard]] std::optional<std::string>
-    outdated_model(const upstream_progress& progress,
-                   const std::map<std::string, model_view>& models,
-                   steady_time now) const;
+    [[nodiscard]] model_views view_models(steady_time now) const;
+    [[nodiscard]] bool is_on_the_way(const upstream_progress& progress,
+                                     const std::string& model,
+                                     weight_version wanted,
+                                     steady_time now) const;
+    /// Engines of a model that may load although they are busy, and idle ones.
+    [[nodiscard]] std::size_t busy_target(const model_view& view) const;
+    [[nodiscard]] std::size_t idle_target(const model_view& view) const;
+    [[nodiscard]] bool may_load(const candidate& load,
+                                const model_view& view) const;
+    [[nodiscard]] std::vector<candidate>
+    find_candidates(const model_views& models, steady_time now);
+    /// The candidate that is ordered next, or the end.
+    [[nodiscard]] std::vector<candidate>::iterator
+    choose(std::vector<candidate>& candidates, const model_views& models) const;
+    [[nodiscard]] version_order make_order(const candidate& load,
+                                           steady_time now);
     [[nodiscard]] std::size_t loading_limit() const;
     void finish_loads(steady_time now);
 
@@ -134,6 +167,8 @@
     std::optional<fencing_number> term_;
     std::map<std::string, weight_version> wanted_;
     std::map<upstream_id, upstream_progress> upstreams_;
+    /// Models that the engines serve.
+    std::size_t models_ = 1;
     steady_time last_advance_{};
 };
 
--- a/tests/servers/versions/version_roller_test.cpp
+++ b/tests/servers/versions/version_roller_test.cpp
@@ -227,3 +227,158 @@
         now += 250ms;
     }
 }
+
+namespace {
+
+/// Work on engines that serve several models.
+class work_by_model final : public engine_work {
+public:
+    std::size_t runs_on(const upstream_id& upstream,
+                        const std::string& model) const override {
+        const auto found = runs.find({upstream, model});
+        return found == runs.end() ? 0 : found->second;
+    }
+    weight_version least_version(const std::string& model) const override {
+        const auto found = least.find(model);
+        return found == least.end() ? 0 : found->second;
+    }
+    bool has_waiting(const std::string& model) const override {
+        return waiting.contains(model);
+    }
+
+    std::map<std::pair<upstream_id, std::string>, std::size_t> runs;
+    std::map<std::string, weight_version> least;
+    std::set<std::string> waiting;
+};
+
+/// Four trainers on 45 engines, as on the larger of today's sites.
+class several_models_test : public ::testing::Test {
+public:
+    several_models_test()
+        : roller({.holder = "n1"}, work) {
+        for (int at = 0; at < 45; ++at) {
+            engines.push_back(
+                {.id = upstream_id("e" + std::to_string(at)),
+                 .versions = {{"a", 1}, {"b", 1}, {"c", 1}, {"d", 1}}});
+        }
+        roller.on_term(7);
+        roller.on_upstreams(engines, now);
+    }
+
+    /// Orders, accepts and shows one wave of loads. Returns the orders.
+    std::vector<version_order> load_wave() {
+        std::vector<version_order> wave;
+        while (true) {
+            const auto commands = roller.advance(now);
+            for (const upstream_id& upstream : commands.load_requests) {
+                roller.on_load(
+                    upstream,
+                    upstream_load{.accepted_orders = accepted[upstream]}, now);
+            }
+            for (const version_order& order : commands.orders) {
+                ++accepted[order.upstream];
+                roller.on_answer(order, order_answer::accepted, now);
+                wave.push_back(order);
+            }
+            if (commands.load_requests.empty() && commands.orders.empty()) {
+                break;
+            }
+        }
+        now += 1s;
+        for (const version_order& order : wave) {
+            for (upstream_entry& engine : engines) {
+                if (engine.id == order.upstream) {
+                    engine.versions[order.model] = order.version;
+                }
+            }
+        }
+        roller.on_upstreams(engines, now);
+        return wave;
+    }
+
+    std::size_t usable(const std::string& model) const {
+        std::size_t count = 0;
+        for (const upstream_entry& engine : engines) {
+            count += engine.versions.at(model) >= work.least_version(model);
+        }
+        return count;
+    }
+
+    steady_time now{1h};
+    work_by_model work;
+    std::vector<upstream_entry> engines;
+    std::map<upstream_id, std::uint64_t> accepted;
+    version_roller roller;
+};
+
+} // namespace
+
+// On a grown site the model whose name sorts last had no engine that its job
+// could use for nine seconds: the others' loads took all places.
+TEST_F(several_models_test,
+       burst_of_versions_gives_each_model_engines_at_once) {
+    for (const std::string model : {"a", "b", "c", "d"}) {
+        roller.on_wanted(model, 3);
+        work.least[model] = 2;
+        work.waiting.insert(model);
+    }
+    const auto wave = load_wave();
+    EXPECT_EQ(wave.size(), 9U);
+    for (const std::string model : {"a", "b", "c", "d"}) {
+        EXPECT_GE(usable(model), 2U) << model;
+    }
+    load_wave();
+    load_wave();
+    for (const std::string model : {"a", "b", "c", "d"}) {
+        EXPECT_GE(usable(model), 6U) << model;
+    }
+}
+
+TEST_F(several_models_test, version_loads_on_its_part_of_the_engines) {
+    std::size_t loads = 0;
+    for (weight_version version = 2; version < 8; ++version) {
+        for (const std::string model : {"a", "b", "c", "d"}) {
+            roller.on_wanted(model, version);
+            work.least[model] = version - 1;
+            for (auto wave = load_wave(); !wave.empty(); wave = load_wave()) {
+                loads += wave.size();
+                for (const version_order& order : wave) {
+                    EXPECT_EQ(order.model, model);
+                }
+            }
+            // Its new job finds the engines of this version and the last.
+            EXPECT_GE(usable(model), version == 2 ? 45U : 22U);
+        }
+    }
+    // 45 engines for four models: 12 a version, rounded up.
+    EXPECT_EQ(loads, 6U * 4U * 12U);
+}
+
+TEST_F(several_models_test, engines_serve_as_few_models_as_possible) {
+    for (weight_version version = 2; version < 5; ++version) {
+        for (const std::string model : {"a", "b", "c", "d"}) {
+            roller.on_wanted(model, version);
+            work.least[model] = version - 1;
+            while (!load_wave().empty()) {
+            }
+        }
+    }
+    for (const upstream_entry& engine : engines) {
+        std::size_t models = 0;
+        for (const auto& [model, version] : engine.versions) {
+            models += version >= work.least_version(model) ? 1 : 0;
+        }
+        EXPECT_LE(models, 3U) << engine.id.text();
+    }
+}
+
+TEST_F(several_models_test, waiting_items_get_more_engines_than_the_part) {
+    roller.on_wanted("d", 3);
+    work.least["d"] = 3;
+    work.waiting.insert("d");
+    std::size_t loads = 0;
+    for (auto wave = load_wave(); !wave.empty(); wave = load_wave()) {
+        loads += wave.size();
+    }
+    EXPECT_EQ(loads, 45U);
+}
