Move runs off loading engines; list whole groups first

Cause: a long item takes 7.1 s of the 8.2 s in which its group earns, and a load of weights on its engine holds it up for .9 s; each result was listed by itself 220 ms after the last, 16 to 18 writes a job, although a trainer uses whole groups only.

Runs leave an engine at the order of a load if another has room. Results of open groups wait 1 s for others, those of a whole group 40 ms.

--- a/servers/batch/engine_control.cpp
+++ b/servers/batch/engine_control.cpp
@@ -32,6 +32,9 @@
 
 void engine_control::advance(steady_time now, engine_commands& out) {
     roller_commands orders = roller_.advance(now);
+    for (const version_order& order : orders.orders) {
+        planner_.on_loading(order.upstream, order.model, now, out.planner);
+    }
     std::move(orders.orders.begin(), orders.orders.end(),
               std::back_inserter(out.roller.orders));
     std::move(orders.load_requests.begin(), orders.load_requests.end(),
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -1,25 +1,15 @@
 #include "servers/batch/item_planner.hpp"
 
+#include "servers/batch/item_ranking.hpp"
+
 #include <algorithm>
-#include <limits>
 
 namespace savorydock {
 
-namespace {
-
-/// Weight of a new sample in the smoothed time of an event.
-constexpr double event_smoothing = 0.3;
-
-double to_milliseconds(steady_time::duration span) {
-    return std::chrono::duration<double, std::milli>(span).count();
-}
-
-} // namespace
-
 item_planner::item_planner(item_planner_options options,
                            run_ticket first_ticket, loading_test is_loading)
     : options_(options)
-    , is_loading_(std::move(is_loading))
+    , roster_(options.engines, std::move(is_loading))
     , next_ticket_(first_ticket) {}
 
 void item_planner::on_term(bool is_held) {
@@ -42,11 +32,7 @@
     scorings_.clear();
     to_score_.clear();
     jobs_.clear();
-    for (auto& [id, engine] : engines_) {
-        engine.running = 0;
-        engine.cache_tokens = 0;
-        engine.running_by_model.clear();
-    }
+    roster_.clear_runs();
 }
 
 void item_planner::on_job(const job_record& record,
@@ -62,16 +48,12 @@
         state.source = std::move(job);
         state.terms = terms;
         state.accepted_at = accepted_at;
-        state.items.resize(state.source->items.size());
+        take_items(state);
         for (const auto& [item, progress] : saved) {
             if (item < state.items.size() && fits(progress, state)) {
                 state.items[item].progress = progress;
             }
         }
-        rank_items(state);
-        for (std::size_t item = 0; item < state.items.size(); ++item) {
-            state.waiting.insert({state.items[item].rank, item});
-        }
     }
     if (is_new) {
         resume_carried(state);
@@ -92,6 +74,7 @@
                 }
             }
         }
+        close_item(state, item);
         state.items[item].phase = item_phase::listed;
     }
     for (const std::size_t item : state.in_commit) {
@@ -175,55 +158,28 @@
     }
 }
 
-void item_planner::rank_items(job_state& job) {
-    std::map<std::string, std::uint64_t> group_tokens;
-    for (std::size_t at = 0; at < job.items.size(); ++at) {
-        const batch_item& source = job.source->items[at];
+void item_planner::take_items(job_state& job) {
+    const std::vector<ranked_item> ranked = rank_items(*job.source);
+    job.items.resize(ranked.size());
+    for (std::size_t at = 0; at < ranked.size(); ++at) {
         item_state& item = job.items[at];
-        item.prompt_tokens = source.prompt_tokens;
-        item.expected_tokens = source.expected_tokens > 0
-                                   ? source.expected_tokens
-                                   : source.max_tokens;
-        if (source.max_tokens > 0) {
-            item.expected_tokens =
-                std::min(item.expected_tokens, source.max_tokens);
-        }
-        std::uint64_t& longest = group_tokens[source.group];
-        longest = std::max(longest, item.expected_tokens);
-    }
-    // Groups beyond those that the trainer waits for: the ones with the
-    // longest item go last. Groups at the front may be carried over from an
-    // earlier job and are always waited for.
-    std::vector<std::pair<std::uint64_t, std::string>> by_length;
-    by_length.reserve(group_tokens.size());
-    for (const auto& [group, tokens] : group_tokens) {
-        by_length.emplace_back(tokens, group);
-    }
-    std::sort(by_length.rbegin(), by_length.rend());
-    const std::size_t wanted = job.source->target_groups;
-    const std::size_t spare =
-        wanted > 0 && wanted < by_length.size() ? by_length.size() - wanted : 0;
-    std::set<std::string> late_groups;
-    for (std::size_t at = 0; at < spare; ++at) {
-        late_groups.insert(by_length[at].second);
-    }
-    std::vector<std::size_t> order(job.items.size());
-    for (std::size_t at = 0; at < order.size(); ++at) {
-        order[at] = at;
-    }
-    std::stable_sort(order.begin(), order.end(), [&](auto left, auto right) {
-        const bool is_left_late =
-            late_groups.contains(job.source->items[left].group);
-        const bool is_right_late =
-            late_groups.contains(job.source->items[right].group);
-        if (is_left_late != is_right_late) {
-            return is_right_late;
-        }
-        return job.items[left].expected_tokens >
-               job.items[right].expected_tokens;
-    });
-    for (std::size_t rank = 0; rank < order.size(); ++rank) {
-        job.items[order[rank]].rank = rank;
+        item.prompt_tokens = ranked[at].prompt_tokens;
+        item.expected_tokens = ranked[at].expected_tokens;
+        item.rank = ranked[at].rank;
+        job.waiting.insert({item.rank, at});
+        ++job.open_items[job.source->items[at].group];
+    }
+}
+
+void item_planner::close_item(job_state& job, std::size_t item) {
+    const item_phase phase = job.items[item].phase;
+    if (phase == item_phase::ready || phase == item_phase::listed) {
+        return;
+    }
+    const std::string& group = job.source->items[item].group;
+    // Items without a group are whole by themselves.
+    if (--job.open_items[group] == 0 || group.empty()) {
+        job.has_whole_group = true;
     }
 }
 
@@ -240,7 +196,7 @@
         }
         out.emplace_back(stop_run{.ticket = at->first});
         found->second.items[run.item].progress = std::move(run.progress);
-        release(run);
+        roster_.release(run.upstream, run.model, run.cache_tokens);
         at = runs_.erase(at);
     }
     std::erase_if(scorings_, [&](const auto& row) {
@@ -259,41 +215,17 @@
 void item_planner::on_upstreams(const std::vector<upstream_entry>& upstreams,
                                 const engine_terms& terms, steady_time now) {
     engine_terms_ = terms;
-    std::set<upstream_id> listed;
-    for (const upstream_entry& entry : upstreams) {
-        listed.insert(entry.id);
-        engine_state& engine = engines_[entry.id];
-        const bool is_restarted = engine.entry.started_at != entry.started_at;
-        engine.entry = entry;
-        if (is_restarted) {
-            engine.failures_in_row = 0;
-            engine.not_before = now;
-        }
-    }
-    for (auto& [id, engine] : engines_) {
-        if (!listed.contains(id)) {
-            engine.entry.is_draining = true;
-        }
-    }
-    std::erase_if(engines_, [&](const auto& row) {
-        return !listed.contains(row.first) && row.second.running == 0;
-    });
+    roster_.set_upstreams(upstreams, terms.cache_tokens, now);
 }
 
 void item_planner::measure(const run_state& run, std::uint64_t events,
                            steady_time now) {
-    const auto engine = engines_.find(run.upstream);
     // The first events include the wait for a slot and the prompt.
-    if (engine == engines_.end() || events <= run.progress.events ||
-        run.progress.events <= run.first_events) {
-        return;
+    if (events > run.progress.events &&
+        run.progress.events > run.first_events) {
+        roster_.measure(run.upstream, events - run.progress.events,
+                        now - run.last_event_at, now);
     }
-    const double sample = to_milliseconds(now - run.last_event_at) /
-                          static_cast<double>(events - run.progress.events);
-    engine->second.measured_events += events - run.progress.events;
-    double& smoothed = engine->second.event_milliseconds;
-    smoothed = smoothed == 0 ? sample
-                             : smoothed + event_smoothing * (sample - smoothed);
 }
 
 void item_planner::on_run_delta(run_delta delta, steady_time now,
@@ -313,25 +245,6 @@
     }
 }
 
-void item_planner::release(const run_state& run) {
-    const auto found = engines_.find(run.upstream);
-    if (found == engines_.end()) {
-        return;
-    }
-    engine_state& engine = found->second;
-    --engine.running;
-    engine.cache_tokens -= run.cache_tokens;
-    --engine.running_by_model[run.model];
-}
-
-void item_planner::set_aside(engine_state& engine, steady_time now) {
-    const auto factor =
-        1U << std::min<std::uint32_t>(engine.failures_in_row, 6);
-    ++engine.failures_in_row;
-    engine.not_before =
-        now + std::min(options_.first_pause * factor, options_.longest_pause);
-}
-
 void item_planner::put_back(job_state& job, std::size_t item) {
     job.items[item].phase = item_phase::waiting;
     job.waiting.insert({job.items[item].rank, item});
@@ -350,6 +263,7 @@
 }
 
 void item_planner::make_ready(job_state& job, std::size_t item) {
+    close_item(job, item);
     job.items[item].phase = item_phase::ready;
     job.ready.push_back(item);
 }
@@ -365,8 +279,7 @@
     if (!is_joined && report.end == run_end::complete) {
         report.end = run_end::interrupted;
     }
-    release(run);
-    const auto engine = engines_.find(run.upstream);
+    roster_.release(run.upstream, run.model, run.cache_tokens);
     const auto owner = jobs_.find(run.job);
     if (owner == jobs_.end()) {
         return;
@@ -380,9 +293,7 @@
         return;
     }
     if (report.end == run_end::complete) {
-        if (engine != engines_.end()) {
-            engine->second.failures_in_row = 0;
-        }
+        roster_.on_success(run.upstream);
         finish_text(job, run.item, std::move(run.progress));
         return;
     }
@@ -400,8 +311,8 @@
             make_ready(job, run.item);
             return;
         }
-    } else if (report.end != run_end::stopped && engine != engines_.end()) {
-        set_aside(engine->second, now);
+    } else if (report.end != run_end::stopped) {
+        roster_.set_aside(run.upstream, now);
     }
     put_back(job, run.item);
 }
@@ -462,7 +373,8 @@
         return;
     }
     if (end == commit_end::not_listed) {
-        job.commit_not_before = now + options_.commit_gap;
+        job.commit_not_before = now + options_.commit_retry;
+        job.has_whole_group = true;
         job.ready.insert(job.ready.begin(), job.in_commit.begin(),
                          job.in_commit.end());
         job.in_commit.clear();
@@ -499,73 +411,25 @@
     return item.prompt_tokens + item.expected_tokens;
 }
 
-void item_planner::update_typical_time() {
-    std::vector<double> times;
-    for (const auto& [id, engine] : engines_) {
-        if (engine.event_milliseconds > 0) {
-            times.push_back(engine.event_milliseconds);
-        }
-    }
-    if (times.empty()) {
-        return;
-    }
-    const auto middle =
-        times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-    std::nth_element(times.begin(), middle, times.end());
-    typical_event_milliseconds_ = *middle;
-}
-
-item_planner::engine_state* item_planner::choose_engine(const job_state& job,
-                                                        const item_state& item,
-                                                        steady_time now) {
-    engine_state* best = nullptr;
-    double best_cost = std::numeric_limits<double>::max();
-    const std::string& model = job.source->model;
-    for (auto& [id, engine] : engines_) {
-        const bool has_room =
-            engine.running < engine.entry.slots &&
-            (engine.running == 0 || engine_terms_.cache_tokens == 0 ||
-             static_cast<double>(engine.cache_tokens + cache_need(item)) <=
-                 options_.cache_share *
-                     static_cast<double>(engine_terms_.cache_tokens));
-        if (!has_room || engine.entry.is_draining || engine.not_before > now ||
-            is_loading_(id, model, now)) {
-            continue;
-        }
-        const auto version = engine.entry.versions.find(model);
-        if (version != engine.entry.versions.end() &&
-            version->second < job.source->min_version) {
-            continue;
-        }
-        const double speed = engine.event_milliseconds > 0
-                                 ? engine.event_milliseconds
-                                 : typical_event_milliseconds_;
-        // Speed decides; the share of taken slots breaks ties, and an engine
-        // that failed on the item comes last.
-        const double cost =
-            (speed > 0 ? speed : 1) *
-                (1 + 0.25 * static_cast<double>(engine.running) /
-                         static_cast<double>(engine.entry.slots)) +
-            (item.avoid.contains(id) ? 1e6 : 0);
-        if (cost < best_cost) {
-            best = &engine;
-            best_cost = cost;
-        }
-    }
-    return best;
+const rostered_engine* item_planner::choose_engine(const job_state& job,
+                                                   const item_state& item,
+                                                   steady_time now) const {
+    const engine_need need{.model = job.source->model,
+                           .min_version = job.source->min_version,
+                           .cache_tokens = cache_need(item),
+                           .avoid = item.avoid};
+    return roster_.choose(need, now);
 }
 
 void item_planner::start(job_state& job, std::size_t index,
-                         engine_state& engine, steady_time now,
+                         const rostered_engine& engine, steady_time now,
                          planner_commands& out) {
     item_state& item = job.items[index];
     const run_ticket ticket = next_ticket_++;
     const std::uint64_t need = cache_need(item);
     job.waiting.erase({item.rank, index});
     item.phase = item_phase::running;
-    ++engine.running;
-    engine.cache_tokens += need;
-    ++engine.running_by_model[job.source->model];
+    roster_.occupy(engine.entry.id, job.source->model, need);
     runs_[ticket] = {.job = job.record.id,
                      .item = index,
                      .upstream = engine.entry.id,
@@ -599,7 +463,7 @@
         }
         while (!job->waiting.empty()) {
             const std::size_t index = job->waiting.begin()->second;
-            engine_state* const engine =
+            const rostered_engine* const engine =
                 choose_engine(*job, job->items[index], now);
             if (engine == nullptr) {
                 break;
@@ -611,37 +475,70 @@
 
 void item_planner::stop_stalled(steady_time now, planner_commands& out) {
     for (auto& [ticket, run] : runs_) {
-        const auto owner = jobs_.find(run.job);
-        const auto engine = engines_.find(run.upstream);
-        if (owner == jobs_.end() || engine == engines_.end() ||
-            run.is_stopping || now < run.last_event_at + options_.stall_time) {
+        if (!jobs_.contains(run.job) || run.is_stopping ||
+            now < run.last_event_at + options_.stall_time) {
             continue;
         }
-        if (is_loading_(run.upstream, owner->second.source->model, now)) {
+        if (roster_.is_loading(run.upstream, run.model, now)) {
             run.last_event_at = now;
             continue;
         }
         run.is_stopping = true;
-        set_aside(engine->second, now);
+        roster_.set_aside(run.upstream, now);
+        out.emplace_back(stop_run{.ticket = ticket});
+    }
+}
+
+void item_planner::on_loading(const upstream_id& upstream,
+                              const std::string& model, steady_time now,
+                              planner_commands& out) {
+    if (!has_term_ || !is_starting_ || !is_informed_) {
+        return;
+    }
+    for (auto& [ticket, run] : runs_) {
+        const auto owner = jobs_.find(run.job);
+        if (run.upstream != upstream || run.model != model || run.is_stopping ||
+            owner == jobs_.end() ||
+            choose_engine(owner->second, owner->second.items[run.item], now) ==
+                nullptr) {
+            continue;
+        }
+        run.is_stopping = true;
         out.emplace_back(stop_run{.ticket = ticket});
     }
 }
 
-bool item_planner::is_measured(const engine_state& engine) const {
-    return engine.measured_events >= options_.measured_least;
+bool item_planner::is_move_worth(const run_state& run, const item_state& item,
+                                 const rostered_engine& here,
+                                 const rostered_engine& target) const {
+    if (here.event_milliseconds <
+        options_.move_ratio * target.event_milliseconds) {
+        return false;
+    }
+    // An item that outgrew its caller's estimate has a long tail: half of what
+    // came is taken to come again.
+    const auto done = static_cast<double>(run.progress.events);
+    const double events_left =
+        std::max(static_cast<double>(item.expected_tokens) /
+                         static_cast<double>(engine_terms_.tokens_per_event) -
+                     done,
+                 done / 2);
+    const double saved =
+        events_left * (here.event_milliseconds - target.event_milliseconds);
+    return saved >= static_cast<double>(options_.move_least.count());
 }
 
 void item_planner::move_stragglers(steady_time now, planner_commands& out) {
     // The fastest engine with room, by model; looked for once a move.
-    std::map<std::string, engine_state*> targets;
+    std::map<std::string, const rostered_engine*> targets;
     std::size_t moves = 0;
     for (auto& [ticket, run] : runs_) {
         const auto owner = jobs_.find(run.job);
-        const auto engine = engines_.find(run.upstream);
-        if (owner == jobs_.end() || engine == engines_.end() ||
-            run.is_stopping || !owner->second.waiting.empty() ||
+        const rostered_engine* const here = roster_.find(run.upstream);
+        if (owner == jobs_.end() || here == nullptr || run.is_stopping ||
+            !owner->second.waiting.empty() ||
             run.progress.events < run.first_events + options_.move_events ||
-            !is_measured(engine->second)) {
+            !roster_.is_measured(*here)) {
             continue;
         }
         item_state& item = owner->second.items[run.item];
@@ -652,22 +549,9 @@
         if (is_new) {
             known->second = choose_engine(owner->second, item, now);
         }
-        const engine_state* const target = known->second;
-        const double here = engine->second.event_milliseconds;
-        if (target == nullptr || !is_measured(*target) ||
-            here < options_.move_ratio * target->event_milliseconds) {
-            continue;
-        }
-        // An item that outgrew its caller's estimate has a long tail: half of
-        // what came is taken to come again.
-        const auto done = static_cast<double>(run.progress.events);
-        const double events_left = std::max(
-            static_cast<double>(item.expected_tokens) /
-                    static_cast<double>(engine_terms_.tokens_per_event) -
-                done,
-            done / 2);
-        const double saved = events_left * (here - target->event_milliseconds);
-        if (saved < static_cast<double>(options_.move_least.count())) {
+        const rostered_engine* const target = known->second;
+        if (target == nullptr || !roster_.is_measured(*target) ||
+            !is_move_worth(run, item, *here, *target)) {
             continue;
         }
         ++item.moves;
@@ -741,20 +625,29 @@
     }
 }
 
+steady_time item_planner::commit_due(const job_state& job) const {
+    const bool is_last =
+        job.next_position + job.ready.size() >= job.items.size();
+    if (is_last || !is_starting_) {
+        return job.commit_not_before;
+    }
+    const steady_time due =
+        job.last_commit +
+        (job.has_whole_group ? options_.whole_group_gap : options_.commit_gap);
+    return std::max(due, job.commit_not_before);
+}
+
 void item_planner::commit_ready(steady_time now, planner_commands& out) {
     if (!has_term_) {
         return;
     }
     for (auto& [id, job] : jobs_) {
         if (job.ready.empty() || job.is_committing || !job.is_confirmed ||
-            now < job.commit_not_before) {
+            now < commit_due(job)) {
             continue;
         }
         const bool is_last =
             job.next_position + job.ready.size() >= job.items.size();
-        if (!is_last && now < job.last_commit + options_.commit_gap) {
-            continue;
-        }
         commit_results commit{.job = id,
                               .number = ++job.commit_number,
                               .first_position = job.next_position,
@@ -770,6 +663,7 @@
         }
         job.in_commit = std::move(job.ready);
         job.ready.clear();
+        job.has_whole_group = false;
         job.is_committing = true;
         out.emplace_back(std::move(commit));
     }
@@ -780,7 +674,7 @@
     place_items(now, out);
     if (has_term_ && is_starting_ && now >= next_check_) {
         next_check_ = now + options_.check_period;
-        update_typical_time();
+        roster_.review(now);
         stop_stalled(now, out);
         move_stragglers(now, out);
     }
@@ -797,8 +691,7 @@
     bool has_waiting = false;
     for (const auto& [id, job] : jobs_) {
         if (!job.ready.empty() && !job.is_committing && has_term_) {
-            consider(std::max(job.last_commit + options_.commit_gap,
-                              job.commit_not_before));
+            consider(commit_due(job));
         }
         if (!job.waiting.empty()) {
             has_waiting = true;
@@ -825,16 +718,6 @@
     return ids;
 }
 
-std::size_t item_planner::runs_on(const upstream_id& upstream,
-                                  const std::string& model) const {
-    const auto engine = engines_.find(upstream);
-    if (engine == engines_.end()) {
-        return 0;
-    }
-    const auto runs = engine->second.running_by_model.find(model);
-    return runs == engine->second.running_by_model.end() ? 0 : runs->second;
-}
-
 weight_version item_planner::least_version(const std::string& model) const {
     weight_version least = 0;
     for (const auto& [id, job] : jobs_) {
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.hpp"
 #include "servers/batch/batch_job.hpp"
+#include "servers/batch/engine_roster.hpp"
 #include "servers/fleet/upstream_entry.hpp"
 
 #include <boost/describe/class.hpp>
@@ -159,16 +160,14 @@
 };
 
 struct item_planner_options {
-    /// Share of an engine's cache that planned items may fill; the rest is
-    /// for texts that come out longer than their callers expected.
-    double cache_share = 0.9;
-    /// How long an engine that refused or broke off gets no new item; doubled
-    /// with each further time in a row, up to the second figure.
-    std::chrono::milliseconds first_pause{250};
-    std::chrono::milliseconds longest_pause{4'000};
-    /// Results wait that long for others, so that one write lists them all;
-    /// readers ask about twice a second.
-    std::chrono::milliseconds commit_gap{220};
+    engine_roster_options engines;
+    /// Results wait that long for others, so that one write lists them all.
+    /// They are of no use to a trainer before their group is whole.
+    std::chrono::milliseconds commit_gap{1'000};
+    /// The same once a group is whole: some that end together share a write.
+    std::chrono::milliseconds whole_group_gap{40};
+    /// Pause before a refused commit is tried again.
+    std::chrono::milliseconds commit_retry{220};
     /// An item moves off an engine that is so many times slower than another
     /// with a free slot. A move costs some ten milliseconds: the other engine
     /// reads prompt and text anew.
@@ -177,10 +176,8 @@
     std::chrono::milliseconds move_least{300};
     std::uint32_t max_moves = 4;
     std::size_t moves_per_round = 8;
-    /// Events of a run, and of all runs on an engine, before its speed is
-    /// believed.
-    std::uint64_t move_events = 8;
-    std::uint64_t measured_least = 24;
+    /// Events of a run before it may move: what it made is worth a prompt.
+    std::uint64_t move_events = 4;
     /// A run without events for that long is taken off an engine that is not
     /// loading weights; reports come every 400 ms.
     std::chrono::milliseconds stall_time{1'000};
@@ -201,16 +198,15 @@
 /// groups and only for a share of them. So groups with the most work left go
 /// last, among the others the longest items first and onto the fastest engine
 /// with room; nothing queues at an engine that can wait here; and long items
-/// move off slow engines once slots are free.
+/// move off slow engines once slots are free, and off engines that begin to
+/// load weights, which would hold them up for a second.
 ///
 /// Not thread safe; deterministic. Inputs carry the time; commands are
 /// appended to `out`. After one or more inputs `advance` must be called, which
 /// starts, moves, gives up and lists what is due.
 class item_planner {
 public:
-    /// Whether an upstream refuses new runs of a model.
-    using loading_test = std::function<bool(
-        const upstream_id&, const std::string& model, steady_time now)>;
+    using loading_test = engine_roster::loading_test;
 
     /// Tickets count from `first_ticket`, which must differ between planners.
     item_planner(item_planner_options options, run_ticket first_ticket,
@@ -244,6 +240,11 @@
     void on_upstreams(const std::vector<upstream_entry>& upstreams,
                       const engine_terms& terms, steady_time now);
 
+    /// An upstream was ordered to load weights of a model: its runs of that
+    /// model go on elsewhere if there is room.
+    void on_loading(const upstream_id& upstream, const std::string& model,
+                    steady_time now, planner_commands& out);
+
     void on_run_delta(run_delta delta, steady_time now, planner_commands& out);
     void on_run_ended(run_report report, steady_time now);
     /// The instance that ran or scored the ticket's item is lost.
@@ -261,7 +262,9 @@
     [[nodiscard]] std::vector<job_id> jobs() const;
     /// Runs of the model on an upstream.
     [[nodiscard]] std::size_t runs_on(const upstream_id& upstream,
-                                      const std::string& model) const;
+                                      const std::string& model) const {
+        return roster_.runs_on(upstream, model);
+    }
     /// The oldest version that all open jobs of the model allow; 0: any.
     [[nodiscard]] weight_version least_version(const std::string& model) const;
     [[nodiscard]] bool has_waiting(const std::string& model) const;
@@ -305,6 +308,10 @@
         /// Waiting items by rank.
         std::set<std::pair<std::size_t, std::size_t>> waiting;
         std::vector<std::size_t> ready;
+        /// Items of a group that are neither ready nor listed.
+        std::map<std::string, std::size_t> open_items;
+        /// A group became whole since the last commit.
+        bool has_whole_group = false;
         std::size_t next_position = 0;
         bool is_committing = false;
         std::uint64_t commit_number = 0;
@@ -337,40 +344,34 @@
         bool is_whole = false;
     };
 
-    struct engine_state {
-        upstream_entry entry;
-        std::size_t running = 0;
-        std::map<std::string, std::size_t> running_by_model;
-        std::uint64_t cache_tokens = 0;
-        std::uint64_t measured_events = 0;
-        /// Smoothed time of one event; zero: not measured yet.
-        double event_milliseconds = 0;
-        steady_time not_before{};
-        std::uint32_t failures_in_row = 0;
-    };
-
     struct scoring_state {
         job_id job;
         std::size_t item = 0;
     };
 
-    void rank_items(job_state& job);
+    void take_items(job_state& job);
     void place_items(steady_time now, planner_commands& out);
-    [[nodiscard]] engine_state* choose_engine(const job_state& job,
-                                              const item_state& item,
-                                              steady_time now);
+    [[nodiscard]] const rostered_engine* choose_engine(const job_state& job,
+                                                       const item_state& item,
+                                                       steady_time now) const;
     [[nodiscard]] std::uint64_t cache_need(const item_state& item) const;
-    void start(job_state& job, std::size_t item, engine_state& engine,
+    void start(job_state& job, std::size_t item, const rostered_engine& engine,
                steady_time now, planner_commands& out);
     void move_stragglers(steady_time now, planner_commands& out);
     void give_up_expired(steady_time now);
     void score_items(planner_commands& out);
     void commit_ready(steady_time now, planner_commands& out);
+    [[nodiscard]] steady_time commit_due(const job_state& job) const;
+    void close_item(job_state& job, std::size_t item);
     void put_back(job_state& job, std::size_t item);
-    void set_aside(engine_state& engine, steady_time now);
     void finish_text(job_state& job, std::size_t item, item_progress progress);
     void make_ready(job_state& job, std::size_t item);
     void measure(const run_state& run, std::uint64_t events, steady_time now);
+    /// What an item would gain on another engine is worth a move.
+    [[nodiscard]] bool is_move_worth(const run_state& run,
+                                     const item_state& item,
+                                     const rostered_engine& here,
+                                     const rostered_engine& target) const;
     /// Appends the events; false if some before them are missing.
     [[nodiscard]] static bool append(item_progress& progress,
                                      const run_delta& delta);
@@ -380,15 +381,11 @@
     void carry(const job_state& job);
     void stop_stalled(steady_time now, planner_commands& out);
     void save_texts(steady_time now, planner_commands& out);
-    void update_typical_time();
-    [[nodiscard]] bool is_measured(const engine_state& engine) const;
-    /// Takes an ended run off its engine.
-    void release(const run_state& run);
     /// By the rank of their routes, then by the time at which they are due.
     [[nodiscard]] std::vector<job_state*> jobs_by_urgency();
 
     item_planner_options options_;
-    loading_test is_loading_;
+    engine_roster roster_;
     bool has_term_ = false;
     bool is_starting_ = true;
     bool is_informed_ = true;
@@ -396,12 +393,9 @@
     std::map<run_ticket, run_state> runs_;
     std::map<run_ticket, scoring_state> scorings_;
     std::vector<std::pair<job_id, std::size_t>> to_score_;
-    std::map<upstream_id, engine_state> engines_;
     engine_terms engine_terms_;
     std::map<item_id, carried_text> carried_;
     run_ticket next_ticket_;
-    /// Median over the engines; 0: nothing is measured yet.
-    double typical_event_milliseconds_ = 0;
     steady_time next_check_{};
     steady_time next_save_{};
 };
--- /dev/null
+++ b/servers/batch/item_ranking.cpp
@@ -0,0 +1,70 @@
+#include "servers/batch/item_ranking.hpp"
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+#include <set>
+#include <string>
+
+namespace savorydock {
+
+namespace {
+
+std::uint64_t expected_tokens(const batch_item& item) {
+    const std::uint64_t expected =
+        item.expected_tokens > 0 ? item.expected_tokens : item.max_tokens;
+    return item.max_tokens > 0 ? std::min(expected, item.max_tokens) : expected;
+}
+
+/// Groups beyond those that the trainer waits for: the ones with the longest
+/// item.
+std::set<std::string> spare_groups(const batch_job& job,
+                                   const std::vector<ranked_item>& items) {
+    std::map<std::string, std::uint64_t> longest;
+    for (std::size_t at = 0; at < items.size(); ++at) {
+        std::uint64_t& tokens = longest[job.items[at].group];
+        tokens = std::max(tokens, items[at].expected_tokens);
+    }
+    std::vector<std::pair<std::uint64_t, std::string>> by_length;
+    by_length.reserve(longest.size());
+    for (const auto& [group, tokens] : longest) {
+        by_length.emplace_back(tokens, group);
+    }
+    std::sort(by_length.rbegin(), by_length.rend());
+    const std::size_t wanted = job.target_groups;
+    const std::size_t spare =
+        wanted > 0 && wanted < by_length.size() ? by_length.size() - wanted : 0;
+    std::set<std::string> groups;
+    for (std::size_t at = 0; at < spare; ++at) {
+        groups.insert(by_length[at].second);
+    }
+    return groups;
+}
+
+} // namespace
+
+std::vector<ranked_item> rank_items(const batch_job& job) {
+    std::vector<ranked_item> items;
+    items.reserve(job.items.size());
+    for (const batch_item& source : job.items) {
+        items.push_back({.prompt_tokens = source.prompt_tokens,
+                         .expected_tokens = expected_tokens(source)});
+    }
+    const std::set<std::string> spare = spare_groups(job, items);
+    std::vector<std::size_t> order(items.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::stable_sort(order.begin(), order.end(), [&](auto left, auto right) {
+        const bool is_left_spare = spare.contains(job.items[left].group);
+        const bool is_right_spare = spare.contains(job.items[right].group);
+        if (is_left_spare != is_right_spare) {
+            return is_right_spare;
+        }
+        return items[left].expected_tokens > items[right].expected_tokens;
+    });
+    for (std::size_t rank = 0; rank < order.size(); ++rank) {
+        items[order[rank]].rank = rank;
+    }
+    return items;
+}
+
+} // namespace savorydock
