--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -42,6 +42,8 @@
     results_listed = 2214,
     results_not_listed = 2215,
     runner_lost = 2216,
+    runs_handed_over = 2217,
+    run_order_ignored = 2218,
 
     configuration_in_force = 3000,
     configuration_refused = 3001,
--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -29,6 +29,9 @@
 /// Scoring calls take at most this share of their service's slots, so that
 /// callers of the same upstreams keep the rest.
 constexpr double scoring_share = 0.5;
+/// Places of kept results that are remembered; their instances drop those of
+/// ended jobs by themselves.
+constexpr std::size_t max_kept_places = 8'192;
 
 std::string to_word(order_answer answer) {
     switch (answer) {
@@ -133,6 +136,10 @@
 void engine_driver::on_gained(const held_term& term) {
     figures_.term = term.revision;
     taken_.clear();
+    if (term.revision != last_term_) {
+        last_term_ = term.revision;
+        begin_takeover();
+    }
     decide([fencing = term.revision](engine_control& control, steady_time now,
                                      engine_commands& out) {
         control.on_term(fencing, now, out);
@@ -140,6 +147,48 @@
     on_jobs_changed();
 }
 
+void engine_driver::begin_takeover() {
+    runners_ = runner_pool({.self = options_.self});
+    kept_on_.clear();
+    released_.clear();
+    awaited_.clear();
+    decide([](engine_control& control, steady_time now, engine_commands&) {
+        control.planner().begin_adoption(now);
+    });
+    for (const auto& [instance, entry] : directory_) {
+        awaited_.insert(instance);
+    }
+    awaited_.insert(options_.self);
+    // Sent to a copy: this instance answers at once.
+    const std::set<instance_id> asked = awaited_;
+    for (const instance_id& instance : asked) {
+        send_order_to(instance, {.is_takeover = true});
+    }
+}
+
+void engine_driver::take_held(const instance_id& runner,
+                              std::vector<held_run> held) {
+    const steady_time now = std::chrono::steady_clock::now();
+    awaited_.erase(runner);
+    for (const held_run& one : held) {
+        if (one.has_ended) {
+            kept_on_[one.ticket] = runner;
+        } else {
+            runners_.adopt(one.ticket, runner, now);
+        }
+    }
+    decide([held = std::move(held), is_complete = awaited_.empty()](
+               engine_control& control, steady_time at, engine_commands& out) {
+        for (const held_run& one : held) {
+            control.planner().on_held(one, at, out.planner);
+        }
+        if (is_complete) {
+            control.planner().end_adoption();
+        }
+    });
+    watch_runners();
+}
+
 void engine_driver::on_lost(term_end reason) {
     figures_.term = 0;
     if (reason == term_end::suspended) {
@@ -242,10 +291,11 @@
             continue;
         }
         decide([record, accepted, saved, loaded = std::move(*loaded),
-                terms = terms_of(record)](engine_control& control, steady_time,
+                terms = terms_of(record)](engine_control& control,
+                                          steady_time now,
                                           engine_commands& out) {
             control.planner().on_job(record, loaded.job, terms, loaded.listed,
-                                     saved, accepted, out.planner);
+                                     saved, accepted, now, out.planner);
         });
         break;
     }
@@ -326,8 +376,9 @@
                   .address = to_text(command.address),
                   .min_version = command.min_version,
                   .is_single_version = command.is_single_version,
-                  .after_event = command.after_event,
-                  .last_version = command.last_version};
+                  .after_event = command.progress.events,
+                  .text = command.progress.text,
+                  .versions = command.progress.versions};
     for (const http_header& header : item.headers) {
         task.headers.push_back({header.name, header.value});
     }
@@ -357,11 +408,27 @@
 }
 
 void engine_driver::carry_out_one(start_scoring& command) {
-    const instance_id runner = runners_.assign(
-        command.ticket, directory_, std::chrono::steady_clock::now());
+    const steady_time now = std::chrono::steady_clock::now();
+    const auto near = kept_on_.find(command.made_by);
+    instance_id runner;
+    if (near != kept_on_.end() && directory_.contains(near->second)) {
+        // Where the text was made: few instances connect to the scorers.
+        runner = near->second;
+        runners_.adopt(command.ticket, runner, now);
+    } else {
+        runner = runners_.assign(command.ticket, directory_, now);
+    }
     orders_[runner].tasks.push_back(make_task(command));
 }
 
+void engine_driver::carry_out_one(release_run& command) {
+    const auto place = kept_on_.find(command.ticket);
+    if (place != kept_on_.end()) {
+        released_[place->second].push_back(command.ticket);
+        kept_on_.erase(place);
+    }
+}
+
 void engine_driver::carry_out_one(stop_run& command) {
     const instance_id runner = runners_.runner_of(command.ticket);
     if (!runner.is_empty()) {
@@ -373,23 +440,32 @@
     std::map<instance_id, run_order> orders;
     orders.swap(orders_);
     for (auto& [runner, order] : orders) {
-        order.service = options_.service;
-        if (runner == options_.self) {
-            host_.on_order(runner, std::move(order));
-            continue;
-        }
-        const auto entry = directory_.find(runner);
-        if (entry != directory_.end()) {
-            peers_.send({.from = options_.self,
-                         .to = runner,
-                         .topic = peer_topic::run_order,
-                         .body = wire::encode(order)},
-                        entry->second.address);
-        }
+        send_order_to(runner, std::move(order));
     }
     watch_runners();
 }
 
+void engine_driver::send_order_to(const instance_id& runner, run_order order) {
+    order.service = options_.service;
+    order.term = last_term_;
+    if (const auto done = released_.find(runner); done != released_.end()) {
+        order.released = std::move(done->second);
+        released_.erase(done);
+    }
+    if (runner == options_.self) {
+        host_.on_order(runner, std::move(order));
+        return;
+    }
+    const auto entry = directory_.find(runner);
+    if (entry != directory_.end()) {
+        peers_.send({.from = options_.self,
+                     .to = runner,
+                     .topic = peer_topic::run_order,
+                     .body = wire::encode(order)},
+                    entry->second.address);
+    }
+}
+
 void engine_driver::watch_runners() {
     if (is_runner_timed_ || runners_.busy_runners().empty()) {
         return;
@@ -416,17 +492,35 @@
         for (const instance_id& runner : runners_.busy_runners()) {
             orders_[runner];
         }
+        for (const auto& [runner, tickets] : released_) {
+            orders_[runner];
+        }
         send_orders();
     });
 }
 
 void engine_driver::on_news(const instance_id& runner, run_news news) {
     const steady_time now = std::chrono::steady_clock::now();
+    if (news.takeover_term != 0) {
+        if (news.takeover_term == last_term_ && term_.term()) {
+            take_held(runner, std::move(news.held));
+        }
+        return;
+    }
+    if (kept_on_.size() > max_kept_places) {
+        kept_on_.clear();
+    }
     for (const run_report& end : news.ends) {
         runners_.on_ended(end.ticket);
+        if (end.end == run_end::complete) {
+            kept_on_[end.ticket] = runner;
+        }
     }
     for (const score_news& score : news.scores) {
         runners_.on_ended(score.ticket);
+        if (score.has_score) {
+            kept_on_[score.ticket] = runner;
+        }
     }
     std::vector<run_ticket> missing;
     if (!news.active.empty()) {
@@ -493,8 +587,8 @@
                    " term=" + (term ? std::to_string(term->revision) : "none") +
                    (end == commit_end::superseded ? " reason=superseded" : ""));
     decide([job, number, end](engine_control& control, steady_time now,
-                              engine_commands&) {
-        control.planner().on_committed(job, number, end, now);
+                              engine_commands& out) {
+        control.planner().on_committed(job, number, end, now, out.planner);
     });
     if (end == commit_end::superseded) {
         co_await pause(context_, load_pause);
@@ -561,11 +655,12 @@
     decide([](engine_control& control, steady_time, engine_commands&) {
         control.planner().stop_starting();
     });
+    // Runs go on under the next planner, so only what is ready is listed.
     const steady_time end = std::chrono::steady_clock::now() + time;
-    while ((runners_.assigned() > 0 || commits_in_progress_ > 0) &&
-           std::chrono::steady_clock::now() < end) {
+    do {
         co_await pause(context_, drain_check);
-    }
+    } while (commits_in_progress_ > 0 &&
+             std::chrono::steady_clock::now() < end);
     co_await term_.retire();
 }
 
--- a/drivers/batch/engine_driver.hpp
+++ b/drivers/batch/engine_driver.hpp
@@ -64,8 +64,8 @@
     /// An instance that runs items for this planner told what came.
     void on_news(const instance_id& runner, run_news news);
 
-    /// Starts nothing new, lets runs finish for at most `time` and then gives
-    /// the term up.
+    /// Starts nothing new, lists what is ready for at most `time` and then
+    /// gives the term up. Runs go on for the next planner.
     boost::asio::awaitable<void> drain(std::chrono::milliseconds time);
 
     [[nodiscard]] engine_figures figures() const;
@@ -78,11 +78,16 @@
     void carry_out(engine_commands commands);
     void carry_out_one(start_run& command);
     void carry_out_one(stop_run& command);
+    void carry_out_one(release_run& command);
     void carry_out_one(start_scoring& command);
     void carry_out_one(commit_results& command);
     void carry_out_one(save_progress& command);
     void send_orders();
+    void send_order_to(const instance_id& runner, run_order order);
     void watch_runners();
+    /// Asks all instances for what they hold of an earlier planner's runs.
+    void begin_takeover();
+    void take_held(const instance_id& runner, std::vector<held_run> held);
     [[nodiscard]] run_task make_task(const start_run& command) const;
     [[nodiscard]] run_task make_task(const start_scoring& command) const;
     void wake_at(std::optional<steady_time> time);
@@ -115,6 +120,14 @@
     runner_pool runners_;
     /// Orders to runners that are gathered during one step.
     std::map<instance_id, run_order> orders_;
+    /// Where whole texts and scores are kept until they are listed.
+    std::map<run_ticket, instance_id> kept_on_;
+    /// What may be dropped, until there is an order to send it with.
+    std::map<instance_id, std::vector<run_ticket>> released_;
+    /// The term that runs were taken over for last.
+    store_revision last_term_ = 0;
+    /// Instances that have not told yet what they hold.
+    std::set<instance_id> awaited_;
     scope_term term_;
     /// Touched on the control thread only.
     engine_control control_;
--- a/drivers/batch/item_runner.cpp
+++ b/drivers/batch/item_runner.cpp
@@ -69,25 +69,23 @@
         if (!event.number) {
             return std::nullopt;
         }
-        if (*event.number != record_.events + 1) {
+        item_progress& whole = record_.whole;
+        if (*event.number != whole.events + 1) {
             return run_end::interrupted;
         }
         if (version_ < min_version_) {
             return run_end::wrong_version;
         }
-        if (record_.last_version != version_) {
-            if (is_single_version_ && record_.last_version != 0) {
+        if (whole.versions.empty() || whole.versions.back() != version_) {
+            if (is_single_version_ && !whole.versions.empty()) {
                 // The text can't be finished under one version any more.
                 return run_end::wrong_version;
             }
-            record_.last_version = version_;
+            whole.versions.push_back(version_);
         }
-        if (record_.versions.empty() || record_.versions.back() != version_) {
-            record_.versions.push_back(version_);
-        }
-        record_.text += record_.events == record_.base_events ? "" : "\n";
-        record_.text += event.data;
-        record_.events = *event.number;
+        whole.text += whole.events == 0 ? "" : "\n";
+        whole.text += event.data;
+        whole.events = *event.number;
         return std::nullopt;
     }
 
@@ -121,8 +119,8 @@
 asio::awaitable<run_end> item_runner::run(std::shared_ptr<const run_task> task,
                                           std::shared_ptr<run_record> record) {
     platform::forwarded_marks marks{.upstream = task->upstream};
-    if (record->events > 0) {
-        marks.last_event = record->events;
+    if (record->whole.events > 0) {
+        marks.last_event = record->whole.events;
     }
     const auto address = parse_endpoint(task->address);
     if (!address) {
@@ -170,15 +168,30 @@
                                        : run_end::interrupted;
 }
 
+run_record run_record::behind(item_progress text) {
+    run_record record{.whole = std::move(text)};
+    record.reported_events = record.whole.events;
+    record.reported_bytes = record.whole.text.size();
+    record.reported_versions = record.whole.versions.size();
+    return record;
+}
+
 run_delta run_record::take_delta(run_ticket ticket) {
     run_delta delta{.ticket = ticket,
-                    .base_events = base_events,
-                    .events = events,
-                    .text = std::move(text),
-                    .versions = std::move(versions)};
-    base_events = events;
-    text.clear();
-    versions.clear();
+                    .base_events = reported_events,
+                    .events = whole.events};
+    if (whole.events > reported_events) {
+        // A line feed stands between the events of two reports.
+        const std::size_t begin = reported_events == 0 ? 0 : reported_bytes + 1;
+        delta.text = whole.text.substr(begin);
+        delta.versions.assign(
+            whole.versions.begin() +
+                static_cast<std::ptrdiff_t>(reported_versions),
+            whole.versions.end());
+    }
+    reported_events = whole.events;
+    reported_bytes = whole.text.size();
+    reported_versions = whole.versions.size();
     return delta;
 }
 
--- a/drivers/batch/item_runner.hpp
+++ b/drivers/batch/item_runner.hpp
@@ -15,18 +15,20 @@
 
 namespace savorydock {
 
-/// What a run has made since its last report, kept where it outlives the
-/// cancelled run.
+/// What a run has made, kept where it outlives the cancelled run.
 struct run_record {
-    std::uint64_t base_events = 0;
-    std::uint64_t events = 0;
-    std::string text;
-    std::vector<weight_version> versions;
-    weight_version last_version = 0;
+    /// The whole text from the first event on.
+    item_progress whole;
+    /// What was reported of it: events, bytes and the number of versions.
+    std::uint64_t reported_events = 0;
+    std::size_t reported_bytes = 0;
+    std::size_t reported_versions = 0;
     /// Somebody asked for the end.
     bool is_stopped = false;
 
-    /// Takes what is new out of the record.
+    /// The record of a run that goes on behind a text.
+    static run_record behind(item_progress text);
+    /// What is new since the last report.
     [[nodiscard]] run_delta take_delta(run_ticket ticket);
 };
 
--- a/drivers/batch/run_host.cpp
+++ b/drivers/batch/run_host.cpp
@@ -11,9 +11,15 @@
 
 /// How often planners hear of new events.
 constexpr std::chrono::milliseconds report_period{400};
-/// Planners say at least twice a second that they live; runs of one that is
-/// silent for that long are stopped, since another planner starts them anew.
-constexpr std::chrono::milliseconds planner_silence{2'500};
+/// Planners say at least twice a second that they live. The next one takes the
+/// runs of a silent one over: its lease of 3 s runs out first, and the term is
+/// claimed within a second. What nobody takes over by then is stopped.
+constexpr std::chrono::milliseconds planner_silence{5'000};
+/// Results are kept until they are listed, or so long: the next planner asks
+/// within seconds.
+constexpr std::chrono::milliseconds keep_time{20'000};
+/// At some 10 KB each, a tenth of the smallest machine's memory.
+constexpr std::size_t max_kept = 1'500;
 
 std::string to_word(run_end end) {
     switch (end) {
@@ -50,7 +56,24 @@
 
 void run_host::on_order(const instance_id& planner, run_order order) {
     const planner_key key{planner, order.service};
-    heard_at_[key] = std::chrono::steady_clock::now();
+    store_revision& term = terms_[order.service];
+    if (order.term < term) {
+        log_.write(log_event::run_order_ignored,
+                   "planner=" + planner.text() +
+                       " term=" + std::to_string(order.term) +
+                       " newest=" + std::to_string(term));
+        return;
+    }
+    term = order.term;
+    const steady_time now = std::chrono::steady_clock::now();
+    heard_at_[key] = now;
+    for (const run_ticket ticket : order.released) {
+        kept_.erase(ticket);
+    }
+    if (order.is_takeover) {
+        drop_old_results(now);
+        hand_over(key, order.term);
+    }
     for (const run_ticket ticket : order.stopped) {
         stop(ticket);
     }
@@ -59,6 +82,76 @@
     }
 }
 
+void run_host::hand_over(const planner_key& planner, store_revision term) {
+    run_news news{.service = planner.second, .takeover_term = term};
+    std::vector<run_ticket> scorings;
+    for (const auto& [ticket, run] : runs_) {
+        if (run->service != planner.second || run->record->is_stopped) {
+            continue;
+        }
+        if (run->task->is_scoring) {
+            scorings.push_back(ticket);
+            continue;
+        }
+        run->planner = planner.first;
+        const item_progress& whole = run->record->whole;
+        news.held.push_back({.ticket = ticket,
+                             .job = run->task->job,
+                             .id = run->task->id,
+                             .upstream = run->task->upstream,
+                             .events = whole.events,
+                             .text = whole.text,
+                             .versions = whole.versions});
+        // What was told here is not told again as a report.
+        static_cast<void>(run->record->take_delta(ticket));
+    }
+    for (const auto& [ticket, kept] : kept_) {
+        if (kept.service == planner.second) {
+            news.held.push_back(kept.result);
+        }
+    }
+    // Scoring is cheap and idempotent: the new planner starts it anew.
+    for (const run_ticket ticket : scorings) {
+        stop(ticket);
+    }
+    log_.write(log_event::runs_handed_over,
+               "planner=" + planner.first.text() +
+                   " term=" + std::to_string(term) +
+                   " held=" + std::to_string(news.held.size()));
+    report_(planner.first, std::move(news));
+}
+
+void run_host::keep(const active_run& run, held_run result) {
+    if (kept_.size() >= max_kept) {
+        kept_.erase(kept_.begin());
+    }
+    result.ticket = run.task->ticket;
+    result.job = run.task->job;
+    result.id = run.task->id;
+    result.upstream = run.task->upstream;
+    result.has_ended = true;
+    kept_[run.task->ticket] = {.service = run.service,
+                               .ended_at = std::chrono::steady_clock::now(),
+                               .result = std::move(result)};
+}
+
+void run_host::drop_old_results(steady_time now) {
+    std::erase_if(kept_, [&](const auto& row) {
+        return now > row.second.ended_at + keep_time ||
+               is_ended_(row.second.result.job);
+    });
+}
+
+void run_host::stop_all() {
+    std::vector<run_ticket> tickets;
+    for (const auto& [ticket, run] : runs_) {
+        tickets.push_back(ticket);
+    }
+    for (const run_ticket ticket : tickets) {
+        stop(ticket);
+    }
+}
+
 void run_host::refuse(const planner_key& planner, run_ticket ticket) {
     // The planner will learn of the end itself; an answer at once would make
     // it place the item again and again until then.
@@ -88,10 +181,10 @@
     auto run = std::make_shared<active_run>();
     run->planner = planner.first;
     run->service = planner.second;
-    run->record = std::make_shared<run_record>();
-    run->record->base_events = task.after_event;
-    run->record->events = task.after_event;
-    run->record->last_version = task.last_version;
+    run->record = std::make_shared<run_record>(
+        run_record::behind({.text = std::move(task.text),
+                            .events = task.after_event,
+                            .versions = std::move(task.versions)}));
     run->task = std::make_shared<const run_task>(std::move(task));
     if (!runs_.emplace(run->task->ticket, run).second) {
         return;
@@ -128,7 +221,12 @@
                    "item=" + run->task->id + " job=" + run->task->job.text() +
                        " upstream=" + run->task->upstream.text() +
                        " end=" + to_word(end) +
-                       " events=" + std::to_string(run->record->events));
+                       " events=" + std::to_string(run->record->whole.events));
+    } else {
+        const item_progress& whole = run->record->whole;
+        keep(*run, {.events = whole.events,
+                    .text = whole.text,
+                    .versions = whole.versions});
     }
     run_news news{.service = run->service};
     news.ends.push_back({.ticket = run->task->ticket,
@@ -151,6 +249,9 @@
                            "job=" + run->task->job.text() +
                                " scoring=" + run->task->id +
                                " scored=" + (score ? "yes" : "no"));
+                if (score) {
+                    keep(*run, {.is_scoring = true, .score = *score});
+                }
                 run_news news{.service = run->service};
                 news.scores.push_back({.ticket = run->task->ticket,
                                        .has_score = score.has_value(),
@@ -179,7 +280,9 @@
     timer_.async_wait([this](const boost::system::error_code& error) {
         is_timed_ = false;
         if (!error) {
-            stop_orphans(std::chrono::steady_clock::now());
+            const steady_time now = std::chrono::steady_clock::now();
+            stop_orphans(now);
+            drop_old_results(now);
             report_events();
             time_reports();
         }
@@ -192,7 +295,7 @@
         run_news& news = all[{run->planner, run->service}];
         news.service = run->service;
         news.active.push_back(ticket);
-        if (run->record->events > run->record->base_events) {
+        if (run->record->whole.events > run->record->reported_events) {
             news.deltas.push_back(run->record->take_delta(ticket));
         }
     }
--- a/drivers/batch/run_host.hpp
+++ b/drivers/batch/run_host.hpp
@@ -23,8 +23,10 @@
 };
 
 /// Runs items for the planners of all services, this instance's or others', and
-/// reports what comes: new events in batches, ends at once. Runs of a planner
-/// that says nothing any more are stopped. Belongs to one traffic thread.
+/// reports what comes: new events in batches, ends at once. Runs outlive their
+/// planner: whole texts and scores are kept until they are listed, and a
+/// planner of a later term takes all over. Runs that no planner takes over are
+/// stopped. Belongs to one traffic thread.
 class run_host {
 public:
     /// Brings news to a planner.
@@ -40,6 +42,9 @@
     /// An order of a planner came.
     void on_order(const instance_id& planner, run_order order);
 
+    /// Stops all runs and reports what there is of them.
+    void stop_all();
+
     [[nodiscard]] run_figures figures() const;
 
 private:
@@ -53,8 +58,18 @@
     using run_pointer = std::shared_ptr<active_run>;
     using planner_key = std::pair<instance_id, service_name>;
 
+    /// A whole text or a score that may not be listed yet.
+    struct kept_result {
+        service_name service;
+        steady_time ended_at;
+        held_run result;
+    };
+
     void start(const planner_key& planner, run_task task);
     void stop(run_ticket ticket);
+    void hand_over(const planner_key& planner, store_revision term);
+    void keep(const active_run& run, held_run result);
+    void drop_old_results(steady_time now);
     void refuse(const planner_key& planner, run_ticket ticket);
     void start_run(const run_pointer& run);
     void start_scoring(const run_pointer& run);
@@ -70,6 +85,9 @@
     end_test is_ended_;
     logger& log_;
     std::map<run_ticket, run_pointer> runs_;
+    std::map<run_ticket, kept_result> kept_;
+    /// The newest term of a service's planner.
+    std::map<service_name, store_revision> terms_;
     std::map<planner_key, steady_time> heard_at_;
     boost::asio::steady_timer timer_;
     bool is_timed_ = false;
--- a/drivers/feed/node_registration.cpp
+++ b/drivers/feed/node_registration.cpp
@@ -72,6 +72,24 @@
     }
 }
 
+asio::awaitable<void> node_registration::announce_leaving() {
+    entry_.is_leaving = true;
+    if (lease_ == 0) {
+        co_return;
+    }
+    store_transaction transaction;
+    transaction.writes.push_back({.key = node_key(entry_.instance),
+                                  .value = encode_node_entry(entry_),
+                                  .lease = lease_});
+    const auto written = co_await store_.commit(std::move(transaction));
+    if (!written) {
+        // New runs are refused then, one by one, until the entry is gone.
+        log_.write(log_event::store_call_failed,
+                   "call=leave key=" + node_key(entry_.instance) +
+                       " reason=\"" + written.reason().detail + '"');
+    }
+}
+
 asio::awaitable<void> node_registration::retire() {
     is_retired_ = true;
     timer_.cancel();
--- a/drivers/feed/node_registration.hpp
+++ b/drivers/feed/node_registration.hpp
@@ -23,6 +23,9 @@
     /// Registers the instance until `retire`. Precondition: called once.
     boost::asio::awaitable<void> run();
 
+    /// Tells the others that the instance takes no new runs.
+    boost::asio::awaitable<void> announce_leaving();
+
     /// Takes the entry away.
     boost::asio::awaitable<void> retire();
 
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -22,6 +22,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -33,14 +34,20 @@
 namespace savorydock {
 
 namespace asio = boost::asio;
+using namespace asio::experimental::awaitable_operators;
 
 namespace {
 
 /// The platform asks once a second whether an instance is ready and takes it
 /// out after two misses; connections come until then.
 constexpr std::chrono::milliseconds rotation_time{2'700};
-/// Runs of items get that long to finish before the term is given up.
-constexpr std::chrono::milliseconds run_drain_time{1'500};
+/// Results that are ready get that long to be listed before a term is given up.
+constexpr std::chrono::milliseconds listing_time{600};
+/// Runs of items get that long to finish from the start of a drain; the rest
+/// goes on elsewhere. A mean item takes a second, the longest seven.
+constexpr std::chrono::milliseconds run_drain_time{4'000};
+/// Time for the reports of runs that were stopped to reach their planners.
+constexpr std::chrono::milliseconds report_time{150};
 /// Time kept back from the kill for the end of the process.
 constexpr std::chrono::milliseconds exit_margin{700};
 constexpr std::chrono::milliseconds drain_check{40};
@@ -92,6 +99,7 @@
     void reload_settings(std::string_view cause);
     void empty_store_machines();
     asio::awaitable<void> drain();
+    asio::awaitable<void> pause(std::chrono::milliseconds time);
     asio::awaitable<void> check_settings();
     asio::awaitable<void> write_retirement(std::string machine);
     asio::awaitable<void> answer_readiness(http_exchange& exchange);
@@ -507,29 +515,40 @@
     const steady_time begin = std::chrono::steady_clock::now();
     callers_->announce_close();
     for (const auto& [name, engine] : engines_) {
-        asio::co_spawn(context_, engine->drain(run_drain_time), asio::detached);
+        asio::co_spawn(context_, engine->drain(listing_time), asio::detached);
     }
     asio::co_spawn(context_, duty_.retire(), asio::detached);
     asio::co_spawn(context_, feed_.retire(), asio::detached);
-    asio::co_spawn(context_, registration_.retire(), asio::detached);
+    asio::co_spawn(context_, registration_.announce_leaving(), asio::detached);
     const steady_time last = begin + settings_.shutdown_grace - exit_margin;
     while (true) {
         const steady_time now = std::chrono::steady_clock::now();
         const bool is_idle = callers_->active_requests() == 0;
-        if ((is_idle && now >= begin + rotation_time) || now >= last) {
+        const bool has_runs =
+            host_.figures().active > 0 && now < begin + run_drain_time;
+        if ((is_idle && !has_runs && now >= begin + rotation_time) ||
+            now >= last) {
             callers_->stop_accepting();
+            host_.stop_all();
+            co_await pause(report_time);
+            co_await (registration_.retire() || pause(report_time));
             log_.write(log_event::drain_finished,
                        "requests_cut=" +
                            std::to_string(callers_->active_requests()));
             drained_.set_value(is_idle);
             co_return;
         }
-        asio::steady_timer timer(context_);
-        timer.expires_after(drain_check);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await pause(drain_check);
     }
 }
 
+asio::awaitable<void>
+node_instance::impl::pause(std::chrono::milliseconds time) {
+    asio::steady_timer timer(context_);
+    timer.expires_after(time);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
 void node_instance::impl::reload_settings(std::string_view cause) {
     auto text = read_text_file(settings_file_);
     if (!text) {
--- a/servers/batch/engine_roster.cpp
+++ b/servers/batch/engine_roster.cpp
@@ -114,9 +114,12 @@
     if (found == engines_.end()) {
         return;
     }
-    --found->second.running;
-    --found->second.running_by_model[model];
-    found->second.cache_tokens -= cache_tokens;
+    rostered_engine& engine = found->second;
+    std::size_t& of_model = engine.running_by_model[model];
+    // A run that was taken over may have begun before its engine was listed.
+    engine.running -= engine.running > 0 ? 1 : 0;
+    of_model -= of_model > 0 ? 1 : 0;
+    engine.cache_tokens -= std::min(engine.cache_tokens, cache_tokens);
 }
 
 void engine_roster::clear_runs() {
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -32,6 +32,7 @@
     scorings_.clear();
     to_score_.clear();
     jobs_.clear();
+    held_.clear();
     roster_.clear_runs();
 }
 
@@ -40,7 +41,8 @@
                           const job_terms& terms,
                           const std::vector<item_id>& listed,
                           const std::map<std::size_t, item_progress>& saved,
-                          steady_time accepted_at, planner_commands& out) {
+                          steady_time accepted_at, steady_time now,
+                          planner_commands& out) {
     auto [position, is_new] = jobs_.try_emplace(record.id);
     job_state& state = position->second;
     if (is_new) {
@@ -86,6 +88,98 @@
     state.is_committing = false;
     state.next_position = listed.size();
     state.is_confirmed = true;
+    adopt_held(record.id, state, now, out);
+}
+
+void item_planner::begin_adoption(steady_time now) {
+    adoption_until_ = now + options_.adoption_time;
+}
+
+void item_planner::end_adoption() {
+    adoption_until_ = {};
+}
+
+bool item_planner::is_placing(steady_time now) const {
+    return has_term_ && is_starting_ && is_informed_ && now >= adoption_until_;
+}
+
+void item_planner::on_held(held_run held, steady_time now,
+                           planner_commands& out) {
+    const job_id id = held.job;
+    held_[id].push_back(std::move(held));
+    const auto owner = jobs_.find(id);
+    if (owner != jobs_.end() && owner->second.is_confirmed) {
+        adopt_held(id, owner->second, now, out);
+    }
+}
+
+void item_planner::adopt_held(const job_id& id, job_state& job, steady_time now,
+                              planner_commands& out) {
+    const auto found = held_.find(id);
+    if (found == held_.end()) {
+        return;
+    }
+    std::vector<held_run> all = std::move(found->second);
+    held_.erase(found);
+    // Texts before scores: a score counts only for a whole text.
+    std::stable_partition(all.begin(), all.end(),
+                          [](const held_run& one) { return !one.is_scoring; });
+    std::map<std::string, std::size_t> items;
+    for (std::size_t at = 0; at < job.items.size(); ++at) {
+        const batch_item& source = job.source->items[at];
+        items[source.id.text()] = at;
+        if (source.scoring) {
+            items[source.scoring->id] = at;
+        }
+    }
+    for (held_run& one : all) {
+        const auto item = items.find(one.id);
+        if (item != items.end()) {
+            adopt_run(job, item->second, std::move(one), now, out);
+        }
+    }
+}
+
+void item_planner::adopt_run(job_state& job, std::size_t index, held_run held,
+                             steady_time now, planner_commands& out) {
+    item_state& item = job.items[index];
+    if (held.is_scoring) {
+        if (held.has_ended && item.phase == item_phase::to_score) {
+            std::erase(to_score_, std::pair(job.record.id, index));
+            item.score = std::move(held.score);
+            item.kept_by.push_back(held.ticket);
+            make_ready(job, index);
+        }
+        return;
+    }
+    item_progress progress{.text = std::move(held.text),
+                           .events = held.events,
+                           .versions = std::move(held.versions)};
+    if (item.phase != item_phase::waiting || !fits(progress, job)) {
+        if (!held.has_ended) {
+            out.emplace_back(stop_run{.ticket = held.ticket});
+        }
+        return;
+    }
+    job.waiting.erase({item.rank, index});
+    if (held.has_ended) {
+        item.kept_by.push_back(held.ticket);
+        finish_text(job, index, std::move(progress));
+        return;
+    }
+    const std::uint64_t need = cache_need(item);
+    item.phase = item_phase::running;
+    item.progress = {};
+    roster_.occupy(held.upstream, job.source->model, need);
+    const std::uint64_t events = progress.events;
+    runs_[held.ticket] = {.job = job.record.id,
+                          .item = index,
+                          .upstream = held.upstream,
+                          .model = job.source->model,
+                          .cache_tokens = need,
+                          .progress = std::move(progress),
+                          .first_events = events,
+                          .last_event_at = now};
 }
 
 bool item_planner::append(item_progress& progress, const run_delta& delta) {
@@ -294,6 +388,7 @@
     }
     if (report.end == run_end::complete) {
         roster_.on_success(run.upstream);
+        item.kept_by.push_back(report.ticket);
         finish_text(job, run.item, std::move(run.progress));
         return;
     }
@@ -354,12 +449,14 @@
     if (item.phase == item_phase::scoring) {
         item.is_lost = !report.score;
         item.score = report.score.value_or("");
+        item.kept_by.push_back(report.ticket);
         make_ready(owner->second, scoring.item);
     }
 }
 
 void item_planner::on_committed(const job_id& id, std::uint64_t number,
-                                commit_end end, steady_time now) {
+                                commit_end end, steady_time now,
+                                planner_commands& out) {
     const auto found = jobs_.find(id);
     if (found == jobs_.end() || !found->second.is_committing ||
         found->second.commit_number != number) {
@@ -382,6 +479,10 @@
     }
     for (const std::size_t item : job.in_commit) {
         job.items[item].phase = item_phase::listed;
+        for (const run_ticket ticket : job.items[item].kept_by) {
+            out.emplace_back(release_run{.ticket = ticket});
+        }
+        job.items[item].kept_by.clear();
     }
     job.next_position += job.in_commit.size();
     job.in_commit.clear();
@@ -440,21 +541,18 @@
     run_state& run = runs_[ticket];
     run.first_events = run.progress.events;
     item.progress = {};
-    out.emplace_back(start_run{
-        .ticket = ticket,
-        .job = job.source,
-        .item = index,
-        .upstream = engine.entry.id,
-        .address = engine.entry.address,
-        .min_version = job.source->min_version,
-        .is_single_version = job.terms.is_single_version,
-        .after_event = run.first_events,
-        .last_version =
-            run.progress.versions.empty() ? 0 : run.progress.versions.back()});
+    out.emplace_back(start_run{.ticket = ticket,
+                               .job = job.source,
+                               .item = index,
+                               .upstream = engine.entry.id,
+                               .address = engine.entry.address,
+                               .min_version = job.source->min_version,
+                               .is_single_version = job.terms.is_single_version,
+                               .progress = run.progress});
 }
 
 void item_planner::place_items(steady_time now, planner_commands& out) {
-    if (!has_term_ || !is_starting_ || !is_informed_) {
+    if (!is_placing(now)) {
         return;
     }
     for (job_state* const job : jobs_by_urgency()) {
@@ -492,7 +590,7 @@
 void item_planner::on_loading(const upstream_id& upstream,
                               const std::string& model, steady_time now,
                               planner_commands& out) {
-    if (!has_term_ || !is_starting_ || !is_informed_) {
+    if (!is_placing(now)) {
         return;
     }
     for (auto& [ticket, run] : runs_) {
@@ -620,8 +718,12 @@
         const run_ticket ticket = next_ticket_++;
         owner->second.items[index].phase = item_phase::scoring;
         scorings_[ticket] = {.job = id, .item = index};
-        out.emplace_back(start_scoring{
-            .ticket = ticket, .job = owner->second.source, .item = index});
+        const auto& kept_by = owner->second.items[index].kept_by;
+        out.emplace_back(
+            start_scoring{.ticket = ticket,
+                          .job = owner->second.source,
+                          .item = index,
+                          .made_by = kept_by.empty() ? 0 : kept_by.back()});
     }
 }
 
@@ -701,7 +803,7 @@
         }
     }
     if (has_term_ && is_starting_ && (has_waiting || !runs_.empty())) {
-        consider(next_check_);
+        consider(std::max(next_check_, adoption_until_));
     }
     return next;
 }
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -63,6 +63,27 @@
 BOOST_DESCRIBE_STRUCT(run_delta, (),
                       (ticket, base_events, events, text, versions))
 
+/// A run that an instance has for a planner of an earlier term, or that ended
+/// whole and is not listed as far as that instance knows.
+struct held_run {
+    run_ticket ticket = 0;
+    job_id job;
+    /// Id of the item, or of its scoring call.
+    std::string id;
+    bool is_scoring = false;
+    bool has_ended = false;
+    upstream_id upstream;
+    /// The whole text from the first event on, or what there is of it.
+    std::uint64_t events = 0;
+    std::string text;
+    std::vector<weight_version> versions;
+    /// The score of a scoring that ended.
+    std::string score;
+};
+BOOST_DESCRIBE_STRUCT(held_run, (),
+                      (ticket, job, id, is_scoring, has_ended, upstream, events,
+                       text, versions, score))
+
 struct run_report {
     run_ticket ticket = 0;
     run_end end = run_end::interrupted;
@@ -94,19 +115,25 @@
     endpoint address;
     weight_version min_version = 0;
     bool is_single_version = false;
-    /// Events that are there already, and the version that made the last.
-    std::uint64_t after_event = 0;
-    weight_version last_version = 0;
+    /// What there is already; the run goes on behind it.
+    item_progress progress;
 };
 
 struct stop_run {
     run_ticket ticket = 0;
 };
 
+/// A result is listed: its instance needs to keep it no longer.
+struct release_run {
+    run_ticket ticket = 0;
+};
+
 struct start_scoring {
     run_ticket ticket = 0;
     std::shared_ptr<const batch_job> job;
     std::size_t item = 0;
+    /// The run that made the text, if this planner saw it.
+    run_ticket made_by = 0;
 };
 
 struct commit_results {
@@ -135,8 +162,9 @@
     std::vector<saved_progress> parts;
 };
 
-using planner_command = std::variant<start_run, stop_run, start_scoring,
-                                     commit_results, save_progress>;
+using planner_command =
+    std::variant<start_run, stop_run, release_run, start_scoring,
+                 commit_results, save_progress>;
 using planner_commands = std::vector<planner_command>;
 
 /// What the planner needs to know of a job's route.
@@ -188,6 +216,9 @@
     std::size_t max_carried = 2'048;
     /// How often running items are compared for moves.
     std::chrono::milliseconds check_period{250};
+    /// How long a new planner waits for what instances hold of its
+    /// predecessor's runs: some round trips, and their texts on a slow link.
+    std::chrono::milliseconds adoption_time{350};
 };
 
 /// Decides which items of the batch jobs of one service run next, and where.
@@ -216,6 +247,14 @@
     /// nothing starts and nothing is listed, but runs in progress go on.
     void on_term(bool is_held);
 
+    /// A term follows another planner's: until all instances have told what
+    /// they hold (`end_adoption`), or the time for it is over, nothing starts.
+    void begin_adoption(steady_time now);
+    void end_adoption();
+    /// An instance holds a run. It goes on, or its text is taken, unless its
+    /// item needs neither.
+    void on_held(held_run held, steady_time now, planner_commands& out);
+
     /// Starts nothing from now on; what runs may finish and is listed.
     void stop_starting() { is_starting_ = false; }
 
@@ -232,7 +271,8 @@
     void on_job(const job_record& record, std::shared_ptr<const batch_job> job,
                 const job_terms& terms, const std::vector<item_id>& listed,
                 const std::map<std::size_t, item_progress>& saved,
-                steady_time accepted_at, planner_commands& out);
+                steady_time accepted_at, steady_time now,
+                planner_commands& out);
 
     /// The job was ended: its runs stop and nothing more is listed.
     void on_job_ended(const job_id& job, planner_commands& out);
@@ -252,7 +292,7 @@
     void on_scored(score_report report);
     /// `number` is that of the commit. A report on an older try is ignored.
     void on_committed(const job_id& job, std::uint64_t number, commit_end end,
-                      steady_time now);
+                      steady_time now, planner_commands& out);
 
     /// Does what is due: starts, moves, gives up, commits.
     void advance(steady_time now, planner_commands& out);
@@ -297,6 +337,9 @@
         /// Smaller goes first within the job.
         std::size_t rank = 0;
         std::set<upstream_id> avoid;
+        /// The run that made its text and the one that scored it, for as long
+        /// as their instances keep what they brought.
+        std::vector<run_ticket> kept_by;
     };
 
     struct job_state {
@@ -377,6 +420,11 @@
                                      const run_delta& delta);
     [[nodiscard]] static bool fits(const item_progress& progress,
                                    const job_state& job);
+    void adopt_held(const job_id& id, job_state& job, steady_time now,
+                    planner_commands& out);
+    void adopt_run(job_state& job, std::size_t item, held_run held,
+                   steady_time now, planner_commands& out);
+    [[nodiscard]] bool is_placing(steady_time now) const;
     void resume_carried(job_state& job);
     void carry(const job_state& job);
     void stop_stalled(steady_time now, planner_commands& out);
@@ -395,6 +443,9 @@
     std::vector<std::pair<job_id, std::size_t>> to_score_;
     engine_terms engine_terms_;
     std::map<item_id, carried_text> carried_;
+    /// What instances hold of jobs that are not loaded yet.
+    std::map<job_id, std::vector<held_run>> held_;
+    steady_time adoption_until_{};
     run_ticket next_ticket_;
     steady_time next_check_{};
     steady_time next_save_{};
--- a/servers/batch/run_message.hpp
+++ b/servers/batch/run_message.hpp
@@ -33,22 +33,31 @@
     std::string address;
     weight_version min_version = 0;
     bool is_single_version = false;
+    /// What there is of the text; the run goes on behind it.
     std::uint64_t after_event = 0;
-    weight_version last_version = 0;
+    std::string text;
+    std::vector<weight_version> versions;
 };
 BOOST_DESCRIBE_STRUCT(run_task, (),
                       (ticket, is_scoring, job, id, host, path, headers, body,
                        upstream, address, min_version, is_single_version,
-                       after_event, last_version))
+                       after_event, text, versions))
 
 /// From the planner of a service to an instance that runs its items. Without
 /// any task or ticket it says that the planner lives.
 struct run_order {
     service_name service;
+    /// The planner's term; orders of an older one than known are void.
+    store_revision term = 0;
+    /// The planner is new: it wants to know all that the instance holds.
+    bool is_takeover = false;
     std::vector<run_task> tasks;
     std::vector<run_ticket> stopped;
+    /// Results that are listed and need not be kept any longer.
+    std::vector<run_ticket> released;
 };
-BOOST_DESCRIBE_STRUCT(run_order, (), (service, tasks, stopped))
+BOOST_DESCRIBE_STRUCT(run_order, (),
+                      (service, term, is_takeover, tasks, stopped, released))
 
 /// How a scoring ended.
 struct score_news {
@@ -66,7 +75,12 @@
     std::vector<score_news> scores;
     /// All runs and scorings that the instance has for the planner.
     std::vector<run_ticket> active;
+    /// The answer to a takeover of that term.
+    store_revision takeover_term = 0;
+    std::vector<held_run> held;
 };
-BOOST_DESCRIBE_STRUCT(run_news, (), (service, deltas, ends, scores, active))
+BOOST_DESCRIBE_STRUCT(run_news, (),
+                      (service, deltas, ends, scores, active, takeover_term,
+                       held))
 
 } // namespace savorydock
--- a/servers/batch/runner_pool.cpp
+++ b/servers/batch/runner_pool.cpp
@@ -44,7 +44,8 @@
     std::optional<instance_id> best;
     std::uint64_t best_rank = 0;
     for (const auto& [instance, entry] : directory) {
-        if (entry.zone != wish.zone || is_paused(instance, now) ||
+        if (entry.zone != wish.zone || entry.is_leaving ||
+            is_paused(instance, now) ||
             entry.processor_share < options_.near_size * largest ||
             load_with_one_more(entry) > options_.near_share) {
             continue;
@@ -64,7 +65,7 @@
     instance_id best = options_.self;
     double best_load = std::numeric_limits<double>::max();
     for (const auto& [instance, entry] : directory) {
-        if (is_paused(instance, now)) {
+        if (entry.is_leaving || is_paused(instance, now)) {
             continue;
         }
         const double load = load_with_one_more(entry);
@@ -87,14 +88,22 @@
     if (wish) {
         near = choose_near(directory, *wish, now);
     }
-    const instance_id best = near ? *near : choose_least_loaded(directory, now);
-    assignments_[ticket] = {.runner = best, .assigned_at = now};
-    if (++loads_[best] == 1) {
-        heard_at_[best] = now;
-    }
+    instance_id best = near ? *near : choose_least_loaded(directory, now);
+    adopt(ticket, best, now);
     return best;
 }
 
+void runner_pool::adopt(run_ticket ticket, const instance_id& runner,
+                        steady_time now) {
+    const bool is_new =
+        assignments_
+            .emplace(ticket, assignment{.runner = runner, .assigned_at = now})
+            .second;
+    if (is_new && ++loads_[runner] == 1) {
+        heard_at_[runner] = now;
+    }
+}
+
 instance_id runner_pool::runner_of(run_ticket ticket) const {
     const auto found = assignments_.find(ticket);
     return found == assignments_.end() ? instance_id() : found->second.runner;
--- a/servers/batch/runner_pool.hpp
+++ b/servers/batch/runner_pool.hpp
@@ -61,6 +61,9 @@
                        steady_time now,
                        const std::optional<runner_wish>& wish = std::nullopt);
 
+    /// A runner has a ticket that another planner or choice gave it.
+    void adopt(run_ticket ticket, const instance_id& runner, steady_time now);
+
     /// The runner of a ticket, or an empty id.
     [[nodiscard]] instance_id runner_of(run_ticket ticket) const;
 
--- a/servers/feed/node_directory.cpp
+++ b/servers/feed/node_directory.cpp
@@ -14,7 +14,8 @@
     return json::serialize(
         json::object{{"zone", entry.zone.text()},
                      {"address", to_text(entry.address)},
-                     {"processor_share", entry.processor_share}});
+                     {"processor_share", entry.processor_share},
+                     {"is_leaving", entry.is_leaving}});
 }
 
 outcome<node_entry> decode_node_entry(std::string_view key,
@@ -31,13 +32,14 @@
         if (!address) {
             return address.reason();
         }
-        return node_entry{.instance = instance_id(
-                              std::string(key.substr(node_prefix.size()))),
-                          .zone = availability_zone(
-                              std::string(source.at("zone").as_string())),
-                          .address = std::move(*address),
-                          .processor_share =
-                              source.at("processor_share").to_number<double>()};
+        return node_entry{
+            .instance =
+                instance_id(std::string(key.substr(node_prefix.size()))),
+            .zone =
+                availability_zone(std::string(source.at("zone").as_string())),
+            .address = std::move(*address),
+            .processor_share = source.at("processor_share").to_number<double>(),
+            .is_leaving = source.at("is_leaving").as_bool()};
     } catch (const std::exception&) {
         return invalid;
     }
--- a/servers/feed/node_directory.hpp
+++ b/servers/feed/node_directory.hpp
@@ -19,6 +19,8 @@
     endpoint address;
     /// Share of a processor core that its machine grants.
     double processor_share = 1.0;
+    /// It finishes the runs that it has and takes no new ones.
+    bool is_leaving = false;
 };
 
 /// The prefix of the instances' keys; each vanishes with its lease.
--- a/tests/drivers/batch/run_host_test.cpp
+++ b/tests/drivers/batch/run_host_test.cpp
@@ -23,7 +23,7 @@
               [this](const job_id& job) { return job == ended; }, log) {}
 
     void order(run_ticket ticket, const std::string& job) {
-        run_order one{.service = service_name("e")};
+        run_order one{.service = service_name("e"), .term = term};
         // Nothing listens at the address: a run that starts fails at once.
         one.tasks.push_back({.ticket = ticket,
                              .job = job_id(job),
@@ -41,6 +41,7 @@
     plain_caller scorers;
     item_runner runner;
     job_id ended{"ended"};
+    store_revision term = 1;
     std::vector<run_news> news;
     run_host host;
 };
@@ -68,3 +69,43 @@
     EXPECT_EQ(news[0].ends[0].ticket, 2U);
     EXPECT_EQ(news[0].ends[0].end, run_end::stopped);
 }
+
+// Orders of a planner that was replaced still arrive while it hasn't noticed.
+TEST_F(run_host_test, order_of_an_older_term_is_ignored) {
+    term = 5;
+    order(1, "open");
+    context.run_for(50ms);
+    EXPECT_EQ(host.figures().started, 1U);
+    term = 4;
+    order(2, "open");
+    context.restart();
+    context.run_for(50ms);
+    EXPECT_EQ(host.figures().started, 1U);
+}
+
+TEST_F(run_host_test, new_planner_is_told_of_the_takeover_at_once) {
+    host.on_order(
+        instance_id("next"),
+        {.service = service_name("e"), .term = 9, .is_takeover = true});
+    ASSERT_EQ(news.size(), 1U);
+    EXPECT_EQ(news[0].takeover_term, 9U);
+    EXPECT_TRUE(news[0].held.empty());
+}
+
+TEST(run_record_test, reports_join_to_the_whole_text) {
+    run_record record =
+        run_record::behind({.text = "a\nb", .events = 2, .versions = {1}});
+    record.whole.text += "\nc";
+    record.whole.events = 3;
+    const run_delta first = record.take_delta(7);
+    EXPECT_EQ(first.base_events, 2U);
+    EXPECT_EQ(first.text, "c");
+    EXPECT_TRUE(first.versions.empty());
+    record.whole.text += "\nd";
+    record.whole.events = 4;
+    record.whole.versions.push_back(2);
+    const run_delta second = record.take_delta(7);
+    EXPECT_EQ(second.text, "d");
+    EXPECT_EQ(second.versions, std::vector<weight_version>{2});
+    EXPECT_EQ(record.take_delta(7).text, "");
+}
--- a/tests/servers/batch/item_planner_test.cpp
+++ b/tests/servers/batch/item_planner_test.cpp
@@ -71,7 +71,7 @@
                  job_terms terms = {}) {
         planner.on_job({.id = job->id,
                         .total = static_cast<std::uint32_t>(job->items.size())},
-                       job, terms, listed, saved, now, commands);
+                       job, terms, listed, saved, now, now, commands);
         step();
     }
 
@@ -199,8 +199,8 @@
     report(first[0].ticket, 0, 7, run_end::interrupted);
     const auto second = take<start_run>();
     ASSERT_EQ(second.size(), 1U);
-    EXPECT_EQ(second[0].after_event, 7U);
-    EXPECT_EQ(second[0].last_version, 1U);
+    EXPECT_EQ(second[0].progress.events, 7U);
+    EXPECT_EQ(second[0].progress.versions.back(), 1U);
     EXPECT_NE(second[0].upstream, first[0].upstream)
         << "an engine that broke off is set aside";
 }
@@ -217,7 +217,7 @@
     step();
     const auto again = take<start_run>();
     ASSERT_EQ(again.size(), 1U);
-    EXPECT_EQ(again[0].after_event, 5U);
+    EXPECT_EQ(again[0].progress.events, 5U);
     EXPECT_TRUE(take<commit_results>().empty());
 }
 
@@ -264,7 +264,7 @@
     const auto resumed = take<start_run>();
     ASSERT_EQ(resumed.size(), 1U);
     EXPECT_EQ(resumed[0].upstream, runs[1].upstream);
-    EXPECT_EQ(resumed[0].after_event, events);
+    EXPECT_EQ(resumed[0].progress.events, events);
 }
 
 TEST_F(item_planner_test, few_events_of_an_engine_move_nothing) {
@@ -299,7 +299,7 @@
     ASSERT_EQ(commits.size(), 1U);
     EXPECT_EQ(commits[0].first_position, 0U);
     planner.on_committed(job_id("j"), commits[0].number, commit_end::listed,
-                         now);
+                         now, commands);
     report(runs[1].ticket, 0, 5, run_end::complete);
     report(runs[2].ticket, 0, 5, run_end::complete);
     EXPECT_TRUE(take<commit_results>().empty());
@@ -320,7 +320,7 @@
     report(take<start_run>()[0].ticket, 0, 5, run_end::complete);
     const auto first = take<commit_results>();
     planner.on_committed(job_id("j"), first[0].number, commit_end::not_listed,
-                         now);
+                         now, commands);
     // A refusing store is asked again after a pause, also for the last
     // results (incident inc-5a0b: a try each 20 ms).
     step();
@@ -331,10 +331,11 @@
     const auto second = take<commit_results>();
     ASSERT_EQ(second.size(), 1U);
     EXPECT_EQ(second[0].first_position, 0U);
-    planner.on_committed(job_id("j"), first[0].number, commit_end::listed, now);
+    planner.on_committed(job_id("j"), first[0].number, commit_end::listed, now,
+                         commands);
     EXPECT_TRUE(planner.has_job(job_id("j")));
-    planner.on_committed(job_id("j"), second[0].number, commit_end::listed,
-                         now);
+    planner.on_committed(job_id("j"), second[0].number, commit_end::listed, now,
+                         commands);
     EXPECT_FALSE(planner.has_job(job_id("j")));
 }
 
@@ -363,7 +364,7 @@
     const auto lost = take<commit_results>();
     ASSERT_EQ(lost.size(), 1U);
     planner.on_committed(job_id("j"), lost[0].number, commit_end::superseded,
-                         now);
+                         now, commands);
     // The write took effect late after all: position 0 has the item.
     add_job(job, {job->items[runs[0].item].id});
     EXPECT_TRUE(take<commit_results>().empty());
@@ -390,7 +391,7 @@
     ASSERT_EQ(again.size(), 2U);
     std::multiset<std::uint64_t> after;
     for (const start_run& run : again) {
-        after.insert(run.after_event);
+        after.insert(run.progress.events);
     }
     EXPECT_EQ(after, (std::multiset<std::uint64_t>{0, 9}));
 }
@@ -403,14 +404,14 @@
     progress(take<start_run>()[0].ticket, 0, 9);
     planner.on_job_ended(job_id("j"), commands);
     add_job(make_job("k", 0, {{50}}, 2));
-    EXPECT_EQ(take<start_run>()[0].after_event, 0U);
+    EXPECT_EQ(take<start_run>()[0].progress.events, 0U);
 }
 
 TEST_F(item_planner_test, new_planner_goes_on_from_saved_texts) {
     give_engines(1, 1);
     add_job(make_job("j", 0, {{50}}), {},
             {{0, {.text = "a\nb", .events = 2, .versions = {1}}}});
-    EXPECT_EQ(take<start_run>()[0].after_event, 2U);
+    EXPECT_EQ(take<start_run>()[0].progress.events, 2U);
 }
 
 TEST_F(item_planner_test, long_text_is_saved_in_parts_that_join) {
@@ -478,7 +479,7 @@
     step();
     const auto again = take<start_run>();
     ASSERT_EQ(again.size(), 1U);
-    EXPECT_EQ(again[0].after_event, 6U);
+    EXPECT_EQ(again[0].progress.events, 6U);
 }
 
 // A load of weights holds a run up for a second, a long item by as much as it
@@ -496,7 +497,7 @@
     const auto second = take<start_run>();
     ASSERT_EQ(second.size(), 1U);
     EXPECT_NE(second[0].upstream, first[0].upstream);
-    EXPECT_EQ(second[0].after_event, 9U);
+    EXPECT_EQ(second[0].progress.events, 9U);
 }
 
 TEST_F(item_planner_test, run_stays_on_a_loading_engine_if_there_is_no_other) {
@@ -525,7 +526,7 @@
     auto commits = take<commit_results>();
     ASSERT_EQ(commits.size(), 1U);
     planner.on_committed(job_id("j"), commits[0].number, commit_end::listed,
-                         now);
+                         now, commands);
     now += 100ms;
     report(tickets["g1"][1], 0, 9, run_end::complete);
     EXPECT_TRUE(take<commit_results>().empty()) << "its group is open";
@@ -535,3 +536,121 @@
     ASSERT_EQ(commits.size(), 1U);
     EXPECT_EQ(commits[0].results.size(), 3U);
 }
+
+namespace {
+
+/// A planner whose term follows another one's.
+class planner_takeover_test : public item_planner_test {
+public:
+    planner_takeover_test() {
+        give_engines(2, 2);
+        planner.begin_adoption(now);
+    }
+
+    held_run held(run_ticket ticket, const batch_job& job, std::size_t item,
+                  std::uint64_t events) {
+        return {.ticket = ticket,
+                .job = job.id,
+                .id = job.items[item].id.text(),
+                .upstream = engines[0].id,
+                .events = events,
+                .text = "text",
+                .versions = {1}};
+    }
+};
+
+} // namespace
+
+// A planner's death cost its successor all texts since the last save, seconds
+// of each long item (an item of 7 s is due in 8.2).
+TEST_F(planner_takeover_test, held_run_goes_on_under_the_new_planner) {
+    const auto job = make_job("j", 0, {{50, 50}});
+    planner.on_held(held(900, *job, 1, 30), now, commands);
+    add_job(job);
+    EXPECT_TRUE(take<start_run>().empty()) << "others may hold the rest";
+    planner.end_adoption();
+    step();
+    const auto started = take<start_run>();
+    ASSERT_EQ(started.size(), 1U);
+    EXPECT_EQ(started[0].item, 0U);
+    EXPECT_EQ(planner.runs_on(engines[0].id, "m") +
+                  planner.runs_on(engines[1].id, "m"),
+              2U);
+    report(900, 30, 50, run_end::complete);
+    report(started[0].ticket, 0, 50, run_end::complete);
+    const auto commits = take<commit_results>();
+    ASSERT_FALSE(commits.empty());
+    EXPECT_EQ(commits[0].results[0].text, "text\nt");
+}
+
+TEST_F(planner_takeover_test, silent_instances_hold_a_new_planner_up_briefly) {
+    add_job(make_job("j", 0, {{50}}));
+    EXPECT_TRUE(take<start_run>().empty());
+    ASSERT_TRUE(planner.next_wakeup());
+    now = *planner.next_wakeup();
+    step();
+    EXPECT_EQ(take<start_run>().size(), 1U);
+    EXPECT_LE(now, steady_time{1h} + 500ms);
+}
+
+TEST_F(planner_takeover_test, kept_result_is_listed_without_another_run) {
+    const auto job = make_job("j", 0, {{50}}, 0, true);
+    held_run text = held(900, *job, 0, 50);
+    text.has_ended = true;
+    held_run score{.ticket = 901,
+                   .job = job->id,
+                   .id = "s",
+                   .is_scoring = true,
+                   .has_ended = true,
+                   .score = "good"};
+    // The score may be told before its text.
+    planner.on_held(score, now, commands);
+    planner.on_held(text, now, commands);
+    add_job(job);
+    planner.end_adoption();
+    step();
+    EXPECT_TRUE(take<start_run>().empty());
+    EXPECT_TRUE(take<start_scoring>().empty());
+    const auto commits = take<commit_results>();
+    ASSERT_EQ(commits.size(), 1U);
+    EXPECT_EQ(commits[0].results[0].score, "good");
+    planner.on_committed(job->id, commits[0].number, commit_end::listed, now,
+                         commands);
+    EXPECT_EQ(take<release_run>().size(), 2U);
+}
+
+TEST_F(planner_takeover_test, item_held_twice_is_run_once) {
+    const auto job = make_job("j", 0, {{50}});
+    planner.on_held(held(900, *job, 0, 30), now, commands);
+    planner.on_held(held(901, *job, 0, 20), now, commands);
+    add_job(job);
+    planner.end_adoption();
+    step();
+    EXPECT_TRUE(take<start_run>().empty());
+    const auto stopped = take<stop_run>();
+    ASSERT_EQ(stopped.size(), 1U);
+    EXPECT_EQ(stopped[0].ticket, 901U);
+}
+
+TEST_F(planner_takeover_test, held_run_of_a_listed_item_is_stopped) {
+    const auto job = make_job("j", 0, {{50, 50}});
+    add_job(job, {job->items[0].id});
+    planner.on_held(held(900, *job, 0, 30), now, commands);
+    const auto stopped = take<stop_run>();
+    ASSERT_EQ(stopped.size(), 1U);
+    EXPECT_EQ(stopped[0].ticket, 900U);
+}
+
+TEST_F(planner_takeover_test, text_under_a_version_too_old_is_made_anew) {
+    engines[1].versions["m"] = 5;
+    planner.on_upstreams(engines, {.tokens_per_event = tokens_per_event}, now);
+    const auto job = make_job("j", 0, {{50}}, 5);
+    planner.on_held(held(900, *job, 0, 30), now, commands);
+    add_job(job);
+    planner.end_adoption();
+    step();
+    EXPECT_EQ(take<stop_run>().size(), 1U);
+    const auto started = take<start_run>();
+    ASSERT_EQ(started.size(), 1U);
+    EXPECT_EQ(started[0].progress.events, 0U);
+}
