Tell planners of jobs at once; keep test ports out of the ephemeral range

Cause 1: a job reached its planner by the feeder's watch 50 to 700 ms after its acceptance, an ended one as late, while an item of 7.1 s has 8.2 s. The accepting instance now sends the record to the planner's instance; the watch stays for all that a message loses. An end that is known never opens again.

--- a/drivers/batch/job_store.cpp
+++ b/drivers/batch/job_store.cpp
@@ -69,7 +69,11 @@
         records_.erase(job);
         return;
     }
-    records_[job] = std::move(*record);
+    // Notices and watches may overtake each other; an end stands.
+    const auto known = records_.find(job);
+    if (known == records_.end() || !known->second.is_ended) {
+        records_[job] = std::move(*record);
+    }
 }
 
 asio::awaitable<accept_end> job_store::accept(job_record record,
@@ -307,6 +311,7 @@
             co_return record.reason();
         }
         if (record->is_ended) {
+            on_record(job, std::move(*record));
             co_return done{};
         }
         record->is_ended = true;
@@ -319,6 +324,7 @@
             continue;
         }
         if (std::holds_alternative<transaction_done>(*result)) {
+            on_record(job, std::move(*record));
             co_return done{};
         }
     }
--- a/drivers/batch/job_store.hpp
+++ b/drivers/batch/job_store.hpp
@@ -53,7 +53,8 @@
     /// All references must outlive the store.
     job_store(store_client& client, logger& log);
 
-    /// The record of a job changed; nothing: it is gone.
+    /// The record of a job changed; nothing: it is gone. An ended job never
+    /// opens again.
     void on_record(const job_id& job, std::optional<job_record> record);
 
     [[nodiscard]] const std::map<job_id, job_record>& records() const {
--- a/drivers/front/front_service.cpp
+++ b/drivers/front/front_service.cpp
@@ -88,14 +88,14 @@
 front_service::front_service(fleet_state& fleet, plain_caller& plain,
                              http_client& streams, job_store& jobs,
                              metrics_registry& metrics, logger& log,
-                             std::function<void()> on_jobs)
+                             job_listener on_job)
     : fleet_(fleet)
     , plain_(plain)
     , streams_(streams)
     , jobs_(jobs)
     , metrics_(metrics)
     , log_(log)
-    , on_jobs_(std::move(on_jobs)) {}
+    , on_job_(std::move(on_job)) {}
 
 asio::awaitable<void> front_service::refuse(http_exchange& exchange,
                                             const std::string& request,
@@ -360,7 +360,7 @@
     if (end == accept_end::accepted) {
         ++counters_.jobs_accepted;
         log_.write(log_event::job_accepted, detail);
-        on_jobs_();
+        tell_of(id);
         http_response response{.status = status_accepted};
         co_await exchange.respond(std::move(response));
         co_return;
@@ -378,6 +378,13 @@
     co_await exchange.respond(std::move(response));
 }
 
+void front_service::tell_of(const job_id& job) {
+    const auto record = jobs_.records().find(job);
+    if (record != jobs_.records().end()) {
+        on_job_(record->second);
+    }
+}
+
 asio::awaitable<void> front_service::handle_job_call(http_exchange& exchange,
                                                      platform::job_call call) {
     http_response response = co_await std::visit(
@@ -422,6 +429,7 @@
             : answer_failure(ended.reason());
     }
     log_.write(log_event::job_ended, "job=" + job.text());
+    tell_of(job);
     co_return make_json("{}");
 }
 
--- a/drivers/front/front_service.hpp
+++ b/drivers/front/front_service.hpp
@@ -31,11 +31,13 @@
 /// back. Belongs to one traffic thread.
 class front_service {
 public:
-    /// All references must outlive the service; `on_jobs` is called when a
-    /// job was accepted or ended here.
+    /// Takes the record of a job that was accepted or ended here.
+    using job_listener = std::function<void(const job_record&)>;
+
+    /// All references must outlive the service.
     front_service(fleet_state& fleet, plain_caller& plain, http_client& streams,
                   job_store& jobs, metrics_registry& metrics, logger& log,
-                  std::function<void()> on_jobs);
+                  job_listener on_job);
 
     /// Handles one request of a caller.
     boost::asio::awaitable<void> handle(http_exchange& exchange);
@@ -43,6 +45,7 @@
     [[nodiscard]] const front_counters& counters() const { return counters_; }
 
 private:
+    void tell_of(const job_id& job);
     boost::asio::awaitable<void> handle_job_call(http_exchange& exchange,
                                                  platform::job_call call);
     boost::asio::awaitable<http_response>
@@ -71,7 +74,7 @@
     job_store& jobs_;
     metrics_registry& metrics_;
     logger& log_;
-    std::function<void()> on_jobs_;
+    job_listener on_job_;
     front_counters counters_;
 };
 
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -94,6 +94,10 @@
     void start();
     void on_fleet();
     void on_jobs();
+    /// Tells the planner of a job's service that it was accepted or ended.
+    void tell_planner(const job_record& record);
+    void take_job_notice(const peer_message& message);
+    void send_peer(const instance_id& to, peer_topic topic, std::string body);
     void on_signal(int signal);
     void watch_signals();
     void reload_settings(std::string_view cause);
@@ -211,7 +215,7 @@
           [this](const held_term&) { empty_store_machines(); }, [](term_end) {},
           log)
     , front_(fleet_, plain_, engine_client_, jobs_, metrics_, log,
-             [this] { on_jobs(); })
+             [this](const job_record& record) { tell_planner(record); })
     , signals_(context_, SIGTERM, SIGINT, SIGHUP) {
     if (auto text = read_text_file(settings_file_)) {
         settings_text_ = std::move(*text);
@@ -341,6 +345,52 @@
     }
 }
 
+void node_instance::impl::tell_planner(const job_record& record) {
+    on_jobs();
+    const auto& keys = control_keys().values();
+    const auto term = keys.find(term_key(record.service));
+    if (term == keys.end()) {
+        return;
+    }
+    const instance_id planner = holder_of(term->second.value);
+    if (planner != settings_.instance) {
+        send_peer(planner, peer_topic::job_notice,
+                  wire::encode(job_notice{
+                      .job = record.id, .record = encode_job_record(record)}));
+    }
+}
+
+void node_instance::impl::take_job_notice(const peer_message& message) {
+    const auto notice = wire::decode<job_notice>(message.body);
+    if (!notice) {
+        log_.write(log_event::job_unreadable, "from=" + message.from.text() +
+                                                  " reason=\"" +
+                                                  notice.reason().detail + '"');
+        return;
+    }
+    auto record = decode_job_record(job_key(notice->job), notice->record);
+    if (!record) {
+        log_.write(log_event::job_unreadable, "job=" + notice->job.text() +
+                                                  " reason=\"" +
+                                                  record.reason().detail + '"');
+        return;
+    }
+    jobs_.on_record(notice->job, std::move(*record));
+    on_jobs();
+}
+
+void node_instance::impl::send_peer(const instance_id& to, peer_topic topic,
+                                    std::string body) {
+    const auto entry = directory_.find(to);
+    if (entry != directory_.end()) {
+        peers_.send({.from = settings_.instance,
+                     .to = to,
+                     .topic = topic,
+                     .body = std::move(body)},
+                    entry->second.address);
+    }
+}
+
 void node_instance::impl::on_changes(const std::vector<store_change>& changes,
                                      bool is_reread) {
     bool has_jobs = false;
@@ -431,6 +481,9 @@
         }
         break;
     }
+    case peer_topic::job_notice:
+        take_job_notice(message);
+        break;
     default:
         break;
     }
@@ -445,14 +498,7 @@
         }
         return;
     }
-    const auto entry = directory_.find(planner);
-    if (entry != directory_.end()) {
-        peers_.send({.from = settings_.instance,
-                     .to = planner,
-                     .topic = peer_topic::run_report,
-                     .body = wire::encode(news)},
-                    entry->second.address);
-    }
+    send_peer(planner, peer_topic::run_report, wire::encode(news));
 }
 
 void node_instance::impl::empty_store_machines() {
--- a/drivers/store/scope_term.cpp
+++ b/drivers/store/scope_term.cpp
@@ -13,9 +13,15 @@
 
 /// Pause after a claim that failed for the store's sake.
 constexpr std::chrono::milliseconds failed_claim_pause{200};
+/// Stands between the holder's name and its lease in a term's key.
+constexpr char holder_mark = '/';
 
 } // namespace
 
+instance_id holder_of(const std::string& value) {
+    return instance_id(value.substr(0, value.rfind(holder_mark)));
+}
+
 scope_term::scope_term(asio::io_context& context, store_client& client,
                        scope_term_options options, gained on_gained,
                        lost on_lost, logger& log)
@@ -112,7 +118,7 @@
     }
     lease_ = lease->id;
     lease_until_ = sent + lease->time_to_live - options_.safety;
-    nonce_ = options_.self.text() + '/' + std::to_string(lease_);
+    nonce_ = options_.self.text() + holder_mark + std::to_string(lease_);
     store_transaction transaction =
         make_write({.key = options_.key},
                    {.key = options_.key, .value = nonce_, .lease = lease_});
--- a/drivers/store/scope_term.hpp
+++ b/drivers/store/scope_term.hpp
@@ -47,6 +47,9 @@
     std::uint64_t seed = 1;
 };
 
+/// The instance that a term's key names as its holder. Thread safe.
+[[nodiscard]] instance_id holder_of(const std::string& value);
+
 /// Competes for one scope by a leased key in the platform's store.
 ///
 /// The term ends on the own clock before the lease can have run out, counted
--- a/servers/batch/run_message.hpp
+++ b/servers/batch/run_message.hpp
@@ -47,17 +47,26 @@
 /// any task or ticket it says that the planner lives.
 struct run_order {
     service_name service;
+    std::vector<run_task> tasks;
+    std::vector<run_ticket> stopped;
     /// The planner's term; orders of an older one than known are void.
     store_revision term = 0;
     /// The planner is new: it wants to know all that the instance holds.
     bool is_takeover = false;
-    std::vector<run_task> tasks;
-    std::vector<run_ticket> stopped;
     /// Results that are listed and need not be kept any longer.
     std::vector<run_ticket> released;
 };
 BOOST_DESCRIBE_STRUCT(run_order, (),
-                      (service, term, is_takeover, tasks, stopped, released))
+                      (service, tasks, stopped, term, is_takeover, released))
+
+/// A job was accepted or ended: told to the planner of its service at once,
+/// which otherwise hears of it from its feeder some hundred milliseconds later.
+struct job_notice {
+    job_id job;
+    /// The job's record as the store has it.
+    std::string record;
+};
+BOOST_DESCRIBE_STRUCT(job_notice, (), (job, record))
 
 /// How a scoring ended.
 struct score_news {
--- a/servers/control_server.hpp
+++ b/servers/control_server.hpp
@@ -35,6 +35,7 @@
     run_report = 12,
     store_call = 13,
     store_answer = 14,
+    job_notice = 15,
 };
 
 /// A message between two instances. `body` is a described struct of the
--- a/tests/fakes/child_process.cpp
+++ b/tests/fakes/child_process.cpp
@@ -96,13 +96,32 @@
     return std::exchange(read_, {});
 }
 
+namespace {
+
+/// Ports below the range from which the system takes those of connections
+/// (32768 on Linux), so that no connection of another test takes one between
+/// the choice and the listening.
+constexpr std::uint16_t first_port = 20'000;
+constexpr std::uint16_t port_count = 12'000;
+
+} // namespace
+
 std::uint16_t find_free_port() {
-    boost::asio::io_context context;
-    return boost::asio::ip::tcp::acceptor(
-               context,
-               {boost::asio::ip::address_v4::loopback(), std::uint16_t{0}})
-        .local_endpoint()
-        .port();
+    // Processes begin at different ports; one process never repeats itself.
+    static std::uint32_t next = static_cast<std::uint32_t>(getpid()) * 37U;
+    for (std::uint32_t tries = 0; tries < port_count; ++tries) {
+        const auto port =
+            static_cast<std::uint16_t>(first_port + next++ % port_count);
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::acceptor acceptor(context);
+        boost::system::error_code error;
+        acceptor.open(boost::asio::ip::tcp::v4());
+        acceptor.bind({boost::asio::ip::address_v4::loopback(), port}, error);
+        if (!error) {
+            return port;
+        }
+    }
+    throw std::runtime_error("no free port");
 }
 
 } // namespace savorydock
--- a/tests/main/order_process_test.cpp
+++ b/tests/main/order_process_test.cpp
@@ -1,16 +1,13 @@
+#include "tests/fakes/child_process.hpp"
 #include "tests/fakes/fake_engine.hpp"
 #include "tests/fakes/fake_platform.hpp"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <functional>
-#include <spawn.h>
-#include <sys/wait.h>
 #include <thread>
 
 namespace savorydock {
@@ -21,51 +18,6 @@
 
 constexpr const char* holder_key = "/savorydock/holders/fleet/m";
 
-/// A program of the build, ended with the object.
-class child_process {
-public:
-    child_process(const std::string& program, std::vector<std::string> flags) {
-        std::string path = std::string(SAVORYDOCK_BINARY_DIR) + "/bin/";
-        path += program;
-        std::vector<char*> argv{path.data()};
-        for (std::string& flag : flags) {
-            argv.push_back(flag.data());
-        }
-        argv.push_back(nullptr);
-        EXPECT_EQ(posix_spawn(&pid_, path.c_str(), nullptr, nullptr,
-                              argv.data(), environ),
-                  0);
-    }
-    ~child_process() {
-        if (pid_ > 0) {
-            send(SIGKILL);
-            wait();
-        }
-    }
-    child_process(const child_process&) = delete;
-    child_process& operator=(const child_process&) = delete;
-
-    void send(int signal) const { kill(pid_, signal); }
-    int wait() {
-        int status = 0;
-        waitpid(std::exchange(pid_, 0), &status, 0);
-        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-    }
-
-private:
-    pid_t pid_ = 0;
-};
-
-/// A port that was free a moment ago.
-std::uint16_t free_port() {
-    boost::asio::io_context context;
-    return boost::asio::ip::tcp::acceptor(
-               context,
-               {boost::asio::ip::address_v4::loopback(), std::uint16_t{0}})
-        .local_endpoint()
-        .port();
-}
-
 } // namespace
 
 /// Two instances as processes, two engines of which one ignores fencing.
@@ -78,11 +30,11 @@
         platform_address_ = to_text(*platform_.listen({"127.0.0.1", 0}));
         checks_address_ = to_text(*checks_.listen({"127.0.0.1", 0}));
         ignores_address_ = to_text(*ignores_.listen({"127.0.0.1", 0}));
-        peers_ = {local(free_port()), local(free_port())};
+        peers_ = {local(find_free_port()), local(find_free_port())};
         for (const std::size_t i : {0U, 1U}) {
             write("i" + std::to_string(i), settings_of(i));
             instances_[i] = std::make_unique<child_process>(
-                "savorydock-entry",
+                std::string(SAVORYDOCK_BINARY_DIR) + "/bin", "savorydock-entry",
                 std::vector{"--settings=" + path("i" + std::to_string(i))});
         }
     }
@@ -132,7 +84,8 @@
                        ignores_address_ + R"("}],
             "weights": {"version": )" +
                        std::to_string(version) + "}}");
-        child_process command("savorydock",
+        child_process command(std::string(SAVORYDOCK_BINARY_DIR) + "/bin",
+                              "savorydock",
                               {"publish", "--platform=" + platform_address_,
                                "--operator_name=test", path("m")});
         ASSERT_EQ(command.wait(), 0);
