Reach the store through another instance when it refuses this one

Reads, renewals and transactions go through a feeder of the store after a refusal or 500 ms without an answer; leases and watches don't, so that such an instance takes no new duty. A write is taken for refused only if both ways refused it. Small instances and feeders yield the planner's term to larger ones by 250 ms. A scoring call is given up for another upstream after three typical times instead of twice the target latency.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -104,6 +104,8 @@
                     "changes of the store come from the zone's feeder"},
     log_event_entry{feed_left, warning, "feed_left",
                     "no fresh feeder: the instance watches the store itself"},
+    log_event_entry{store_call_relayed, info, "store_call_relayed",
+                    "a call to the store went through another instance"},
     log_event_entry{peer_suspected, warning, "peer_suspected",
                     "an instance does not answer"},
     log_event_entry{peer_alive, info, "peer_alive", "an instance answers"},
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -60,6 +60,7 @@
     store_history_reread = 3105,
     feed_followed = 3106,
     feed_left = 3107,
+    store_call_relayed = 3108,
 
     peer_suspected = 3200,
     peer_alive = 3201,
--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -89,6 +89,7 @@
            .self = options_.self,
            .lease_time = options_.lease_time,
            .processor_share = options_.processor_share,
+           .should_yield = options_.should_yield,
            .seed = options_.seed},
           [this](const held_term& term) { on_gained(term); },
           [this](term_end reason) { on_lost(reason); }, log)
--- a/drivers/batch/engine_driver.hpp
+++ b/drivers/batch/engine_driver.hpp
@@ -29,6 +29,8 @@
     instance_id self;
     double processor_share = 1.0;
     std::chrono::milliseconds lease_time{3'000};
+    /// Whether another instance fits the planner's duty better.
+    std::function<bool()> should_yield = [] { return false; };
     std::uint64_t seed = 1;
 };
 
--- a/drivers/batch/item_runner.cpp
+++ b/drivers/batch/item_runner.cpp
@@ -214,7 +214,8 @@
                 .route = *route,
                 .request = platform::make_scoring_request(scoring),
                 .id = scoring.id,
-                .deadline = std::chrono::steady_clock::now() + time};
+                .deadline = std::chrono::steady_clock::now() + time,
+                .is_urgent = true};
             auto result = co_await scorers_.call(std::move(call));
             if (result.answer && result.answer->status / 100 == 2) {
                 co_return platform::decode_answer_marks(result.answer->headers)
--- /dev/null
+++ b/drivers/feed/peer_store_relay.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "core/logger.hpp"
+#include "drivers/peer/peer_transport.hpp"
+#include "drivers/store/store_client.hpp"
+#include "drivers/store/store_relay.hpp"
+#include "servers/feed/node_directory.hpp"
+#include "servers/feed/relay_message.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace savorydock {
+
+/// Makes calls to the store through other instances, and theirs through this
+/// one. Belongs to one traffic thread.
+class peer_store_relay final : public store_relay {
+public:
+    /// Instances that probably reach the store, the best first.
+    using candidate_list = std::function<std::vector<instance_id>()>;
+
+    /// All references must outlive the relay's context.
+    peer_store_relay(boost::asio::io_context& context, store_client& store,
+                     peer_transport& peers, const node_directory& directory,
+                     instance_id self, candidate_list candidates, logger& log);
+
+    boost::asio::awaitable<outcome<http_response>>
+    call(http_request request) override;
+
+    /// A message of the topics `store_call` and `store_answer`.
+    void on_message(const peer_message& message);
+
+private:
+    struct waiting_call {
+        boost::asio::steady_timer timer;
+        std::optional<relayed_answer> answer;
+    };
+
+    boost::asio::awaitable<void> serve(instance_id caller, relayed_call call);
+    bool send(const instance_id& to, peer_topic topic, std::string body);
+
+    boost::asio::io_context& context_;
+    store_client& store_;
+    peer_transport& peers_;
+    const node_directory& directory_;
+    instance_id self_;
+    candidate_list candidates_;
+    logger& log_;
+    std::uint64_t last_number_ = 0;
+    std::map<std::uint64_t, std::shared_ptr<waiting_call>> waiting_;
+};
+
+} // namespace savorydock
--- a/drivers/feed/store_feed.cpp
+++ b/drivers/feed/store_feed.cpp
@@ -80,7 +80,7 @@
     , directory_(directory)
     , options_(std::move(options))
     , log_(log)
-    , term_key_(std::string(term_prefix) + "~feed/" + options_.zone.text())
+    , term_key_(std::string(feed_term_prefix) + options_.zone.text())
     , term_(
           context, store,
           {.key = term_key_,
--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -15,6 +15,10 @@
 /// its route, or times of a typical call, whichever is more.
 constexpr int patience_in_targets = 2;
 constexpr int patience_in_calls = 6;
+/// The same of a call on which a trainer's whole group waits: some times of a
+/// typical one, and a floor for short ones.
+constexpr int urgent_patience_in_calls = 3;
+constexpr std::chrono::milliseconds urgent_patience{300};
 /// Sendings that no upstream began don't count as attempts; their number is
 /// bounded all the same.
 constexpr std::uint32_t max_sendings = 8;
@@ -106,9 +110,14 @@
     if (call.route.kind != request_kind::idempotent || attempts_left <= 1) {
         return call.deadline;
     }
-    const auto patience = std::max<std::chrono::microseconds>(
-        call.route.target_latency * patience_in_targets,
-        fleet_.pool.typical_time(upstream.id) * patience_in_calls);
+    const auto typical = fleet_.pool.typical_time(upstream.id);
+    const auto patience =
+        call.is_urgent
+            ? std::max<std::chrono::microseconds>(
+                  urgent_patience, typical * urgent_patience_in_calls)
+            : std::max<std::chrono::microseconds>(call.route.target_latency *
+                                                      patience_in_targets,
+                                                  typical * patience_in_calls);
     return std::min(call.deadline, now + patience);
 }
 
--- a/drivers/front/plain_caller.hpp
+++ b/drivers/front/plain_caller.hpp
@@ -25,6 +25,8 @@
     steady_time deadline;
     /// The caller's first deadline header is passed on as what is left.
     bool must_pass_deadline = true;
+    /// An attempt that takes long is given up sooner for another one.
+    bool is_urgent = false;
 };
 
 struct plain_call_result {
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -7,6 +7,7 @@
 #include "drivers/batch/job_store.hpp"
 #include "drivers/caf_runtime/control_mailbox.hpp"
 #include "drivers/feed/node_registration.hpp"
+#include "drivers/feed/peer_store_relay.hpp"
 #include "drivers/feed/store_feed.hpp"
 #include "drivers/front/front_service.hpp"
 #include "drivers/http/http_server.hpp"
@@ -18,6 +19,7 @@
 #include "platform/configuration_codec.hpp"
 #include "platform/settings_file.hpp"
 #include "servers/batch/job_keys.hpp"
+#include "servers/membership/stable_hash.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -27,6 +29,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <future>
 #include <random>
@@ -59,6 +62,10 @@
 constexpr std::size_t max_peers = 256;
 /// A message that isn't taken by then is lost; its sender has other means.
 constexpr std::chrono::milliseconds peer_timeout{1'500};
+/// An instance with less than this share of the largest one's processor leaves
+/// planning to larger ones: a takeover decodes all open jobs at once, 1.3 s on
+/// an eighth of a core.
+constexpr double planner_size = 0.75;
 /// The scope of duties that belong to no service.
 constexpr std::string_view duty_scope = "~duty";
 
@@ -96,6 +103,10 @@
     void on_jobs();
     /// Tells the planner of a job's service that it was accepted or ended.
     void tell_planner(const job_record& record);
+    /// A planner needs a processor, and feeds no zone besides.
+    [[nodiscard]] bool is_poor_planner() const;
+    /// Feeders, who are in touch with the store, those of other zones last.
+    [[nodiscard]] std::vector<instance_id> relay_candidates() const;
     void take_job_notice(const peer_message& message);
     void send_peer(const instance_id& to, peer_topic topic, std::string body);
     void on_signal(int signal);
@@ -128,6 +139,7 @@
     job_store jobs_;
     node_directory directory_;
     peer_link peers_;
+    peer_store_relay relay_;
     item_runner runner_;
     run_host host_;
     fleet_mirror fleet_mirror_;
@@ -169,6 +181,9 @@
               .answer_timeout = peer_timeout,
               .seed = random_seed()},
              log)
+    , relay_(
+          context_, store_, peers_, directory_, settings_.instance,
+          [this] { return relay_candidates(); }, log)
     , runner_(engine_client_, plain_, fleet_, log)
     , host_(
           context_, runner_, settings_.instance,
@@ -217,6 +232,7 @@
     , front_(fleet_, plain_, engine_client_, jobs_, metrics_, log,
              [this](const job_record& record) { tell_planner(record); })
     , signals_(context_, SIGTERM, SIGINT, SIGHUP) {
+    store_.use_relay(relay_);
     if (auto text = read_text_file(settings_file_)) {
         settings_text_ = std::move(*text);
     }
@@ -318,11 +334,13 @@
         auto driver = std::make_unique<engine_driver>(
             context_, control_, store_, jobs_, engine_client_, host_, peers_,
             directory_, fleet_, [this] { return feed_.is_informed(); }, log_,
-            engine_driver_options{.service = service.name,
-                                  .self = settings_.instance,
-                                  .processor_share = settings_.processor_share,
-                                  .lease_time = settings_.holder_separation,
-                                  .seed = random_seed()});
+            engine_driver_options{
+                .service = service.name,
+                .self = settings_.instance,
+                .processor_share = settings_.processor_share,
+                .lease_time = settings_.holder_separation,
+                .should_yield = [this] { return is_poor_planner(); },
+                .seed = random_seed()});
         driver->start();
         for (const auto& [model, version] : fleet_mirror_.wanted_versions()) {
             driver->on_wanted_version(model, version);
@@ -360,6 +378,40 @@
     }
 }
 
+bool node_instance::impl::is_poor_planner() const {
+    double largest = 0;
+    for (const auto& [instance, entry] : directory_) {
+        largest = std::max(largest, entry.processor_share);
+    }
+    return feed_.is_feeder() || is_draining_ ||
+           settings_.processor_share < planner_size * largest;
+}
+
+std::vector<instance_id> node_instance::impl::relay_candidates() const {
+    const std::string own_key =
+        std::string(feed_term_prefix) + settings_.zone.text();
+    std::vector<instance_id> own;
+    std::vector<instance_id> others;
+    const auto& keys = control_keys().values();
+    for (auto key = keys.lower_bound(std::string(feed_term_prefix));
+         key != keys.end() && key->first.starts_with(feed_term_prefix); ++key) {
+        const instance_id feeder = holder_of(key->second.value);
+        if (feeder != settings_.instance) {
+            (key->first == own_key ? own : others).push_back(feeder);
+        }
+    }
+    // Different instances begin with different feeders.
+    if (!others.empty()) {
+        const auto first =
+            stable_hash(settings_.instance.text()) % others.size();
+        std::rotate(others.begin(),
+                    others.begin() + static_cast<std::ptrdiff_t>(first),
+                    others.end());
+    }
+    own.insert(own.end(), others.begin(), others.end());
+    return own;
+}
+
 void node_instance::impl::take_job_notice(const peer_message& message) {
     const auto notice = wire::decode<job_notice>(message.body);
     if (!notice) {
@@ -481,6 +533,10 @@
         }
         break;
     }
+    case peer_topic::store_call:
+    case peer_topic::store_answer:
+        relay_.on_message(message);
+        break;
     case peer_topic::job_notice:
         take_job_notice(message);
         break;
--- a/drivers/store/scope_term.cpp
+++ b/drivers/store/scope_term.cpp
@@ -106,7 +106,9 @@
     const double size = std::max(options_.processor_share, 0.05);
     const auto spread = static_cast<std::uint64_t>(
         static_cast<double>(options_.claim_spread.count()) * 0.25 / size);
-    co_await wait(std::chrono::milliseconds(random_.below(spread + 1)));
+    const auto yield = options_.should_yield() ? options_.yield_time
+                                               : std::chrono::milliseconds(0);
+    co_await wait(yield + std::chrono::milliseconds(random_.below(spread + 1)));
     if (is_retired_ || seen_ || term_) {
         co_return;
     }
--- a/drivers/store/scope_term.hpp
+++ b/drivers/store/scope_term.hpp
@@ -44,6 +44,11 @@
     /// shorter, so that they mostly win.
     std::chrono::milliseconds claim_spread{120};
     double processor_share = 1.0;
+    /// Whether another instance fits the duty better. This one then claims
+    /// later, after `yield_time`.
+    std::function<bool()> should_yield = [] { return false; };
+    /// Well over the time that another's claim takes.
+    std::chrono::milliseconds yield_time{250};
     std::uint64_t seed = 1;
 };
 
--- a/drivers/store/store_client.cpp
+++ b/drivers/store/store_client.cpp
@@ -16,8 +16,17 @@
 /// should have told is read after its wait and this time, which together must
 /// stay well under the bound of configuration, 2 s.
 constexpr std::chrono::milliseconds watch_slack{400};
+/// The same where a relay can follow. A slow store takes a quarter of a second;
+/// a call that was sent twice takes effect once by its condition.
+constexpr std::chrono::milliseconds relayed_call_timeout{500};
+/// After a call that only the relay got through, others use it first.
+constexpr std::chrono::milliseconds relay_time{1'000};
+/// After a relay that found no way, calls don't try it again.
+constexpr std::chrono::milliseconds relay_pause{700};
 constexpr unsigned status_too_many = 429;
 constexpr unsigned status_server_error = 500;
+/// The detail of a call that its own side dropped.
+constexpr const char* given_up_detail = "given up";
 
 } // namespace
 
@@ -67,7 +76,7 @@
         co_return response;
     }
     if (response.reason().code == result_code::cancelled_by_caller) {
-        co_return failure{result_code::store_unanswered, "given up"};
+        co_return failure{result_code::store_unanswered, given_up_detail};
     }
     // Kept connections may have gone silent together with this one.
     client_.drop_idle(limits_.address);
@@ -80,6 +89,54 @@
                       target + ": " + response.reason().detail};
 }
 
+asio::awaitable<outcome<http_response>>
+store_client::call_for_peer(http_request request) {
+    return send(std::move(request), relayed_call_timeout);
+}
+
+asio::awaitable<outcome<http_response>>
+store_client::send_or_relay(http_request request) {
+    const auto now = [] { return std::chrono::steady_clock::now(); };
+    if (relay_ == nullptr || now() < relay_not_before_) {
+        co_return co_await send(std::move(request), call_timeout);
+    }
+    std::optional<outcome<http_response>> direct;
+    if (now() >= relay_until_) {
+        http_request copy = request;
+        direct = co_await send(std::move(copy), relayed_call_timeout);
+        const bool is_refused =
+            *direct && ((*direct)->status >= status_server_error ||
+                        (*direct)->status == status_too_many);
+        const bool is_given_up =
+            !*direct && direct->reason().detail == given_up_detail;
+        if ((*direct && !is_refused) || is_given_up) {
+            co_return std::move(*direct);
+        }
+        if (is_refused) {
+            ++counters_.refused;
+            note(false, std::string(request.path()),
+                 "status " + std::to_string((*direct)->status));
+        }
+    }
+    auto relayed = co_await relay_->call(std::move(request));
+    if (relayed) {
+        relay_until_ = now() + relay_time;
+        co_return relayed;
+    }
+    relay_until_ = {};
+    relay_not_before_ = now() + relay_pause;
+    const bool is_relay_open =
+        relayed.reason().code == result_code::store_unanswered;
+    if (!direct || (is_relay_open && *direct)) {
+        co_return relayed;
+    }
+    if (!*direct && is_relay_open) {
+        co_return failure{result_code::store_unanswered,
+                          direct->reason().detail};
+    }
+    co_return std::move(*direct);
+}
+
 template <class Value>
 outcome<Value> store_client::note_refusal(outcome<Value> result) {
     if (!result && result.reason().code == result_code::store_refused) {
@@ -92,7 +149,7 @@
 asio::awaitable<outcome<std::optional<stored_value>>>
 store_client::read_key(std::string key) {
     http_request request = platform::make_read_key(key);
-    const auto response = co_await send(std::move(request), call_timeout);
+    const auto response = co_await send_or_relay(std::move(request));
     if (!response) {
         co_return response.reason();
     }
@@ -100,12 +157,19 @@
 }
 
 asio::awaitable<outcome<store_page>>
-store_client::read_range(std::string prefix, std::string after) {
+store_client::read_range(std::string prefix, std::string after,
+                         relay_use relay) {
     store_page all;
     bool has_more = true;
     while (has_more) {
         http_request request = platform::make_read_range(prefix, after, false);
-        const auto response = co_await send(std::move(request), call_timeout);
+        outcome<http_response> response =
+            failure{result_code::store_refused, "not sent"};
+        if (relay == relay_use::allowed) {
+            response = co_await send_or_relay(std::move(request));
+        } else {
+            response = co_await send(std::move(request), call_timeout);
+        }
         if (!response) {
             co_return response.reason();
         }
@@ -138,7 +202,7 @@
 asio::awaitable<outcome<transaction_result>>
 store_client::commit(store_transaction transaction) {
     http_request request = platform::make_transaction(transaction);
-    const auto response = co_await send(std::move(request), call_timeout);
+    const auto response = co_await send_or_relay(std::move(request));
     if (!response) {
         co_return response.reason();
     }
@@ -157,7 +221,7 @@
 
 asio::awaitable<outcome<done>> store_client::renew(std::uint64_t lease) {
     http_request request = platform::make_lease_renewal(lease);
-    const auto response = co_await send(std::move(request), call_timeout);
+    const auto response = co_await send_or_relay(std::move(request));
     if (!response) {
         co_return response.reason();
     }
@@ -166,7 +230,7 @@
 
 asio::awaitable<outcome<done>> store_client::end_lease(std::uint64_t lease) {
     http_request request = platform::make_lease_end(lease);
-    const auto response = co_await send(std::move(request), call_timeout);
+    const auto response = co_await send_or_relay(std::move(request));
     if (!response) {
         co_return response.reason();
     }
--- a/drivers/store/store_client.hpp
+++ b/drivers/store/store_client.hpp
@@ -5,6 +5,7 @@
 #include "core/node_settings.hpp"
 #include "core/outcome.hpp"
 #include "drivers/http/http_client.hpp"
+#include "drivers/store/store_relay.hpp"
 #include "servers/platform/store_transaction.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -26,9 +27,20 @@
     std::uint64_t unanswered = 0;
 };
 
+/// Whether a call may go through another instance.
+enum class relay_use : std::uint8_t {
+    allowed,
+    none,
+};
+
 /// The one client of the platform's store in a process. Belongs to one
 /// traffic thread.
 ///
+/// With a relay, calls that the store doesn't answer go through another
+/// instance: reads, renewals and transactions, whose conditions make them safe
+/// to send twice. New leases and watches don't: an instance that is cut off
+/// should take no new duty.
+///
 /// Errors of all calls: `store_refused` if the store states that nothing was
 /// done, `store_unanswered` if a write may still take effect, even seconds
 /// later; others as named. Each failed call is logged, with a bound on their
@@ -45,7 +57,8 @@
     /// All keys under the prefix behind the key `after`, in their order. The
     /// revision is that of the first page: changes since then may be missing.
     boost::asio::awaitable<outcome<store_page>>
-    read_range(std::string prefix, std::string after = {});
+    read_range(std::string prefix, std::string after = {},
+               relay_use relay = relay_use::allowed);
 
     /// Returns with the first changes after the revision, or empty after the
     /// time. Errors: `store_history_gone`.
@@ -63,6 +76,13 @@
     boost::asio::awaitable<outcome<done>> renew(std::uint64_t lease);
     boost::asio::awaitable<outcome<done>> end_lease(std::uint64_t lease);
 
+    /// Makes another instance's call, without a relay.
+    boost::asio::awaitable<outcome<http_response>>
+    call_for_peer(http_request request);
+
+    /// `relay` must outlive the client's calls.
+    void use_relay(store_relay& relay) { relay_ = &relay; }
+
     /// Whether the last call was answered.
     [[nodiscard]] bool is_reachable() const { return is_reachable_; }
     /// When the store answered last.
@@ -85,6 +105,9 @@
 private:
     boost::asio::awaitable<outcome<http_response>>
     send(http_request request, std::chrono::milliseconds timeout);
+    /// As `send`, through another instance if the store doesn't answer this.
+    boost::asio::awaitable<outcome<http_response>>
+    send_or_relay(http_request request);
     void note(bool is_answered, const std::string& target,
               const std::string& detail);
 
@@ -95,6 +118,11 @@
     store_limits limits_;
     logger& log_;
     store_counters counters_;
+    store_relay* relay_ = nullptr;
+    /// Until then calls go through the relay first.
+    steady_time relay_until_{};
+    /// The relay found no way; it isn't tried until then.
+    steady_time relay_not_before_{};
     bool is_reachable_ = true;
     steady_time back_since_{};
     steady_time last_contact_{};
--- a/drivers/store/store_mirror.cpp
+++ b/drivers/store/store_mirror.cpp
@@ -97,7 +97,7 @@
 }
 
 asio::awaitable<bool> store_mirror::reread() {
-    auto page = co_await client_.read_range(prefix_);
+    auto page = co_await client_.read_range(prefix_, {}, relay_use::none);
     if (!page) {
         log_.write(log_event::store_call_failed,
                    "call=range prefix=" + prefix_ + " reason=\"" +
--- a/servers/batch/job_keys.hpp
+++ b/servers/batch/job_keys.hpp
@@ -23,6 +23,8 @@
 inline constexpr std::string_view control_prefix = "c/";
 inline constexpr std::string_view job_prefix = "c/job/";
 inline constexpr std::string_view term_prefix = "c/term/";
+/// The terms of the zones' feeders.
+inline constexpr std::string_view feed_term_prefix = "c/term/~feed/";
 
 [[nodiscard]] std::string job_key(const job_id& job);
 [[nodiscard]] std::string term_key(const service_name& service);
--- a/tests/drivers/store/store_test.cpp
+++ b/tests/drivers/store/store_test.cpp
@@ -83,6 +83,23 @@
     job_store jobs;
 };
 
+/// A relay that answers as it is told.
+class scripted_relay final : public store_relay {
+public:
+    asio::awaitable<outcome<http_response>>
+    call(http_request request) override {
+        ++calls;
+        if (through == nullptr) {
+            co_return failure{code, "scripted"};
+        }
+        co_return co_await through->call_for_peer(std::move(request));
+    }
+
+    int calls = 0;
+    result_code code = result_code::store_refused;
+    store_client* through = nullptr;
+};
+
 class noting_listener final : public store_mirror_listener {
 public:
     void on_changes(const std::vector<store_change>& changes, bool) override {
@@ -271,6 +288,66 @@
     context.stop();
 }
 
+// The store turned the planner's machine away for 7 s: its results waited for
+// the end of its lease, and the trainers with them.
+TEST_F(store_test, call_that_the_store_refuses_goes_through_the_relay) {
+    fake_users_store other;
+    store_client peer(context, {.address = other.address()}, log);
+    scripted_relay relay;
+    relay.through = &peer;
+    client.use_relay(relay);
+    fake.set_refusing(true);
+    other.put("k", "v");
+    const auto first = run(client.read_key("k"));
+    ASSERT_TRUE(first);
+    EXPECT_EQ((*first)->value, "v");
+    const auto direct = client.counters().calls;
+    EXPECT_TRUE(run(client.read_key("k")));
+    EXPECT_EQ(relay.calls, 2);
+    EXPECT_EQ(client.counters().calls, direct) << "the relay is tried first";
+    EXPECT_FALSE(client.is_reachable());
+}
+
+TEST_F(store_test, new_lease_never_goes_through_the_relay) {
+    fake_users_store other;
+    store_client peer(context, {.address = other.address()}, log);
+    scripted_relay relay;
+    relay.through = &peer;
+    client.use_relay(relay);
+    fake.set_refusing(true);
+    EXPECT_FALSE(run(client.grant(1s)));
+    EXPECT_EQ(relay.calls, 0);
+}
+
+TEST_F(store_test, failed_relay_tells_whether_a_write_may_take_effect) {
+    struct row {
+        store_fault fault;
+        result_code relayed;
+        result_code expected;
+    };
+    // A call that is open on either way stays open.
+    for (const row& one :
+         {row{store_fault::refuse, result_code::store_refused,
+              result_code::store_refused},
+          row{store_fault::refuse, result_code::store_unanswered,
+              result_code::store_unanswered},
+          row{store_fault::lose_answer, result_code::store_refused,
+              result_code::store_unanswered},
+          row{store_fault::lose_answer, result_code::store_unanswered,
+              result_code::store_unanswered}}) {
+        store_client fresh(context, {.address = fake.address()}, log);
+        scripted_relay relay;
+        relay.code = one.relayed;
+        fresh.use_relay(relay);
+        fake.fail_transactions(one.fault, 1);
+        const auto result =
+            run(fresh.commit(make_write({.key = "w"}, {.key = "w"})));
+        ASSERT_FALSE(result);
+        EXPECT_EQ(result.reason().code, one.expected);
+        fake.remove("w");
+    }
+}
+
 TEST_F(store_test, reader_behind_the_last_row_gets_each_row_once) {
     ASSERT_EQ(accept(), accept_end::accepted);
     const held_term term = hold();
