Leave a write open that only its second way refused

Cause, found by reading the diff: a write that got no answer from the store and was then refused through another instance was told as refused.

Ruled out: the same by a relay that nobody answers (told as open before).

--- a/drivers/store/store_client.cpp
+++ b/drivers/store/store_client.cpp
@@ -28,6 +28,11 @@
 /// The detail of a call that its own side dropped.
 constexpr const char* given_up_detail = "given up";
 
+bool is_refusal(const http_response& response) {
+    return response.status >= status_server_error ||
+           response.status == status_too_many;
+}
+
 } // namespace
 
 store_client::store_client(asio::io_context& context, store_limits limits,
@@ -69,8 +74,7 @@
         co_await client_.call(limits_.address, std::move(request), deadline);
     if (response) {
         // A refusal is noted by its decoder.
-        if (response->status < status_server_error &&
-            response->status != status_too_many) {
+        if (!is_refusal(*response)) {
             note(true, target, {});
         }
         co_return response;
@@ -104,9 +108,7 @@
     if (now() >= relay_until_) {
         http_request copy = request;
         direct = co_await send(std::move(copy), relayed_call_timeout);
-        const bool is_refused =
-            *direct && ((*direct)->status >= status_server_error ||
-                        (*direct)->status == status_too_many);
+        const bool is_refused = *direct && is_refusal(**direct);
         const bool is_given_up =
             !*direct && direct->reason().detail == given_up_detail;
         if ((*direct && !is_refused) || is_given_up) {
@@ -118,13 +120,23 @@
                  "status " + std::to_string((*direct)->status));
         }
     }
+    const bool is_direct_open =
+        direct && !*direct &&
+        direct->reason().code == result_code::store_unanswered;
     auto relayed = co_await relay_->call(std::move(request));
-    if (relayed) {
+    if (relayed && !is_refusal(*relayed)) {
         relay_until_ = now() + relay_time;
         co_return relayed;
     }
     relay_until_ = {};
     relay_not_before_ = now() + relay_pause;
+    if (relayed && is_direct_open) {
+        // The store refused the second call only.
+        co_return std::move(*direct);
+    }
+    if (relayed) {
+        co_return relayed;
+    }
     const bool is_relay_open =
         relayed.reason().code == result_code::store_unanswered;
     if (!direct || (is_relay_open && *direct)) {
--- a/tests/drivers/store/store_test.cpp
+++ b/tests/drivers/store/store_test.cpp
@@ -348,6 +348,23 @@
     }
 }
 
+// A job whose write was left open was told "not run" because the instance that
+// relayed the second try got a refusal.
+TEST_F(store_test, refusal_of_the_relayed_call_leaves_an_open_one_open) {
+    fake_users_store other;
+    other.set_refusing(true);
+    store_client peer(context, {.address = other.address()}, log);
+    scripted_relay relay;
+    relay.through = &peer;
+    client.use_relay(relay);
+    fake.fail_transactions(store_fault::lose_answer, 1);
+    const auto result =
+        run(client.commit(make_write({.key = "w"}, {.key = "w"})));
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.reason().code, result_code::store_unanswered);
+    EXPECT_EQ(relay.calls, 1);
+}
+
 TEST_F(store_test, reader_behind_the_last_row_gets_each_row_once) {
     ASSERT_EQ(accept(), accept_end::accepted);
     const held_term term = hold();
