Keep no gone upstream after a refusal of one instance; end drains at an idle moment

On its return the planner took the missing entry of an engine for one that lapses in an outage and kept it for 2.2 s. Since calls go through peers, such a planner keeps its term. A time in which the store answered others is no outage now; store_that_answered_others_was_not_away fails before.

Runs are stopped and reported first; nothing is waited for after the last look.

Ruled out: lost watches (the others dropped the engine within 80 ms).

--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -627,19 +627,26 @@
     asio::co_spawn(context_, feed_.retire(), asio::detached);
     asio::co_spawn(context_, registration_.announce_leaving(), asio::detached);
     const steady_time last = begin + settings_.shutdown_grace - exit_margin;
+    // When the reports of stopped runs have reached their planners.
+    std::optional<steady_time> reported_at;
     while (true) {
         const steady_time now = std::chrono::steady_clock::now();
         const bool is_idle = callers_->active_requests() == 0;
         const bool has_runs =
             host_.figures().active > 0 && now < begin + run_drain_time;
-        if ((is_idle && !has_runs && now >= begin + rotation_time) ||
-            now >= last) {
-            callers_->stop_accepting();
+        const bool is_due = now >= begin + rotation_time - report_time;
+        if (!reported_at && ((!has_runs && is_due) || now >= last)) {
             host_.stop_all();
             // Not waited for: the store may be silent, and the entry's lease
             // runs out by itself.
             asio::co_spawn(context_, registration_.retire(), asio::detached);
-            co_await pause(report_time);
+            reported_at = now + report_time;
+        }
+        const bool is_over = is_idle && now >= begin + rotation_time;
+        if (reported_at && now >= *reported_at && (is_over || now >= last)) {
+            // Nothing may be waited for from here on: a request that comes on
+            // an open connection would be cut.
+            callers_->stop_accepting();
             log_.write(log_event::drain_finished,
                        "requests_cut=" +
                            std::to_string(callers_->active_requests()));
--- a/drivers/store/store_client.cpp
+++ b/drivers/store/store_client.cpp
@@ -51,13 +51,16 @@
     }
     is_reachable_ = is_answered;
     if (is_answered) {
-        back_since_ = std::chrono::steady_clock::now();
+        if (!is_alive_elsewhere_) {
+            back_since_ = std::chrono::steady_clock::now();
+        }
         log_.write(log_event::platform_reachable, "call=" + target);
         if (on_back_) {
             on_back_();
         }
         return;
     }
+    is_alive_elsewhere_ = false;
     log_.write(log_event::platform_unreachable,
                "call=" + target + " reason=\"" + detail + '"');
     if (on_lost_) {
@@ -126,6 +129,7 @@
     auto relayed = co_await relay_->call(std::move(request));
     if (relayed && !is_refusal(*relayed)) {
         relay_until_ = now() + relay_time;
+        is_alive_elsewhere_ = true;
         co_return relayed;
     }
     relay_until_ = {};
--- a/drivers/store/store_client.hpp
+++ b/drivers/store/store_client.hpp
@@ -95,7 +95,8 @@
     void on_back(std::function<void()> handler) {
         on_back_ = std::move(handler);
     }
-    /// When the store came back last; the epoch if it never was away.
+    /// When the store came back last; the epoch if it never was away. A time in
+    /// which it answered other instances doesn't count.
     [[nodiscard]] steady_time back_since() const { return back_since_; }
 
     [[nodiscard]] const store_limits& limits() const { return limits_; }
@@ -124,6 +125,8 @@
     /// The relay found no way; it isn't tried until then.
     steady_time relay_not_before_{};
     bool is_reachable_ = true;
+    /// It answered another instance since this one lost it.
+    bool is_alive_elsewhere_ = false;
     steady_time back_since_{};
     steady_time last_contact_{};
     std::function<void()> on_lost_;
--- a/tests/drivers/store/store_test.cpp
+++ b/tests/drivers/store/store_test.cpp
@@ -365,6 +365,30 @@
     EXPECT_EQ(relay.calls, 1);
 }
 
+// A planner that the store had refused kept an upstream that was gone for 2.2 s
+// after its return, as after an outage in which entries lapse (DRAIN on
+// ndiaye-curage trouble-1, seed 949927755464).
+TEST_F(store_test, store_that_answered_others_was_not_away) {
+    fake_users_store other;
+    store_client peer(context, {.address = other.address()}, log);
+    scripted_relay relay;
+    relay.through = &peer;
+    client.use_relay(relay);
+    fake.set_refusing(true);
+    EXPECT_TRUE(run(client.read_key("k")));
+    fake.set_refusing(false);
+    EXPECT_TRUE(run(client.grant(1s)));
+    EXPECT_TRUE(client.is_reachable());
+    EXPECT_EQ(client.back_since(), steady_time{});
+    // Without a way to it, it counts as away.
+    relay.through = nullptr;
+    fake.set_refusing(true);
+    EXPECT_FALSE(run(client.grant(1s)));
+    fake.set_refusing(false);
+    EXPECT_TRUE(run(client.grant(1s)));
+    EXPECT_NE(client.back_since(), steady_time{});
+}
+
 TEST_F(store_test, reader_behind_the_last_row_gets_each_row_once) {
     ASSERT_EQ(accept(), accept_end::accepted);
     const held_term term = hold();
