End connections whose peer sends foreign, endless or stalled answers

Cause: plain calls compared an answer's id only after its connection was idle again, so after a late second copy each next call on it got its predecessor's answer; a copy of a refusal (503, 422) counted as the answer to another call, which made 'not run' false and items lost. Bodies could grow to 256 MB, chunk headers, trailers and events without limit, and a stalled stream that sent comments never ended, because each read extended its deadline. Ruled out: copies on idle connections (were found already), headers without end (limited by the parser already). Now: an answer to another request ends the call and its connection, interim answers are skipped up to a limit, bodies share a limit per client, and only complete events extend the deadline of an item's stream. Before: with the checks taken out, endless body, chunk extension, trailer and interim answers fail their tests, and the test of a stream of comments doesn't end; after: all pass.

--- a/drivers/batch/item_runner.cpp
+++ b/drivers/batch/item_runner.cpp
@@ -29,6 +29,8 @@
 constexpr unsigned status_server_error = 500;
 
 constexpr std::string_view event_separator = "\n\n";
+/// A stream with a longer event is treated as broken.
+constexpr std::size_t max_event_bytes = 1U << 20U;
 
 /// Parses a stream and appends its complete events to the record of a run.
 class text_builder {
@@ -58,6 +60,9 @@
             begin = end + event_separator.size();
         }
         buffer_.erase(0, begin);
+        if (buffer_.size() > max_event_bytes) {
+            return run_end::interrupted;
+        }
         return std::nullopt;
     }
 
@@ -137,8 +142,12 @@
     http_request request = platform::make_item_request(
         task->id, task->host, task->path, headers, task->body, marks);
     const steady_time open_deadline = now() + first_event_timeout;
-    auto opened =
-        co_await client_.open(*address, std::move(request), open_deadline);
+    call_options options{.is_own_answer = [&](const http_headers& received) {
+        return platform::may_answer(task->id,
+                                    platform::decode_answer_metadata(received));
+    }};
+    auto opened = co_await client_.open(*address, std::move(request),
+                                        open_deadline, std::move(options));
     if (!opened) {
         co_return run_end::interrupted;
     }
@@ -147,16 +156,16 @@
     if (stream.status() != status_ok) {
         co_return end_for_status(stream.status(), answer.is_not_run);
     }
-    if (answer.request != task->id) {
-        co_return run_end::interrupted;
-    }
     if (answer.version < task->min_version) {
         co_return run_end::wrong_version;
     }
     text_builder builder(*record, answer.version, *task);
-    auto timeout = first_event_timeout;
+    // Only complete events extend the deadline: a stalled engine may still send
+    // comments or parts of an event.
+    steady_time next_event_by = now() + first_event_timeout;
     while (true) {
-        const auto bytes = co_await stream.read_some(now() + timeout);
+        const std::uint64_t events = record->progress.events;
+        const auto bytes = co_await stream.read_some(next_event_by);
         if (!bytes) {
             co_return run_end::interrupted;
         }
@@ -166,7 +175,9 @@
         if (const auto verdict = builder.feed(*bytes)) {
             co_return *verdict;
         }
-        timeout = event_timeout;
+        if (record->progress.events > events) {
+            next_event_by = now() + event_timeout;
+        }
     }
     co_return builder.is_at_boundary() ? run_end::complete
                                        : run_end::interrupted;
--- a/drivers/entry/entry_executor.cpp
+++ b/drivers/entry/entry_executor.cpp
@@ -85,9 +85,11 @@
     // The lease that permits the order ends at `not_after`, so the client
     // checks the time again after connecting. A new connection is used because
     // the upstream may be about to close an idle one.
-    const auto result = co_await client_.call(
-        order.address, std::move(request), order.not_after + order.timeout,
-        connection_use::fresh, order.not_after);
+    call_options options{.use = connection_use::fresh,
+                         .write_by = order.not_after};
+    const auto result = co_await client_.call(order.address, std::move(request),
+                                              order.not_after + order.timeout,
+                                              std::move(options));
     if (!result) {
         answer({.ticket = order.ticket,
                 .answer = transport_failure(result.reason())});
--- a/drivers/front/front_service.cpp
+++ b/drivers/front/front_service.cpp
@@ -36,6 +36,8 @@
 /// Time reserved for sending the answer back to the caller.
 constexpr std::chrono::milliseconds answer_margin{15};
 constexpr std::string_view event_separator = "\n\n";
+/// A stream with a longer event is treated as broken.
+constexpr std::size_t max_event_bytes = 1U << 20U;
 
 steady_time now() {
     return std::chrono::steady_clock::now();
@@ -243,9 +245,10 @@
                                                      .last_event = last_event};
         http_request request =
             platform::forward_request(exchange.request(), metadata);
+        call_options options{.use = connection_use::fresh};
         auto opened =
             co_await stream_client_.open(upstream->address, std::move(request),
-                                         deadline, connection_use::fresh);
+                                         deadline, std::move(options));
         if (!opened) {
             const bool may_have_begun =
                 classify(opened.reason().code) != result_class::not_run;
@@ -290,6 +293,9 @@
             buffer += *bytes;
             const std::size_t end = buffer.rfind(event_separator);
             if (end == std::string::npos) {
+                if (buffer.size() > max_event_bytes) {
+                    break;
+                }
                 continue;
             }
             const std::string complete_events =
--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -136,11 +136,16 @@
     }
     call_guard guard(fleet_.pool, upstream.id);
     http_request request = platform::forward_request(call.request, metadata);
-    const connection_use use = call.route.kind == request_kind::idempotent
-                                   ? connection_use::reuse
-                                   : connection_use::fresh;
+    call_options options{.use = call.route.kind == request_kind::idempotent
+                                    ? connection_use::reuse
+                                    : connection_use::fresh,
+                         .is_own_answer = [&call](const http_headers& headers) {
+                             return platform::may_answer(
+                                 call.id,
+                                 platform::decode_answer_metadata(headers));
+                         }};
     auto answer = co_await client_.call(upstream.address, std::move(request),
-                                        deadline, use);
+                                        deadline, std::move(options));
     if (!answer) {
         guard.end(call_outcome::failed);
         const bool may_have_begun =
@@ -156,19 +161,16 @@
             false, failure{result_code::not_run_refused_by_upstream,
                            "status " + std::to_string(answer->status)});
     }
-    const bool is_for_this_call = answer_metadata.request == call.id;
     // A valid success has a signature and no content encoding.
     const bool is_invalid_success =
         is_success(answer->status) &&
         (answer_metadata.stamp.empty() ||
          !answer->header("Content-Encoding").empty());
-    if (!is_for_this_call || is_invalid_success) {
+    if (is_invalid_success) {
         guard.end(call_outcome::failed);
         co_return make_failed(
             true, failure{result_code::failed_by_upstream,
-                          is_for_this_call
-                              ? "a success without the upstream's signature"
-                              : "an answer to another request"});
+                          "a success without the upstream's signature"});
     }
     guard.end(call_outcome::answered);
     attempt_result result{.answer = std::move(*answer), .may_have_run = true};
--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -29,7 +29,13 @@
 constexpr auto await = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_buffer_bytes = 16'384;
 constexpr std::size_t max_idle_connections = 64;
-constexpr std::uint64_t max_answer_bytes = 256ULL * 1024 * 1024;
+/// Bytes read ahead per connection. Limits chunk headers and trailers, for
+/// which the parser has no limit of its own.
+constexpr std::size_t max_buffered_bytes = 131'072;
+constexpr std::uint32_t max_header_bytes = 65'536;
+/// Interim (1xx) answers that are skipped before the final answer.
+constexpr int max_interim_answers = 4;
+constexpr unsigned first_final_status = 200;
 
 /// TCP keepalive detects connections whose peer no longer responds: the first
 /// probe is sent after the idle time, then one per interval.
@@ -45,7 +51,8 @@
 /// One connection to an address, with the bytes read ahead from it.
 struct connection {
     explicit connection(asio::io_context& context)
-        : stream(context) {}
+        : stream(context)
+        , buffer(max_buffered_bytes) {}
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
@@ -140,9 +147,11 @@
 } // namespace
 
 struct http_client::pool {
-    pool(asio::io_context& used_context, unframed_answer used_unframed)
+    pool(asio::io_context& used_context, unframed_answer used_unframed,
+         answer_limits used_limits)
         : context(used_context)
-        , unframed(used_unframed) {}
+        , unframed(used_unframed)
+        , limits(used_limits) {}
 
     connection_pointer take_idle(const std::string& key) {
         auto& list = idle[key];
@@ -186,9 +195,35 @@
 
     asio::io_context& context;
     unframed_answer unframed;
+    answer_limits limits;
+    /// Body bytes held by the calls in progress.
+    std::size_t body_bytes = 0;
     std::map<std::string, std::vector<connection_pointer>> idle;
 };
 
+/// Counts the body bytes of one call, and releases them when the call ends or
+/// is cancelled.
+class http_client::body_reservation {
+public:
+    explicit body_reservation(std::shared_ptr<pool> owner)
+        : pool_(std::move(owner)) {}
+    body_reservation(const body_reservation&) = delete;
+    body_reservation& operator=(const body_reservation&) = delete;
+    ~body_reservation() { pool_->body_bytes -= bytes_; }
+
+    /// Returns false if the limits don't allow that many more bytes.
+    [[nodiscard]] bool add(std::size_t bytes) {
+        bytes_ += bytes;
+        pool_->body_bytes += bytes;
+        return bytes_ <= pool_->limits.max_body_bytes &&
+               pool_->body_bytes <= pool_->limits.max_total_body_bytes;
+    }
+
+private:
+    std::shared_ptr<pool> pool_;
+    std::size_t bytes_ = 0;
+};
+
 class http_client::stream final : public http_stream {
 public:
     stream(std::shared_ptr<pool> owner, std::string key,
@@ -196,20 +231,30 @@
         : pool_(std::move(owner))
         , key_(std::move(key))
         , connection_(std::move(used)) {
-        parser_.body_limit(max_answer_bytes);
+        reset_parser();
     }
 
-    unsigned status() const override { return parser_.get().result_int(); }
+    unsigned status() const override { return parser_->get().result_int(); }
     const http_headers& headers() const override { return headers_; }
 
     asio::awaitable<outcome<done>> read_header(steady_time deadline) {
         connection_->stream.expires_at(deadline);
-        const auto [error, size] = co_await http::async_read_header(
-            connection_->stream, connection_->buffer, parser_, await);
-        if (error) {
-            co_return failed_after_write(error);
+        for (int interim = 0; interim <= max_interim_answers; ++interim) {
+            const auto [error, size] = co_await http::async_read_header(
+                connection_->stream, connection_->buffer, *parser_, await);
+            if (error) {
+                co_return failed_after_write(error);
+            }
+            if (status() >= first_final_status) {
+                break;
+            }
+            reset_parser();
         }
-        for (const auto& field : parser_.get()) {
+        if (!parser_->is_header_done()) {
+            co_return failure{result_code::unknown_upstream_lost,
+                              "too many interim answers"};
+        }
+        for (const auto& field : parser_->get()) {
             headers_.push_back(
                 {std::string(field.name_string()), std::string(field.value())});
         }
@@ -218,14 +263,14 @@
 
     asio::awaitable<outcome<std::string>>
     read_some(steady_time deadline) override {
-        while (!parser_.is_done()) {
-            auto& body = parser_.get().body();
+        while (!parser_->is_done()) {
+            auto& body = parser_->get().body();
             body.data = bytes_.data();
             body.size = bytes_.size();
             body.more = true;
             connection_->stream.expires_at(deadline);
             auto [error, size] = co_await http::async_read_some(
-                connection_->stream, connection_->buffer, parser_, await);
+                connection_->stream, connection_->buffer, *parser_, await);
             if (error == http::error::need_buffer) {
                 error = {};
             }
@@ -237,7 +282,7 @@
                 co_return std::string(bytes_.data(), count);
             }
         }
-        if (parser_.need_eof() && pool_->unframed == unframed_answer::refuse) {
+        if (parser_->need_eof() && pool_->unframed == unframed_answer::refuse) {
             co_return failure{result_code::failed_truncated,
                               "the answer has no length or end mark"};
         }
@@ -246,6 +291,12 @@
     }
 
 private:
+    void reset_parser() {
+        parser_.emplace();
+        parser_->body_limit(boost::none);
+        parser_->header_limit(max_header_bytes);
+    }
+
     static failure failed_while_reading(const beast::error_code& error) {
         if (error == asio::error::operation_aborted) {
             return cancelled(error);
@@ -258,12 +309,12 @@
 
     void release() {
         // Bytes after a complete response belong to no request.
-        if (!connection_ || !parser_.get().keep_alive() || parser_.need_eof() ||
-            connection_->buffer.size() > 0) {
+        if (!connection_ || !parser_->get().keep_alive() ||
+            parser_->need_eof() || connection_->buffer.size() > 0) {
             connection_.reset();
             return;
         }
-        const auto idle_time = idle_time_of(parser_.get()["Keep-Alive"]);
+        const auto idle_time = idle_time_of(parser_->get()["Keep-Alive"]);
         connection_->idle_until = idle_time ? std::chrono::steady_clock::now() +
                                                   *idle_time - idle_close_margin
                                             : steady_time::max();
@@ -273,13 +324,14 @@
     std::shared_ptr<pool> pool_;
     std::string key_;
     connection_pointer connection_;
-    http::response_parser<http::buffer_body> parser_;
+    std::optional<http::response_parser<http::buffer_body>> parser_;
     http_headers headers_;
     std::array<char, read_buffer_bytes> bytes_{};
 };
 
-http_client::http_client(asio::io_context& context, unframed_answer unframed)
-    : pool_(std::make_shared<pool>(context, unframed)) {}
+http_client::http_client(asio::io_context& context, unframed_answer unframed,
+                         answer_limits limits)
+    : pool_(std::make_shared<pool>(context, unframed, limits)) {}
 
 http_client::~http_client() = default;
 
@@ -289,11 +341,11 @@
 
 asio::awaitable<outcome<std::unique_ptr<http_stream>>>
 http_client::open(endpoint address, http_request request, steady_time deadline,
-                  connection_use use, steady_time write_by) {
+                  call_options options) {
     const std::string key = to_text(address);
-    const steady_time last_write = std::min(deadline, write_by);
+    const steady_time last_write = std::min(deadline, options.write_by);
     connection_pointer used;
-    if (use == connection_use::reuse) {
+    if (options.use == connection_use::reuse) {
         used = pool_->take_idle(key);
     }
     if (!used) {
@@ -308,6 +360,10 @@
     if (std::chrono::steady_clock::now() >= last_write) {
         co_return failure{result_code::not_run_deadline, "no time is left"};
     }
+    if (options.may_write && !options.may_write()) {
+        co_return failure{result_code::not_run_deadline,
+                          "the permission to send has ended"};
+    }
     const auto [error, size] =
         co_await http::async_write(used->stream, message, await);
     if (error) {
@@ -318,20 +374,25 @@
     if (!header) {
         co_return header.reason();
     }
+    if (options.is_own_answer && !options.is_own_answer(answer->headers())) {
+        co_return failure{result_code::unknown_upstream_lost,
+                          "an answer to another request"};
+    }
     co_return std::unique_ptr<http_stream>(std::move(answer));
 }
 
 asio::awaitable<outcome<http_response>>
 http_client::call(endpoint address, http_request request, steady_time deadline,
-                  connection_use use, steady_time write_by) {
+                  call_options options) {
     auto opened = co_await open(std::move(address), std::move(request),
-                                deadline, use, write_by);
+                                deadline, std::move(options));
     if (!opened) {
         co_return opened.reason();
     }
     http_stream& answer = **opened;
     http_response response{.status = answer.status(),
                            .headers = answer.headers()};
+    body_reservation reservation(pool_);
     while (true) {
         auto part = co_await answer.read_some(deadline);
         if (!part) {
@@ -340,6 +401,10 @@
         if (part->empty()) {
             co_return response;
         }
+        if (!reservation.add(part->size())) {
+            co_return failure{result_code::failed_by_upstream,
+                              "the answer is too large"};
+        }
         response.body += *part;
     }
 }
--- a/drivers/http/http_client.hpp
+++ b/drivers/http/http_client.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -47,9 +48,39 @@
     accept,
 };
 
+/// Whether an answer with these headers belongs to the request that was sent.
+using answer_check = std::function<bool(const http_headers&)>;
+
+struct call_options {
+    connection_use use = connection_use::reuse;
+    /// If the request can't be written before this time, nothing is written.
+    steady_time write_by = steady_time::max();
+    /// Called right before the request is written; if it returns false, nothing
+    /// is written. For permissions that may end while the connection is being
+    /// opened. Allows the write if empty.
+    std::function<bool()> may_write;
+    /// Called with the header of the answer. If it returns false, the call
+    /// fails and its connection is closed: after a second answer to an earlier
+    /// request, all further answers on the connection would be assigned to the
+    /// wrong requests. Accepts all answers if empty.
+    answer_check is_own_answer;
+};
+
+/// Limits on what a peer may send. They bound the memory of this process when
+/// a faulty peer sends without end.
+struct answer_limits {
+    /// Largest body that `http_client::call` returns.
+    std::size_t max_body_bytes = 16U << 20U;
+    /// Bodies being received by all calls of one client together.
+    std::size_t max_total_body_bytes = 48U << 20U;
+};
+
 /// An HTTP/1.1 client with a pool of idle connections per address. Belongs
 /// to one I/O context and is used on that context's thread only.
 ///
+/// Interim (1xx) answers are skipped, up to a limit. An answer that exceeds a
+/// limit or isn't HTTP fails the call and closes its connection.
+///
 /// Error codes state whether the upstream may have received the request:
 /// `not_run_no_upstream` and `not_run_deadline` mean that no byte of it was
 /// written to a socket; `unknown_upstream_lost` and `unknown_deadline` mean
@@ -57,24 +88,24 @@
 class http_client {
 public:
     explicit http_client(boost::asio::io_context& context,
-                         unframed_answer unframed = unframed_answer::refuse);
+                         unframed_answer unframed = unframed_answer::refuse,
+                         answer_limits limits = {});
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
-    /// Sends a request and returns once the response header has arrived. If
-    /// the request can't be written before `write_by`, nothing is written and
-    /// the call fails with `not_run_deadline`.
+    /// Sends a request and returns once the response header has arrived.
+    /// Errors: `not_run_deadline` if the request can't be written in time;
+    /// `unknown_upstream_lost` if no answer to this request arrived.
     boost::asio::awaitable<outcome<std::unique_ptr<http_stream>>>
     open(endpoint address, http_request request, steady_time deadline,
-         connection_use use = connection_use::reuse,
-         steady_time write_by = steady_time::max());
+         call_options options = {});
 
-    /// Sends a request and returns the complete response.
+    /// Sends a request and returns the complete response. Errors: as `open`,
+    /// and `failed_by_upstream` if the body exceeds the limits.
     boost::asio::awaitable<outcome<http_response>>
     call(endpoint address, http_request request, steady_time deadline,
-         connection_use use = connection_use::reuse,
-         steady_time write_by = steady_time::max());
+         call_options options = {});
 
     /// Closes the idle connections to an address. For use when they may have
     /// failed without a reset.
@@ -83,6 +114,7 @@
 private:
     struct pool;
     class stream;
+    class body_reservation;
     std::shared_ptr<pool> pool_;
 };
 
--- a/drivers/upstream_http/upstream_client.cpp
+++ b/drivers/upstream_http/upstream_client.cpp
@@ -18,6 +18,8 @@
 constexpr unsigned status_unavailable = 503;
 constexpr std::string_view end_of_stream = "[DONE]";
 constexpr std::string_view leaving_header = "Savorydock-Leaving";
+/// Upstreams may echo this header of a request in their answer.
+constexpr std::string_view request_id_header = "Savorydock-Request-Id";
 
 template <class Number>
 Number number_of(const json::object& object, std::string_view name,
@@ -124,10 +126,15 @@
                       steady_time deadline, bool is_idempotent,
                       call_evidence& evidence) {
     const steady_time start = std::chrono::steady_clock::now();
-    const connection_use use =
-        is_idempotent ? connection_use::reuse : connection_use::fresh;
+    call_options options{
+        .use = is_idempotent ? connection_use::reuse : connection_use::fresh,
+        .is_own_answer = [id = std::string(request.header(request_id_header))](
+                             const http_headers& headers) {
+            const auto echoed = find_header(headers, request_id_header);
+            return echoed.empty() || echoed == id;
+        }};
     auto answer = co_await client_.call(std::move(address), std::move(request),
-                                        deadline, use);
+                                        deadline, std::move(options));
     evidence.first_byte = elapsed_since(start);
     evidence.evidence = answer ? evidence_of(answer->status, answer->headers)
                                : savorydock::evidence_of(answer.reason().code);
--- /dev/null
+++ b/tests/drivers/batch/item_runner_test.cpp
@@ -0,0 +1,132 @@
+#include "drivers/batch/item_runner.hpp"
+#include "tests/fakes/raw_upstream.hpp"
+#include "tests/fakes/run_call.hpp"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <cstdio>
+
+using namespace savorydock;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+std::string event(int number) {
+    return "id: " + std::to_string(number) + "\ndata: t" +
+           std::to_string(number) + "\n\n";
+}
+
+std::string chunk(const std::string& bytes) {
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx", bytes.size());
+    return std::string(size.data()) + "\r\n" + bytes + "\r\n";
+}
+
+std::string stream_header(const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+           "\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+class item_runner_test : public ::testing::Test {
+public:
+    run_end run(const raw_upstream& upstream, const std::string& id = "i") {
+        const auto task = std::make_shared<const run_task>(
+            run_task{.ticket = 1,
+                     .job = job_id("j"),
+                     .id = id,
+                     .host = "h",
+                     .path = "/p/",
+                     .upstream = upstream_id("u"),
+                     .address = to_text(upstream.address())});
+        record = std::make_shared<run_record>();
+        const auto begin = std::chrono::steady_clock::now();
+        const run_end end = run_call(context, runner.run(task, record));
+        elapsed = std::chrono::steady_clock::now() - begin;
+        return end;
+    }
+
+    asio::io_context context;
+    null_logger log;
+    http_client client{context};
+    seeded_random_source random{1};
+    fleet_state fleet{.pool = upstream_pool({})};
+    plain_caller scorers{client, fleet, random, log};
+    item_runner runner{client, scorers, fleet, log};
+    std::shared_ptr<run_record> record;
+    std::chrono::steady_clock::duration elapsed{};
+};
+
+} // namespace
+
+TEST_F(item_runner_test, slow_stream_with_regular_events_is_not_cut) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write(stream_header("i"));
+        for (int number = 1; number <= 4; ++number) {
+            std::this_thread::sleep_for(1'200ms);
+            connection.write(chunk(event(number)));
+        }
+        connection.write("0\r\n\r\n");
+        connection.read_request();
+    });
+    EXPECT_EQ(run(upstream), run_end::complete);
+    EXPECT_EQ(record->progress.events, 4U);
+}
+
+// Bytes alone are no progress: a stalled engine may still send comments.
+TEST_F(item_runner_test, stalled_stream_with_comments_is_interrupted) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write(stream_header("i") + chunk(event(1)));
+        connection.write_until_closed(chunk(": x\n\n"), 200ms);
+    });
+    EXPECT_EQ(run(upstream), run_end::interrupted);
+    EXPECT_EQ(record->progress.events, 1U);
+    EXPECT_LT(elapsed, 8s);
+}
+
+TEST_F(item_runner_test, event_that_grows_byte_by_byte_is_interrupted) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write(stream_header("i") + chunk("id: 1\ndata: "));
+        connection.write_until_closed(chunk("a"), 200ms);
+    });
+    EXPECT_EQ(run(upstream), run_end::interrupted);
+    EXPECT_LT(elapsed, 8s);
+}
+
+TEST_F(item_runner_test, event_without_end_is_interrupted_at_its_limit) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write(stream_header("i") + chunk("id: 1\ndata: "));
+        connection.write_until_closed(chunk(std::string(16'384, 'a')));
+    });
+    EXPECT_EQ(run(upstream), run_end::interrupted);
+    EXPECT_LT(elapsed, 1'500ms) << "not by its timeout";
+}
+
+// The copy of an answer to another item must not decide this item's fate: a
+// copy of a rejection would list it as lost.
+TEST_F(item_runner_test, copy_of_a_rejection_does_not_reject_the_next_item) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write("HTTP/1.1 422 Unprocessable\r\nRequest-Id: other\r\n"
+                         "Content-Length: 0\r\n\r\n");
+        connection.read_request();
+    });
+    EXPECT_EQ(run(upstream), run_end::interrupted);
+}
+
+TEST_F(item_runner_test, stream_of_another_item_is_not_used) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write(stream_header("other") + chunk(event(1)) +
+                         "0\r\n\r\n");
+        connection.read_request();
+    });
+    EXPECT_EQ(run(upstream), run_end::interrupted);
+    EXPECT_EQ(record->progress.events, 0U);
+}
--- /dev/null
+++ b/tests/drivers/front/plain_caller_test.cpp
@@ -0,0 +1,138 @@
+#include "drivers/front/plain_caller.hpp"
+#include "tests/fakes/raw_upstream.hpp"
+#include "tests/fakes/run_call.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace savorydock;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+std::string answer(const std::string& status, const std::string& id,
+                   const std::string& more_headers, const std::string& body) {
+    return "HTTP/1.1 " + status + "\r\n" +
+           (id.empty() ? "" : "Request-Id: " + id + "\r\n") + more_headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string success(const std::string& id) {
+    return answer("200 OK", id, "Server-Stamp: s-" + id + "\r\n", id);
+}
+
+class plain_caller_test : public ::testing::Test {
+public:
+    plain_call_result call(const std::string& id) {
+        plain_call_request request{
+            .route = route,
+            .request = {.target = "/a/", .headers = {{"Request-Id", id}}},
+            .id = id,
+            .deadline = std::chrono::steady_clock::now() + 2s};
+        return run_call(context, caller.call(std::move(request)));
+    }
+
+    void use(const raw_upstream& upstream) {
+        fleet.pool.set_upstreams({{.id = upstream_id("u"),
+                                   .service = service_name("s"),
+                                   .address = upstream.address()}});
+    }
+
+    asio::io_context context;
+    null_logger log;
+    http_client client{context, unframed_answer::accept};
+    seeded_random_source random{1};
+    fleet_state fleet{.pool = upstream_pool({})};
+    plain_caller caller{client, fleet, random, log};
+    route_rule route{.name = "r",
+                     .target_latency = 500ms,
+                     .services = {{.service = service_name("s")}},
+                     .max_attempts = 1};
+};
+
+/// Answers the first request; later ones get a late copy of the previous answer
+/// first.
+void answer_with_copies(
+    raw_connection& connection,
+    const std::function<std::string(const std::string&)>& make_answer) {
+    std::string copy;
+    while (true) {
+        const std::string request = connection.read_request();
+        const std::string own = make_answer(header_of(request, "Request-Id"));
+        if (request.empty() || !connection.write(copy + own)) {
+            return;
+        }
+        copy = own;
+    }
+}
+
+} // namespace
+
+TEST_F(plain_caller_test, late_copy_costs_one_call_and_its_connection) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t number) {
+        if (number == 0) {
+            answer_with_copies(connection, success);
+            return;
+        }
+        while (true) {
+            const std::string request = connection.read_request();
+            if (request.empty() ||
+                !connection.write(success(header_of(request, "Request-Id")))) {
+                return;
+            }
+        }
+    });
+    use(upstream);
+    EXPECT_EQ(call("a").answer->body, "a");
+    const auto second = call("b");
+    EXPECT_FALSE(second.answer);
+    EXPECT_TRUE(second.may_have_run);
+    const auto third = call("c");
+    ASSERT_TRUE(third.answer) << third.reason.detail;
+    EXPECT_EQ(third.answer->body, "c");
+}
+
+// A refusal promises that the request has not run. A copy of the refusal of an
+// earlier request promises nothing about this one.
+TEST_F(plain_caller_test, copy_of_a_refusal_is_no_promise_for_another_call) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        answer_with_copies(connection, [](const std::string& id) {
+            return answer("503 Service Unavailable", id, "Not-Executed: 1\r\n",
+                          "");
+        });
+    });
+    use(upstream);
+    EXPECT_FALSE(call("a").may_have_run);
+    // The retries of the call went through this connection, too.
+    bool may_have_run = false;
+    for (const char* const id : {"b", "c"}) {
+        may_have_run = may_have_run || call(id).may_have_run;
+    }
+    EXPECT_TRUE(may_have_run);
+}
+
+TEST_F(plain_caller_test, refusal_without_an_id_is_accepted) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        while (!connection.read_request().empty() &&
+               connection.write(answer("503 Service Unavailable", "",
+                                       "Not-Executed: 1\r\n", ""))) {
+        }
+    });
+    use(upstream);
+    const auto result = call("a");
+    EXPECT_FALSE(result.answer);
+    EXPECT_FALSE(result.may_have_run);
+}
+
+TEST_F(plain_caller_test, success_without_an_id_is_not_used) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write(
+            answer("200 OK", "", "Server-Stamp: s\r\n", "another's"));
+        connection.read_request();
+    });
+    use(upstream);
+    const auto result = call("a");
+    EXPECT_FALSE(result.answer);
+    EXPECT_TRUE(result.may_have_run);
+}
--- /dev/null
+++ b/tests/drivers/http/http_client_faulty_peer_test.cpp
@@ -0,0 +1,226 @@
+#include "drivers/http/http_client.hpp"
+#include "tests/fakes/raw_upstream.hpp"
+#include "tests/fakes/run_call.hpp"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <future>
+#include <vector>
+
+using namespace savorydock;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+std::string answer(const std::string& id, const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+class http_client_faulty_peer_test : public ::testing::Test {
+public:
+    outcome<http_response> call(const raw_upstream& upstream,
+                                const std::string& id = "1",
+                                std::chrono::milliseconds timeout = 5s) {
+        call_options options{
+            .is_own_answer = [id](const http_headers& headers) {
+                return find_header(headers, "X-Id") == id;
+            }};
+        http_request request{.target = "/", .headers = {{"X-Id", id}}};
+        return run_call(context,
+                        client.call(upstream.address(), std::move(request),
+                                    std::chrono::steady_clock::now() + timeout,
+                                    std::move(options)));
+    }
+
+    /// Calls an upstream that begins its answer with `start` and then sends
+    /// `piece` without end. Returns the number of bytes that it could write.
+    std::size_t call_endless(const std::string& start,
+                             const std::string& piece) {
+        std::promise<std::size_t> written;
+        raw_upstream upstream([&](raw_connection& connection, std::size_t) {
+            connection.read_request();
+            connection.write(start);
+            written.set_value(connection.write_until_closed(piece));
+        });
+        const auto begin = std::chrono::steady_clock::now();
+        const auto result = call(upstream);
+        EXPECT_LT(std::chrono::steady_clock::now() - begin, 4s)
+            << "the call must not wait for its deadline";
+        code = result ? result_code::ok : result.reason().code;
+        return written.get_future().get();
+    }
+
+    asio::io_context context;
+    http_client client{
+        context,
+        unframed_answer::accept,
+        {.max_body_bytes = 1U << 20U, .max_total_body_bytes = 4U << 20U}};
+    result_code code = result_code::ok;
+};
+
+/// Bytes that may be in the buffers of both sockets besides those read.
+constexpr std::size_t socket_buffers = 16U << 20U;
+
+} // namespace
+
+TEST_F(http_client_faulty_peer_test, late_copy_of_an_answer_reaches_no_call) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t number) {
+        std::string last;
+        while (true) {
+            const std::string request = connection.read_request();
+            if (request.empty()) {
+                return;
+            }
+            const std::string id = header_of(request, "X-Id");
+            // The copy arrives when the connection is in use again.
+            const std::string copy =
+                number == 0 && !last.empty() ? answer(last, last) : "";
+            connection.write(copy + answer(id, id));
+            last = id;
+        }
+    });
+    EXPECT_EQ(call(upstream, "1")->body, "1");
+    const auto second = call(upstream, "2");
+    ASSERT_FALSE(second);
+    EXPECT_EQ(second.reason().code, result_code::unknown_upstream_lost)
+        << "the request may have run";
+    EXPECT_EQ(call(upstream, "3")->body, "3")
+        << "the answer to the second request must not reach the third";
+    EXPECT_EQ(upstream.connections(), 2U);
+}
+
+TEST_F(http_client_faulty_peer_test,
+       copy_on_an_idle_connection_closes_the_connection) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        while (true) {
+            const std::string id = header_of(connection.read_request(), "X-Id");
+            if (id.empty() || !connection.write(answer(id, id))) {
+                return;
+            }
+            std::this_thread::sleep_for(50ms);
+            connection.write(answer(id, id));
+        }
+    });
+    EXPECT_EQ(call(upstream, "1")->body, "1");
+    std::this_thread::sleep_for(150ms);
+    EXPECT_EQ(call(upstream, "2")->body, "2");
+    EXPECT_EQ(upstream.connections(), 2U);
+}
+
+TEST_F(http_client_faulty_peer_test, interim_answers_are_skipped) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write("HTTP/1.1 100 Continue\r\n\r\n"
+                         "HTTP/1.1 103 Early Hints\r\nX-Id: 9\r\n\r\n" +
+                         answer("1", "final"));
+        connection.read_request();
+    });
+    const auto result = call(upstream);
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->status, 200U);
+    EXPECT_EQ(result->body, "final");
+}
+
+TEST_F(http_client_faulty_peer_test, endless_interim_answers_end_the_call) {
+    const auto written = call_endless("", "HTTP/1.1 100 Continue\r\n\r\n");
+    EXPECT_EQ(code, result_code::unknown_upstream_lost);
+    EXPECT_LT(written, socket_buffers);
+}
+
+TEST_F(http_client_faulty_peer_test, endless_header_ends_the_call) {
+    const auto written =
+        call_endless("HTTP/1.1 200 OK\r\n", "X-Filler: abcdefgh\r\n");
+    EXPECT_EQ(code, result_code::unknown_upstream_lost);
+    EXPECT_LT(written, socket_buffers);
+}
+
+TEST_F(http_client_faulty_peer_test, endless_header_line_ends_the_call) {
+    const auto written =
+        call_endless("HTTP/1.1 200 OK\r\nX-Filler: ", std::string(1'024, 'a'));
+    EXPECT_EQ(code, result_code::unknown_upstream_lost);
+    EXPECT_LT(written, socket_buffers);
+}
+
+TEST_F(http_client_faulty_peer_test, endless_bytes_that_are_no_http_end_it) {
+    const auto written = call_endless("", std::string(1'024, '\x01'));
+    EXPECT_EQ(code, result_code::unknown_upstream_lost);
+    EXPECT_LT(written, socket_buffers);
+}
+
+TEST_F(http_client_faulty_peer_test, endless_body_ends_the_call) {
+    const auto written = call_endless("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n",
+                                      std::string(16'384, 'a'));
+    EXPECT_EQ(code, result_code::failed_by_upstream);
+    EXPECT_LT(written, socket_buffers);
+}
+
+TEST_F(http_client_faulty_peer_test, endless_chunk_extension_ends_the_call) {
+    const auto written = call_endless(
+        "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n5;a=",
+        std::string(1'024, 'a'));
+    EXPECT_EQ(code, result_code::failed_truncated);
+    EXPECT_LT(written, socket_buffers);
+}
+
+TEST_F(http_client_faulty_peer_test, endless_trailer_ends_the_call) {
+    const auto written = call_endless("HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+                                      "Transfer-Encoding: chunked\r\n\r\n"
+                                      "1\r\na\r\n0\r\n",
+                                      "X-Filler: abcdefgh\r\n");
+    EXPECT_EQ(code, result_code::failed_truncated);
+    EXPECT_LT(written, socket_buffers);
+}
+
+// A hundred endless answers at once must not use a hundred times the memory of
+// one.
+TEST_F(http_client_faulty_peer_test, endless_bodies_share_one_memory_limit) {
+    constexpr std::size_t calls = 100;
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n");
+        connection.write_until_closed(std::string(8'192, 'a'), 1ms);
+    });
+    std::vector<std::optional<outcome<http_response>>> results(calls);
+    for (auto& result : results) {
+        http_request request{.target = "/"};
+        asio::co_spawn(
+            context,
+            store_value(client.call(upstream.address(), std::move(request),
+                                    std::chrono::steady_clock::now() + 20s),
+                        result),
+            asio::detached);
+    }
+    context.run();
+    for (const auto& result : results) {
+        ASSERT_TRUE(result);
+        ASSERT_FALSE(*result);
+        EXPECT_EQ(result->reason().code, result_code::failed_by_upstream);
+    }
+}
+
+// The permission for a request may end while the connection is being opened.
+TEST_F(http_client_faulty_peer_test,
+       request_whose_permission_ended_is_not_written) {
+    std::atomic<bool> has_request = false;
+    raw_upstream upstream([&](raw_connection& connection, std::size_t) {
+        has_request = !connection.read_request().empty();
+    });
+    bool is_asked = false;
+    call_options options{.use = connection_use::fresh, .may_write = [&] {
+                             is_asked = true;
+                             return false;
+                         }};
+    const auto ended =
+        run_call(context, client.call(upstream.address(), {},
+                                      std::chrono::steady_clock::now() + 5s,
+                                      std::move(options)));
+    ASSERT_FALSE(ended);
+    EXPECT_EQ(ended.reason().code, result_code::not_run_deadline);
+    EXPECT_TRUE(is_asked);
+    std::this_thread::sleep_for(100ms);
+    EXPECT_FALSE(has_request);
+}
