--- a/servers/feed/key_copy.cpp
+++ b/servers/feed/key_copy.cpp
@@ -8,6 +8,9 @@
 std::vector<store_change> key_copy::replace(std::vector<stored_value> values,
                                             store_revision revision) {
     std::vector<store_change> changes;
+    if (has_snapshot_ && revision < revision_) {
+        return changes;
+    }
     std::set<std::string> present;
     for (stored_value& value : values) {
         present.insert(value.key);
@@ -34,6 +37,9 @@
                                           store_revision revision) {
     std::vector<store_change> applied;
     for (store_change& change : changes) {
+        if (has_snapshot_ && change.value.modified <= revision_) {
+            continue;
+        }
         const auto known = values_.find(change.value.key);
         const bool is_known = known != values_.end();
         if (is_known && known->second.modified >= change.value.modified) {
@@ -49,7 +55,10 @@
         }
         applied.push_back(std::move(change));
     }
-    revision_ = std::max(revision_, revision);
+    // Without a snapshot the copy isn't complete through any revision.
+    if (has_snapshot_) {
+        revision_ = std::max(revision_, revision);
+    }
     return applied;
 }
 
--- a/servers/feed/key_copy.hpp
+++ b/servers/feed/key_copy.hpp
@@ -8,17 +8,19 @@
 
 namespace savorydock {
 
-/// A copy of the keys under one prefix of the store. A key never goes back to
-/// an older revision, whatever the source of an update. Not thread safe;
-/// deterministic.
+/// A copy of the keys under one prefix of the store. The copy never goes back
+/// to an older revision, whatever the source of an update: a late update
+/// neither restores an older value nor a key that was removed meanwhile.
+/// Not thread safe; deterministic.
 class key_copy {
 public:
-    /// Applies a snapshot of the complete prefix, read at `revision`. Returns
-    /// the changes to the copy.
+    /// Applies a snapshot of the complete prefix, read at `revision`, unless
+    /// the copy is newer. Returns the changes to the copy.
     std::vector<store_change> replace(std::vector<stored_value> values,
                                       store_revision revision);
 
-    /// Applies changes up to `revision`, in the order of the store. Returns
+    /// Applies all changes of the prefix between `this->revision()` and
+    /// `revision`, in the order of the store; earlier ones are ignored. Returns
     /// those that were not in the copy yet.
     std::vector<store_change> merge(std::vector<store_change> changes,
                                     store_revision revision);
--- a/tests/servers/feed/feed_test.cpp
+++ b/tests/servers/feed/feed_test.cpp
@@ -118,6 +118,36 @@
     EXPECT_TRUE(copy.values().contains("n"));
 }
 
+// An upstream that left must not be used again because an update from before
+// its removal arrives late: from another feeder, or by another path.
+TEST(key_copy_test, removed_key_is_not_restored_by_an_older_snapshot) {
+    key_copy copy;
+    static_cast<void>(copy.replace({value("k", 3)}, 3));
+    ASSERT_EQ(
+        copy.merge({{.value = value("k", 7), .is_removed = true}}, 7).size(),
+        1U);
+    EXPECT_TRUE(copy.replace({value("k", 3)}, 5).empty());
+    EXPECT_FALSE(copy.values().contains("k"));
+    EXPECT_EQ(copy.revision(), 7U);
+}
+
+TEST(key_copy_test, removed_key_is_not_restored_by_a_late_change) {
+    key_copy copy;
+    static_cast<void>(copy.replace({value("k", 3)}, 3));
+    static_cast<void>(copy.replace({}, 9));
+    EXPECT_TRUE(copy.merge({{.value = value("k", 8)}}, 8).empty());
+    EXPECT_FALSE(copy.values().contains("k"));
+    EXPECT_EQ(copy.merge({{.value = value("k", 10)}}, 10).size(), 1U)
+        << "a key that was written again after its removal is back";
+}
+
+TEST(key_copy_test, changes_before_the_first_snapshot_are_not_skipped_later) {
+    key_copy copy;
+    static_cast<void>(copy.merge({{.value = value("n", 9)}}, 9));
+    static_cast<void>(copy.replace({value("k", 3)}, 5));
+    EXPECT_EQ(copy.merge({{.value = value("m", 7)}}, 9).size(), 1U);
+}
+
 TEST(key_copy_test, missing_key_of_a_snapshot_is_reported_as_removed) {
     key_copy copy;
     static_cast<void>(copy.replace({value("k", 3)}, 3));
