Send and take peer messages of all topics

Cause: the link knew topics below 15, and job_notice is 15, so each notice of an accepted or ended job was dropped by its sender and planners learned of jobs from their feeder only. Ruled out: a lost connection (the sender counted the message as dropped). The number of topics now follows from the enumeration. Two topics for results are added for the next change. Before: messages_of_all_topics_are_delivered can't pass with the old bound (its last topics are dropped); after: it passes.

--- a/drivers/peer/peer_counters.hpp
+++ b/drivers/peer/peer_counters.hpp
@@ -18,7 +18,8 @@
 
 /// Counters of a peer link since it started.
 struct peer_counters {
-    static constexpr std::size_t topic_count = 15;
+    static constexpr std::size_t topic_count =
+        static_cast<std::size_t>(last_peer_topic) + 1;
 
     /// Indexed by the number of the topic.
     std::array<peer_topic_counters, topic_count> topics;
--- a/servers/control_server.hpp
+++ b/servers/control_server.hpp
@@ -37,8 +37,13 @@
     store_call = 13,
     store_answer = 14,
     job_notice = 15,
+    result_request = 16,
+    result_reply = 17,
 };
 
+/// The topic with the highest number; keep it in step with the enumeration.
+inline constexpr peer_topic last_peer_topic = peer_topic::result_reply;
+
 /// A message between two instances. `body` is a struct of the topic, encoded as
 /// core/wire_codec.hpp defines.
 struct peer_message {
--- a/tests/drivers/peer/peer_link_test.cpp
+++ b/tests/drivers/peer/peer_link_test.cpp
@@ -114,6 +114,21 @@
     EXPECT_EQ(a_.link.counters().connects, 1U);
 }
 
+TEST_F(peer_link_test, messages_of_all_topics_are_delivered) {
+    std::vector<peer_topic> sent;
+    for (std::size_t number = 1;
+         number <= static_cast<std::size_t>(last_peer_topic); ++number) {
+        sent.push_back(static_cast<peer_topic>(number));
+        a_.link.send(
+            {.from = a_.name, .to = b_.name, .topic = sent.back(), .body = "x"},
+            b_.address);
+    }
+    ASSERT_TRUE(run_until([&] { return b_.received.size() == sent.size(); }));
+    for (std::size_t i = 0; i < sent.size(); ++i) {
+        EXPECT_EQ(b_.received[i].topic, sent[i]);
+    }
+}
+
 TEST_F(peer_link_test, bad_bytes_are_refused_and_the_link_keeps_working) {
     const std::string preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
     const std::vector<std::string> cases{
