Take up runs of instances that were only silent, and probe lost ones

Cause: a runner that was silent for 1.5 s had its runs started again elsewhere and whatever it reported later was ignored; it got runs again after 4.5 s, also while it was still unreachable, and each lost another 1.5 s. A slow engine's run counted as stalled after 1 s whatever its speed, and each restart read the prompt again. Ruled out: longer silence alone (dead instances would cost as much more). Now a run that is found again goes on unless its replacement is ahead; a lost runner gets runs again when it answers a probe; a run counts as stalled by its engine's measured speed. Tests: lost_runner_test, lost_runner_gets_runs_again_once_it_is_heard , slow_run_counts_as_stalled_by_its_engines_speed.

--- a/drivers/batch/run_host.cpp
+++ b/drivers/batch/run_host.cpp
@@ -76,6 +76,9 @@
         drop_old_results(now);
         hand_over(key, order.term);
     }
+    if (order.is_probe) {
+        report_(planner, {.service = order.service});
+    }
     for (const run_ticket ticket : order.stopped) {
         stop(ticket);
     }
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -437,12 +437,71 @@
     if (run == runs_.end()) {
         return;
     }
+    if (!run->second.is_stopping) {
+        lost_runs_[ticket] = {.run = run->second, .lost_at = now};
+    }
     on_run_ended({.ticket = ticket,
                   .end = run_end::stopped,
                   .last_delta = {.ticket = ticket}},
                  now);
 }
 
+std::optional<run_ticket> item_planner::active_run_of(const job_id& job,
+                                                      std::size_t item) const {
+    const auto found =
+        std::find_if(runs_.begin(), runs_.end(), [&](const auto& row) {
+            return row.second.job == job && row.second.item == item;
+        });
+    return found == runs_.end() ? std::nullopt : std::optional(found->first);
+}
+
+void item_planner::on_run_found(const run_delta& delta, bool is_complete,
+                                steady_time now, planner_commands& out) {
+    const run_ticket ticket = delta.ticket;
+    const auto found = lost_runs_.find(ticket);
+    if (found == lost_runs_.end()) {
+        return;
+    }
+    run_state run = std::move(found->second.run);
+    lost_runs_.erase(found);
+    const auto owner = jobs_.find(run.job);
+    const auto replacement = active_run_of(run.job, run.item);
+    const bool is_ahead =
+        is_complete ||
+        (replacement && runs_[*replacement].progress.events <= delta.events);
+    // Events before the delta may be missing, because reports were lost.
+    const bool is_wanted =
+        owner != jobs_.end() && delta.base_events <= run.progress.events &&
+        (owner->second.items[run.item].phase == item_phase::waiting ||
+         (replacement && is_ahead));
+    if (!is_wanted) {
+        out.emplace_back(stop_run{.ticket = ticket});
+        return;
+    }
+    job_state& job = owner->second;
+    item_state& item = job.items[run.item];
+    if (replacement) {
+        run_state& stopped = runs_[*replacement];
+        roster_.release(stopped.upstream, stopped.model, stopped.cache_tokens);
+        runs_.erase(*replacement);
+        out.emplace_back(stop_run{.ticket = *replacement});
+    } else {
+        job.waiting.erase({item.rank, run.item});
+        item.progress = {};
+    }
+    item.phase = item_phase::running;
+    roster_.occupy(run.upstream, run.model, run.cache_tokens);
+    run.last_event_at = now;
+    runs_[ticket] = std::move(run);
+}
+
+void item_planner::drop_old_lost_runs(steady_time now) {
+    std::erase_if(lost_runs_, [&](const auto& row) {
+        return now >= row.second.lost_at + options_.lost_run_retention ||
+               !jobs_.contains(row.second.run.job);
+    });
+}
+
 void item_planner::on_scored(score_report report) {
     const auto found = scorings_.find(report.ticket);
     if (found == scorings_.end()) {
@@ -584,10 +643,20 @@
     }
 }
 
+bool item_planner::is_stalled(const run_state& run, steady_time now) const {
+    const auto silence = now - run.last_event_at;
+    const roster_entry* const engine = roster_.find(run.upstream);
+    const double event_milliseconds =
+        engine == nullptr ? 0 : engine->event_milliseconds;
+    return silence >= options_.stall_timeout &&
+           std::chrono::duration<double, std::milli>(silence).count() >=
+               options_.stall_events * event_milliseconds;
+}
+
 void item_planner::stop_stalled(steady_time now, planner_commands& out) {
     for (auto& [ticket, run] : runs_) {
         if (!jobs_.contains(run.job) || run.is_stopping ||
-            now < run.last_event_at + options_.stall_timeout) {
+            !is_stalled(run, now)) {
             continue;
         }
         if (roster_.is_loading(run.upstream, run.model, now)) {
@@ -795,6 +864,7 @@
     if (has_term_ && is_starting_ && now >= next_check_) {
         next_check_ = now + options_.check_period;
         roster_.update_typical_speed(now);
+        drop_old_lost_runs(now);
         stop_stalled(now, out);
         move_stragglers(now, out);
     }
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -219,6 +219,12 @@
     /// A run without events for this long is stopped, unless its engine is
     /// loading weights. Runners report every 400 ms.
     std::chrono::milliseconds stall_timeout{1'000};
+    /// Events that a slow engine must be behind with as well, at its measured
+    /// speed, before its run counts as stalled.
+    double stall_events = 4;
+    /// How long a run whose runner was taken for lost is remembered, in case
+    /// the runner was only silent.
+    std::chrono::milliseconds lost_run_retention{15'000};
     /// Texts of runs in progress are saved at this interval, each one if it has
     /// at least `save_events` new events.
     std::chrono::milliseconds save_period{1'500};
@@ -311,8 +317,16 @@
 
     void on_run_delta(run_delta delta, steady_time now, planner_commands& out);
     void on_run_ended(run_report report, steady_time now);
-    /// The instance that ran or scored the ticket's item no longer does so.
+    /// The instance that ran or scored the ticket's item no longer does so, or
+    /// has been silent for too long. The item starts again elsewhere after the
+    /// text known so far.
     void on_run_lost(run_ticket ticket, steady_time now);
+    /// An instance that was taken for lost reports progress of the run; the
+    /// caller passes on the report afterwards. The run is taken up again if its
+    /// text is complete, or not behind that of the run that replaced it. Either
+    /// this run or the replacement is stopped.
+    void on_run_found(const run_delta& delta, bool is_complete, steady_time now,
+                      planner_commands& out);
     void on_scored(score_report report);
     /// `number` is the one in the `commit_results`. Reports about earlier
     /// attempts are ignored.
@@ -418,6 +432,12 @@
         std::size_t saved_bytes = 0;
     };
 
+    /// A run whose runner was taken for lost, with what it had reported.
+    struct lost_run {
+        run_state run;
+        steady_time lost_at;
+    };
+
     /// The text of an item of an ended job, for a later job with that item.
     struct retained_text {
         item_progress progress;
@@ -477,6 +497,11 @@
     /// Keeps the texts of incomplete groups of a job that ends.
     void retain_texts(const job_state& job);
     void stop_stalled(steady_time now, planner_commands& out);
+    [[nodiscard]] bool is_stalled(const run_state& run, steady_time now) const;
+    void drop_old_lost_runs(steady_time now);
+    /// The ticket of the item's active run, if it has one.
+    [[nodiscard]] std::optional<run_ticket>
+    active_run_of(const job_id& job, std::size_t item) const;
     void save_texts(steady_time now, planner_commands& out);
     /// Sorted by the priority of the route, then by the target time.
     [[nodiscard]] std::vector<job_state*> jobs_by_urgency();
@@ -488,6 +513,7 @@
     bool is_fleet_data_current_ = true;
     std::map<job_id, job_state> jobs_;
     std::map<run_ticket, run_state> runs_;
+    std::map<run_ticket, lost_run> lost_runs_;
     std::map<run_ticket, scoring_state> scorings_;
     /// Items that wait for a scoring slot, in order.
     std::vector<std::pair<job_id, std::size_t>> to_score_;
--- a/servers/batch/run_message.hpp
+++ b/servers/batch/run_message.hpp
@@ -60,9 +60,12 @@
     bool is_takeover = false;
     /// Runs and scorings whose results are listed; the instance may drop them.
     std::vector<run_ticket> released;
+    /// The receiver was taken for lost and must report that it is there.
+    bool is_probe = false;
 };
 BOOST_DESCRIBE_STRUCT(runner_command, (),
-                      (service, tasks, stopped, term, is_takeover, released))
+                      (service, tasks, stopped, term, is_takeover, released,
+                       is_probe))
 
 /// Notifies the planner of a service that a job was accepted or ended. The
 /// planner's feeder would deliver the change some hundred milliseconds later.
--- a/servers/batch/runner_pool.cpp
+++ b/servers/batch/runner_pool.cpp
@@ -7,13 +7,6 @@
 
 namespace savorydock {
 
-namespace {
-
-/// A lost runner gets no new runs for this many times the silence timeout.
-constexpr int pause_factor = 3;
-
-} // namespace
-
 runner_pool::runner_pool(runner_pool_options options)
     : options_(std::move(options)) {}
 
@@ -142,8 +135,7 @@
             now > std::max(heard_at_[assigned.runner], assigned.assigned_at) +
                       options_.silence_timeout) {
             lost.push_back(ticket);
-            not_before_[assigned.runner] =
-                now + options_.silence_timeout * pause_factor;
+            not_before_[assigned.runner] = now + options_.lost_runner_pause;
         }
     }
     for (const run_ticket ticket : lost) {
@@ -152,6 +144,16 @@
     return lost;
 }
 
+std::vector<instance_id> runner_pool::lost_runners(steady_time now) const {
+    std::vector<instance_id> lost;
+    for (const auto& [runner, until] : not_before_) {
+        if (until > now) {
+            lost.push_back(runner);
+        }
+    }
+    return lost;
+}
+
 std::vector<instance_id> runner_pool::busy_runners() const {
     std::vector<instance_id> busy;
     for (const auto& [runner, load] : loads_) {
--- a/servers/batch/runner_pool.hpp
+++ b/servers/batch/runner_pool.hpp
@@ -33,6 +33,9 @@
     /// A runner that has runs and sends no message for this long is considered
     /// lost.
     std::chrono::milliseconds silence_timeout{1'500};
+    /// A lost runner gets no runs until it is heard from again, or for this
+    /// long at most.
+    std::chrono::milliseconds lost_runner_pause{30'000};
 };
 
 /// Preferred location of the instance that handles a run.
@@ -79,9 +82,15 @@
                      const std::set<run_ticket>& active, steady_time now);
 
     /// Removes and returns the tickets of lost runners, which get no new runs
-    /// for a time.
+    /// until they are heard from again.
     [[nodiscard]] std::vector<run_ticket> take_lost_runs(steady_time now);
 
+    /// A message of the instance arrived, so it may get runs again.
+    void on_heard(const instance_id& runner) { not_before_.erase(runner); }
+
+    /// Returns the lost runners, which should be probed.
+    [[nodiscard]] std::vector<instance_id> lost_runners(steady_time now) const;
+
     [[nodiscard]] std::size_t assigned() const { return assignments_.size(); }
 
     /// Returns the instances that have runs, without this one.
--- a/tests/drivers/batch/run_host_test.cpp
+++ b/tests/drivers/batch/run_host_test.cpp
@@ -94,6 +94,16 @@
     EXPECT_TRUE(updates[0].held.empty());
 }
 
+// A planner gives a lost runner no runs, so only a probe shows that it is back.
+TEST_F(run_host_test, probe_of_an_idle_runner_is_answered) {
+    host.on_order(
+        instance_id("planner"),
+        {.service = service_name("e"), .term = term, .is_probe = true});
+    ASSERT_EQ(updates.size(), 1U);
+    EXPECT_EQ(updates[0].service, service_name("e"));
+    EXPECT_EQ(updates[0].takeover_term, 0U);
+}
+
 TEST(run_record_test, reports_join_to_the_complete_text) {
     run_record record = run_record::resumed_after(
         {.text = "a\nb", .events = 2, .versions = {1}});
--- a/tests/servers/batch/item_planner_test.cpp
+++ b/tests/servers/batch/item_planner_test.cpp
@@ -489,6 +489,109 @@
     EXPECT_EQ(again[0].progress.events, 6U);
 }
 
+// An instance that is only silent for a while must not lose its work: its runs
+// go on unless another one has overtaken them.
+class lost_runner_test : public item_planner_test {
+public:
+    lost_runner_test() {
+        set_engines(2, 1);
+        add_job(make_job("j", 0, {{50}}));
+        first = take_commands<start_run>().at(0).ticket;
+        progress(first, 0, 6);
+        planner.on_run_lost(first, now);
+        step();
+        second = take_commands<start_run>().at(0).ticket;
+        now += 1s;
+    }
+
+    /// The runner reports events of the first run again.
+    void find(std::uint64_t base, std::uint64_t events,
+              bool is_complete = false) {
+        planner.on_run_found(
+            {.ticket = first, .base_events = base, .events = events},
+            is_complete, now, commands);
+    }
+
+    std::vector<run_ticket> stopped() {
+        std::vector<run_ticket> tickets;
+        for (const stop_run& stop : take_commands<stop_run>()) {
+            tickets.push_back(stop.ticket);
+        }
+        return tickets;
+    }
+
+    run_ticket first = 0;
+    run_ticket second = 0;
+};
+
+TEST_F(lost_runner_test, run_that_is_ahead_replaces_its_replacement) {
+    progress(second, 6, 8);
+    find(6, 12);
+    EXPECT_EQ(stopped(), std::vector<run_ticket>{second});
+    progress(first, 6, 12);
+    report(first, 12, 13, run_end::complete);
+    EXPECT_EQ(take_commands<commit_results>().size(), 1U);
+}
+
+TEST_F(lost_runner_test, run_that_is_behind_is_stopped) {
+    progress(second, 6, 20);
+    find(6, 12);
+    EXPECT_EQ(stopped(), std::vector<run_ticket>{first});
+    report(second, 20, 21, run_end::complete);
+    EXPECT_EQ(take_commands<commit_results>().size(), 1U);
+}
+
+TEST_F(lost_runner_test, complete_text_counts_although_the_other_is_ahead) {
+    progress(second, 6, 40);
+    find(6, 30, true);
+    EXPECT_EQ(stopped(), std::vector<run_ticket>{second});
+    report(first, 6, 30, run_end::complete);
+    EXPECT_EQ(take_commands<commit_results>().size(), 1U);
+}
+
+TEST_F(lost_runner_test, run_with_missing_events_is_stopped) {
+    progress(second, 6, 8);
+    find(9, 12);
+    EXPECT_EQ(stopped(), std::vector<run_ticket>{first});
+}
+
+TEST_F(lost_runner_test, run_of_a_listed_item_is_stopped) {
+    report(second, 6, 9, run_end::complete);
+    ASSERT_EQ(take_commands<commit_results>().size(), 1U);
+    find(6, 12, true);
+    EXPECT_EQ(stopped(), std::vector<run_ticket>{first});
+}
+
+TEST_F(lost_runner_test, run_comes_back_before_its_item_starts_again) {
+    report(second, 6, 6, run_end::stopped);
+    // The engine of the second run got no pause, so the item started there.
+    const auto third = take_commands<start_run>();
+    ASSERT_EQ(third.size(), 1U);
+    report(third[0].ticket, 6, 6, run_end::interrupted);
+    take_commands<start_run>();
+    find(6, 12);
+    EXPECT_FALSE(stopped().empty());
+}
+
+// A slow engine that still makes events must not lose its runs: each restart
+// elsewhere costs the prompt again.
+TEST_F(item_planner_test, slow_run_counts_as_stalled_by_its_engines_speed) {
+    set_engines(2, 1);
+    add_job(make_job("j", 0, {{50}}));
+    const auto run = take_commands<start_run>().at(0).ticket;
+    for (std::uint64_t events = 0; events < 8; ++events) {
+        progress(run, events, events + 1);
+        now += 600ms;
+    }
+    // The last event came 0.6 s ago; the next one is late, but not stalled.
+    now += 600ms;
+    step();
+    EXPECT_TRUE(take_commands<stop_run>().empty());
+    now += 1'800ms;
+    step();
+    EXPECT_EQ(take_commands<stop_run>().size(), 1U);
+}
+
 // Guards against runs that stay on an engine while it loads weights. The load
 // delays a run by a second, which makes a long item miss its target.
 TEST_F(item_planner_test, run_moves_off_an_engine_that_begins_to_load) {
--- a/tests/servers/batch/runner_pool_test.cpp
+++ b/tests/servers/batch/runner_pool_test.cpp
@@ -59,6 +59,22 @@
     EXPECT_EQ(assign(50)["n0"], 50U);
 }
 
+// Load pattern: a third of the instances is unreachable for ten seconds or
+// more. Each run that is assigned to one of them again loses another second
+// and a half.
+TEST_F(runner_pool_test, lost_runner_gets_runs_again_once_it_is_heard) {
+    assign(120);
+    now += 2s;
+    EXPECT_FALSE(pool.take_lost_runs(now).empty());
+    EXPECT_EQ(pool.lost_runners(now).size(), 2U);
+    now += 20s;
+    EXPECT_FALSE(assign(100).contains("n1"));
+    pool.on_heard(instance_id("n1"));
+    EXPECT_EQ(pool.lost_runners(now),
+              std::vector<instance_id>{instance_id("n2")});
+    EXPECT_TRUE(assign(50).contains("n1"));
+}
+
 TEST_F(runner_pool_test, run_that_its_runner_lacks_is_reported_missing) {
     assign(120);
     run_ticket remote = 0;
