--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -75,6 +75,11 @@
     log_event_entry{run_order_ignored, info, "run_order_ignored",
                     "a command from a planner whose term has ended was "
                     "ignored"},
+    log_event_entry{result_read_unanswered, warning, "result_read_unanswered",
+                    "a planner did not reply to a read of results; the store "
+                    "is read instead"},
+    log_event_entry{runner_found, info, "runner_found",
+                    "an instance that was taken for lost reports runs again"},
     log_event_entry{configuration_in_force, info, "configuration_in_force",
                     "a revision of a service's configuration took effect"},
     log_event_entry{configuration_refused, error, "configuration_refused",
@@ -111,6 +116,8 @@
                     "itself"},
     log_event_entry{store_call_relayed, info, "store_call_relayed",
                     "a call to the store was relayed by another instance"},
+    log_event_entry{term_handed_over, info, "term_handed_over",
+                    "a planner released its term to a better-suited instance"},
     log_event_entry{peer_suspected, warning, "peer_suspected",
                     "an instance does not respond"},
     log_event_entry{peer_alive, info, "peer_alive", "an instance responds"},
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -44,6 +44,8 @@
     runner_lost = 2216,
     runs_handed_over = 2217,
     run_order_ignored = 2218,
+    result_read_unanswered = 2219,
+    runner_found = 2220,
 
     configuration_in_force = 3000,
     configuration_refused = 3001,
@@ -61,6 +63,7 @@
     feed_followed = 3106,
     feed_left = 3107,
     store_call_relayed = 3108,
+    term_handed_over = 3109,
 
     peer_suspected = 3200,
     peer_alive = 3201,
--- a/core/node_settings.hpp
+++ b/core/node_settings.hpp
@@ -43,6 +43,9 @@
     /// The minimum time between two successive holders of a scope; also the
     /// time to live of the holders' leases.
     std::chrono::milliseconds holder_separation{3'000};
+    /// The time within which a change of the configuration, or of an upstream's
+    /// state, must take effect on all instances.
+    std::chrono::milliseconds change_bound{2'000};
 };
 
 } // namespace savorydock
--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -26,6 +26,12 @@
 /// Pause before a job is read again after a failed read or a superseded commit.
 constexpr std::chrono::milliseconds load_retry_delay{150};
 constexpr std::chrono::milliseconds drain_check_interval{50};
+/// How often a planner checks whether another instance should plan.
+constexpr std::chrono::milliseconds rank_check_interval{1'000};
+/// How long a planner keeps its term at least before it hands it over. Doubled
+/// each time, because a hand-over that nobody takes costs seconds.
+constexpr std::chrono::milliseconds first_min_hold_time{5'000};
+constexpr std::chrono::milliseconds longest_min_hold_time{80'000};
 /// Scoring calls use at most this share of the slots of plain services; the
 /// rest is reserved for other callers of the same upstreams.
 constexpr double max_scoring_share = 0.5;
@@ -89,7 +95,7 @@
            .self = options_.self,
            .lease_time = options_.lease_time,
            .processor_share = options_.processor_share,
-           .should_yield = options_.should_yield,
+           .claim_delay = options_.claim_delay,
            .seed = options_.seed},
           [this](const held_term& term) { on_gained(term); },
           [this](term_end reason) { on_lost(reason); }, log)
@@ -99,11 +105,31 @@
 
 void engine_driver::start() {
     asio::co_spawn(context_, term_.run(), asio::detached);
+    asio::co_spawn(context_, hand_over_if_outranked(), asio::detached);
     on_fleet_changed();
 }
 
-void engine_driver::on_term_key(const stored_value* value) {
-    term_.on_key(value);
+asio::awaitable<void> engine_driver::hand_over_if_outranked() {
+    auto min_hold_time = first_min_hold_time;
+    while (true) {
+        co_await pause(context_, rank_check_interval);
+        const auto held_for = std::chrono::steady_clock::now() - gained_at_;
+        if (!term_.is_held_now() || held_for < min_hold_time ||
+            !options_.is_outranked()) {
+            continue;
+        }
+        log_.write(log_event::term_handed_over,
+                   "service=" + options_.service.text() +
+                       " term=" + std::to_string(term_.term()->revision));
+        // If nobody else claims the term, this instance gets it back.
+        min_hold_time = std::min(min_hold_time * 2, longest_min_hold_time);
+        co_await term_.release();
+    }
+}
+
+void engine_driver::on_term_key(const stored_value* value,
+                                store_revision revision) {
+    term_.on_key(value, revision);
 }
 
 void engine_driver::post_step(control_step step) {
@@ -137,6 +163,7 @@
 
 void engine_driver::on_gained(const held_term& term) {
     statistics_.term = term.revision;
+    gained_at_ = std::chrono::steady_clock::now();
     loaded_jobs_.clear();
     if (term.revision != last_term_) {
         last_term_ = term.revision;
@@ -153,6 +180,7 @@
     runners_ = runner_pool({.self = options_.self});
     result_locations_.clear();
     pending_releases_.clear();
+    lost_runs_.clear();
     unanswered_takeovers_.clear();
     post_step([](engine_control& control, steady_time now, engine_commands&) {
         control.planner().begin_adoption(now);
@@ -265,7 +293,7 @@
 asio::awaitable<void> engine_driver::load_job(job_record record) {
     while (term_.term()) {
         const store_revision term = term_.term()->revision;
-        auto loaded = co_await jobs_.load(record);
+        auto loaded = co_await jobs_.load(record, term);
         const auto known = jobs_.records().find(record.id);
         if (known == jobs_.records().end() || known->second.is_ended) {
             break;
@@ -360,8 +388,23 @@
 }
 
 void engine_driver::execute(engine_commands commands) {
+    // The texts of all jobs share a write.
+    std::vector<save_progress> texts;
     for (planner_command& command : commands.planner) {
-        std::visit([this](auto& one) { execute_one(one); }, command);
+        if (auto* const text = std::get_if<save_progress>(&command)) {
+            texts.push_back(std::move(*text));
+            continue;
+        }
+        std::visit(
+            [this](auto& one) {
+                if constexpr (!std::is_same_v<decltype(one), save_progress&>) {
+                    execute_one(one);
+                }
+            },
+            command);
+    }
+    if (!texts.empty()) {
+        asio::co_spawn(context_, save(std::move(texts)), asio::detached);
     }
     send_orders();
     for (version_order& order : commands.rollout.orders) {
@@ -494,6 +537,7 @@
         const auto lost_runs =
             runners_.take_lost_runs(std::chrono::steady_clock::now());
         if (!lost_runs.empty()) {
+            lost_runs_.insert(lost_runs.begin(), lost_runs.end());
             log_.write(log_event::runner_lost,
                        "service=" + options_.service.text() +
                            " runs=" + std::to_string(lost_runs.size()));
@@ -507,6 +551,10 @@
         for (const instance_id& runner : runners_.busy_runners()) {
             orders_[runner];
         }
+        for (const instance_id& runner :
+             runners_.lost_runners(std::chrono::steady_clock::now())) {
+            orders_[runner].is_probe = true;
+        }
         for (const auto& [runner, tickets] : pending_releases_) {
             orders_[runner];
         }
@@ -514,6 +562,36 @@
     });
 }
 
+void engine_driver::adopt_found_runs(const instance_id& runner,
+                                     const runner_update& update,
+                                     steady_time now) {
+    std::vector<std::pair<run_delta, bool>> found;
+    const auto add = [&](const run_delta& delta, bool is_complete) {
+        if (lost_runs_.erase(delta.ticket) > 0) {
+            runners_.adopt(delta.ticket, runner, now);
+            found.emplace_back(delta, is_complete);
+        }
+    };
+    for (const run_report& end : update.ends) {
+        add(end.last_delta, end.end == run_end::complete);
+    }
+    for (const run_delta& delta : update.deltas) {
+        add(delta, false);
+    }
+    if (found.empty()) {
+        return;
+    }
+    log_.write(log_event::runner_found,
+               "service=" + options_.service.text() + " runner=" +
+                   runner.text() + " runs=" + std::to_string(found.size()));
+    post_step([found = std::move(found)](engine_control& control,
+                                         steady_time at, engine_commands& out) {
+        for (const auto& [delta, is_complete] : found) {
+            control.planner().on_run_found(delta, is_complete, at, out.planner);
+        }
+    });
+}
+
 void engine_driver::on_run_update(const instance_id& runner,
                                   runner_update update) {
     const steady_time now = std::chrono::steady_clock::now();
@@ -538,6 +616,8 @@
             result_locations_[score.ticket] = runner;
         }
     }
+    runners_.on_heard(runner);
+    adopt_found_runs(runner, update, now);
     std::vector<run_ticket> missing;
     if (!update.active.empty()) {
         missing = runners_.on_runner_update(
@@ -568,14 +648,10 @@
     });
 }
 
-void engine_driver::execute_one(save_progress& command) {
-    asio::co_spawn(context_, save(std::move(command)), asio::detached);
-}
-
-asio::awaitable<void> engine_driver::save(save_progress progress) {
+asio::awaitable<void> engine_driver::save(std::vector<save_progress> texts) {
     const auto term = term_.term();
     if (term) {
-        co_await jobs_.save_progress(*term, std::move(progress));
+        co_await jobs_.save_progress(*term, std::move(texts));
     }
 }
 
@@ -623,18 +699,21 @@
 
 asio::awaitable<void> engine_driver::send_order(version_order order) {
     const upstream_entry* const upstream = find_upstream(order.upstream);
-    // Checks the term right before sending: the machine may have been suspended
-    // since the roll-out issued the order.
-    const bool is_held =
-        term_.is_held_now() && term_.term()->revision == order.fencing;
+    // The machine may be suspended after the roll-out issued the order, or
+    // while the connection is being opened.
+    const auto is_held = [this, fencing = order.fencing] {
+        return term_.is_held_now() && term_.term()->revision == fencing;
+    };
     order_answer answer = order_answer::unknown;
-    if (upstream != nullptr && is_held) {
+    if (upstream != nullptr && is_held()) {
         ++statistics_.orders_sent;
+        call_options options{.may_write = is_held};
         http_request request = platform::make_version_order(order);
         const steady_time deadline =
             std::chrono::steady_clock::now() + order_timeout;
-        const auto response = co_await engines_.call(
-            upstream->address, std::move(request), deadline);
+        const auto response =
+            co_await engines_.call(upstream->address, std::move(request),
+                                   deadline, std::move(options));
         if (response) {
             answer = platform::decode_order_answer(*response);
         }
@@ -689,6 +768,14 @@
     co_await term_.retire();
 }
 
+store_revision engine_driver::term_of(const job_id& job) const {
+    const auto record = jobs_.records().find(job);
+    return term_.is_held_now() && record != jobs_.records().end() &&
+                   is_own_job(record->second)
+               ? term_.term()->revision
+               : 0;
+}
+
 engine_statistics engine_driver::statistics() const {
     return statistics_;
 }
--- a/drivers/batch/engine_driver.hpp
+++ b/drivers/batch/engine_driver.hpp
@@ -29,8 +29,12 @@
     instance_id self;
     double processor_share = 1.0;
     std::chrono::milliseconds lease_time{3'000};
-    /// Whether another instance is better suited to be the planner.
-    std::function<bool()> should_yield = [] { return false; };
+    /// See `scope_term_options::claim_delay`.
+    std::function<std::optional<std::chrono::milliseconds>(const instance_id&)>
+        claim_delay =
+            [](const instance_id&) { return std::chrono::milliseconds(0); };
+    /// Whether an instance that is better suited to be the planner is there.
+    std::function<bool()> is_outranked = [] { return false; };
     std::uint64_t seed = 1;
 };
 
@@ -62,7 +66,7 @@
 
     /// The key of the service's term changed in the local copy of the store;
     /// nullptr if the key doesn't exist.
-    void on_term_key(const stored_value* value);
+    void on_term_key(const stored_value* value, store_revision revision);
     void on_jobs_changed();
     void on_fleet_changed();
     void on_wanted_version(const std::string& model, weight_version version);
@@ -74,6 +78,10 @@
     /// gives up the term. Active runs continue under the next planner.
     boost::asio::awaitable<void> drain(std::chrono::milliseconds time);
 
+    /// Returns the term in which this instance plans the job now, or 0. Checks
+    /// the lease, also against the time that the machine was suspended.
+    [[nodiscard]] store_revision term_of(const job_id& job) const;
+
     [[nodiscard]] engine_statistics statistics() const;
 
 private:
@@ -89,13 +97,17 @@
     void execute_one(release_run& command);
     void execute_one(start_scoring& command);
     void execute_one(commit_results& command);
-    void execute_one(save_progress& command);
+    /// Releases the term when another instance should plan.
+    boost::asio::awaitable<void> hand_over_if_outranked();
     void send_orders();
     void send_order_to(const instance_id& runner, runner_command order);
     void schedule_runner_check();
     /// Requests from all instances the runs and results of earlier planners
     /// that they hold.
     void begin_takeover();
+    /// Handles progress of runs whose runner was taken for lost.
+    void adopt_found_runs(const instance_id& runner,
+                          const runner_update& update, steady_time now);
     void adopt_held_runs(const instance_id& runner, std::vector<held_run> held);
     [[nodiscard]] run_task make_task(const start_run& command) const;
     [[nodiscard]] run_task make_task(const start_scoring& command) const;
@@ -109,7 +121,7 @@
     find_upstream(const upstream_id& id) const;
 
     boost::asio::awaitable<void> load_job(job_record record);
-    boost::asio::awaitable<void> save(save_progress progress);
+    boost::asio::awaitable<void> save(std::vector<save_progress> texts);
     boost::asio::awaitable<void> commit(commit_results results);
     boost::asio::awaitable<void> send_order(version_order order);
     boost::asio::awaitable<void> request_load(upstream_id upstream);
@@ -135,6 +147,9 @@
     /// Tickets whose results may be dropped, sent with the next order to the
     /// instance that keeps them.
     std::map<instance_id, std::vector<run_ticket>> pending_releases_;
+    /// Runs whose runner was taken for lost, and that it hasn't reported since.
+    std::set<run_ticket> lost_runs_;
+    steady_time gained_at_{};
     /// The last term for which a takeover was started.
     store_revision last_term_ = 0;
     /// Instances that have not answered the takeover yet.
--- a/drivers/batch/job_store.cpp
+++ b/drivers/batch/job_store.cpp
@@ -29,6 +29,9 @@
 /// evicted first.
 constexpr std::size_t max_result_bytes = 48U << 20U;
 constexpr std::size_t max_cached_submissions = 6;
+/// Limits of a write that saves texts of several jobs.
+constexpr std::size_t max_saves_per_write = 24;
+constexpr std::size_t max_saved_bytes_per_write = 1U << 20U;
 constexpr std::chrono::milliseconds accept_retry_delay{60};
 constexpr int max_end_tries = 4;
 
@@ -144,18 +147,35 @@
     co_return record;
 }
 
-void job_store::append_rows(const job_id& job, const stored_value& value) {
-    known_results& known = results_[job];
-    if (value.key <= known.last_key ||
-        value.key != results_key(job, known.rows.size())) {
+void job_store::append_rows(const job_id& job, std::size_t position,
+                            std::vector<std::string> rows) {
+    listed_rows& known = results_[job].rows;
+    const std::size_t bytes_before = known.bytes();
+    if (!known.append(position, std::move(rows))) {
         return;
     }
-    known.last_key = value.key;
-    known.bytes += value.value.size();
-    result_bytes_ += value.value.size();
-    for (std::string& row : split_rows(value.value)) {
-        known.rows.push_back(std::move(row));
+    result_bytes_ += known.bytes() - bytes_before;
+    const auto [first, last] = waiting_reads_.equal_range(job);
+    for (auto waiting = first; waiting != last; ++waiting) {
+        waiting->second->cancel();
+    }
+}
+
+void job_store::append_stored_rows(const job_id& job,
+                                   const stored_value& value) {
+    const auto position = results_position(job, value.key);
+    if (!position) {
+        return;
     }
+    append_rows(job, *position, split_rows(value.value));
+    known_results& known = results_[job];
+    known.last_key = std::max(known.last_key, value.key);
+}
+
+void job_store::record_read(const job_id& job) {
+    recently_read_.remove(job);
+    recently_read_.push_back(job);
+    evict_old_results();
 }
 
 void job_store::evict_old_results() {
@@ -163,7 +183,7 @@
         const job_id oldest = recently_read_.front();
         recently_read_.pop_front();
         if (const auto found = results_.find(oldest); found != results_.end()) {
-            result_bytes_ -= found->second.bytes;
+            result_bytes_ -= found->second.rows.bytes();
             results_.erase(found);
         }
     }
@@ -176,12 +196,10 @@
         co_return page.reason();
     }
     for (const stored_value& value : page->values) {
-        append_rows(job, value);
+        append_stored_rows(job, value);
     }
     results_[job].revision = page->revision;
-    recently_read_.remove(job);
-    recently_read_.push_back(job);
-    evict_old_results();
+    record_read(job);
     co_return done{};
 }
 
@@ -189,18 +207,10 @@
                                  std::size_t first) const {
     result_page page{.total = total, .next_position = first};
     const auto known = results_.find(job);
-    if (known == results_.end()) {
-        return page;
-    }
-    std::size_t bytes = 0;
-    for (std::size_t at = first; at < known->second.rows.size(); ++at) {
-        bytes += known->second.rows[at].size() + 1;
-        if (bytes > max_page_bytes && !page.rows.empty()) {
-            break;
-        }
-        page.rows.push_back(known->second.rows[at]);
+    if (known != results_.end()) {
+        page.rows = known->second.rows.page(first, max_page_bytes);
+        page.next_position = first + page.rows.size();
     }
-    page.next_position = first + page.rows.size();
     return page;
 }
 
@@ -215,19 +225,68 @@
     if (!page.rows.empty()) {
         co_return page;
     }
+    if (source_ != nullptr) {
+        auto rows = co_await source_->read(*record, first, wait);
+        if (rows) {
+            page.rows = std::move(*rows);
+            page.next_position = first + page.rows.size();
+            append_rows(job, first, page.rows);
+            record_read(job);
+            co_return page;
+        }
+    }
+    co_return co_await read_results_from_store(*record, first, wait);
+}
+
+asio::awaitable<std::optional<std::vector<std::string>>>
+job_store::read_own_results(job_id job, std::size_t first,
+                            std::chrono::milliseconds wait,
+                            std::function<store_revision()> term) {
+    const auto is_complete = [&] {
+        const auto known = results_.find(job);
+        return known != results_.end() &&
+               known->second.rows.is_complete(term(),
+                                              std::chrono::steady_clock::now());
+    };
+    if (!is_complete()) {
+        co_return std::nullopt;
+    }
+    const auto record = records_.find(job);
+    const std::size_t size = results_[job].rows.size();
+    const bool can_grow = record != records_.end() &&
+                          !record->second.is_ended &&
+                          size < record->second.total;
+    if (first >= size && can_grow && wait.count() > 0) {
+        const auto timer = std::make_shared<asio::steady_timer>(
+            co_await asio::this_coro::executor, wait);
+        const auto waiting = waiting_reads_.emplace(job, timer);
+        co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
+        waiting_reads_.erase(waiting);
+        if (!is_complete()) {
+            co_return std::nullopt;
+        }
+    }
+    co_return results_[job].rows.page(first, max_page_bytes);
+}
+
+asio::awaitable<outcome<result_page>>
+job_store::read_results_from_store(job_record record, std::size_t first,
+                                   std::chrono::milliseconds wait) {
+    const job_id job = record.id;
     // After a watch that returned rows, the next watch continues without a
     // read. In all other cases the rows are read first, because a watch that
     // returned none may have missed some.
     const bool can_watch = wait.count() > 0 && results_[job].can_resume_watch;
+    result_page page{.total = record.total, .next_position = first};
     if (!can_watch) {
         if (const auto read = co_await read_new_results(job); !read) {
             co_return read.reason();
         }
-        page = make_page(job, record->total, first);
+        page = make_page(job, record.total, first);
     }
     const bool can_grow = page.rows.empty() &&
-                          results_[job].rows.size() < record->total &&
-                          !record->is_ended;
+                          results_[job].rows.size() < record.total &&
+                          !record.is_ended;
     if (!can_grow || wait.count() == 0) {
         co_return page;
     }
@@ -238,15 +297,15 @@
         if (const auto read = co_await read_new_results(job); !read) {
             co_return read.reason();
         }
-        co_return make_page(job, record->total, first);
+        co_return make_page(job, record.total, first);
     }
     for (const store_change& change : changes->changes) {
-        append_rows(job, change.value);
+        append_stored_rows(job, change.value);
     }
     known_results& known = results_[job];
     known.revision = std::max(known.revision, changes->revision);
     known.can_resume_watch = !changes->changes.empty();
-    co_return make_page(job, record->total, first);
+    co_return make_page(job, record.total, first);
 }
 
 asio::awaitable<outcome<std::shared_ptr<const batch_job>>>
@@ -338,7 +397,8 @@
     co_return last;
 }
 
-asio::awaitable<outcome<loaded_job>> job_store::load(job_record record) {
+asio::awaitable<outcome<loaded_job>> job_store::load(job_record record,
+                                                     store_revision term) {
     auto submission = co_await read_submission(record);
     if (!submission) {
         co_return submission.reason();
@@ -346,8 +406,10 @@
     if (const auto read = co_await read_new_results(record.id); !read) {
         co_return read.reason();
     }
+    listed_rows& listed = results_[record.id].rows;
+    listed.on_read_complete(term);
     loaded_job loaded{.job = std::move(*submission)};
-    for (const std::string& row : results_[record.id].rows) {
+    for (const std::string& row : listed.rows()) {
         loaded.listed.push_back(item_of(row));
     }
     co_return loaded;
@@ -379,17 +441,45 @@
     co_return texts;
 }
 
-asio::awaitable<void> job_store::save_progress(held_term term,
-                                               struct save_progress progress) {
-    const std::string key =
-        progress_key(progress.job, term.revision, save_count_++);
-    store_transaction transaction =
-        make_write({.key = term.key, .revision = term.revision},
-                   {.key = key, .value = wire::encode(progress.parts)});
+asio::awaitable<void>
+job_store::save_progress(held_term term,
+                         std::vector<struct save_progress> texts) {
+    std::vector<stored_value> values;
+    std::size_t bytes = 0;
+    for (const struct save_progress& text : texts) {
+        stored_value value{
+            .key = progress_key(text.job, term.revision, save_count_++),
+            .value = wire::encode(text.parts)};
+        if (values.size() == max_saves_per_write ||
+            (!values.empty() &&
+             bytes + value.value.size() > max_saved_bytes_per_write)) {
+            co_await save_texts(term, std::move(values));
+            values = {};
+            bytes = 0;
+        }
+        bytes += value.value.size();
+        values.push_back(std::move(value));
+    }
+    if (!values.empty()) {
+        co_await save_texts(term, std::move(values));
+    }
+}
+
+asio::awaitable<void> job_store::save_texts(held_term term,
+                                            std::vector<stored_value> texts) {
+    const std::string first_key = texts.front().key;
+    store_transaction transaction;
+    transaction.conditions.push_back(
+        {.key = term.key, .revision = term.revision});
+    for (stored_value& text : texts) {
+        transaction.writes.push_back(
+            {.key = std::move(text.key), .value = std::move(text.value)});
+    }
     const auto written = co_await client_.commit(std::move(transaction));
     if (!written) {
         log_.write(log_event::store_call_failed,
-                   "call=save key=" + key + " reason=\"" +
+                   "call=save key=" + first_key +
+                       " keys=" + std::to_string(texts.size()) + " reason=\"" +
                        written.reason().detail + '"');
     }
 }
@@ -406,23 +496,30 @@
         make_write({.key = key}, {.key = key, .value = text});
     transaction.conditions.push_back(
         {.key = term.key, .revision = term.revision});
+    results_[results.job].rows.on_commit_sent(std::chrono::steady_clock::now());
     const auto written = co_await client_.commit(std::move(transaction));
     if (!written) {
+        results_[results.job].rows.on_commit_failed(written.reason().code !=
+                                                    result_code::store_refused);
         co_return commit_end::not_listed;
     }
-    if (std::holds_alternative<transaction_done>(*written)) {
-        append_rows(results.job, {.key = key, .value = text});
-        co_return commit_end::listed;
-    }
-    // An earlier attempt at the same write may have taken effect late.
-    const auto present = co_await client_.read_key(key);
-    if (!present) {
-        co_return commit_end::not_listed;
+    bool is_listed = std::holds_alternative<transaction_done>(*written);
+    if (!is_listed) {
+        // An earlier attempt at the same write may have taken effect late.
+        const auto present = co_await client_.read_key(key);
+        if (!present) {
+            results_[results.job].rows.on_commit_failed(true);
+            co_return commit_end::not_listed;
+        }
+        is_listed = *present && (*present)->value == text;
     }
-    if (*present && (*present)->value == text) {
-        append_rows(results.job, {.key = key, .value = text});
+    if (is_listed) {
+        append_rows(results.job, results.first_position, std::move(rows));
+        results_[results.job].rows.on_commit_listed();
         co_return commit_end::listed;
     }
+    // What is listed there is known only after the job has been read again.
+    results_[results.job].rows.on_commit_failed(true);
     const auto& current = std::get<transaction_conflict>(*written).current;
     const bool is_held = std::any_of(
         current.begin(), current.end(), [&](const stored_value& value) {
--- a/drivers/batch/job_store.hpp
+++ b/drivers/batch/job_store.hpp
@@ -1,16 +1,20 @@
 #pragma once
 
 #include "core/logger.hpp"
+#include "drivers/batch/result_source.hpp"
 #include "drivers/store/scope_term.hpp"
 #include "drivers/store/store_client.hpp"
 #include "servers/batch/batch_job.hpp"
 #include "servers/batch/item_planner.hpp"
+#include "servers/batch/listed_rows.hpp"
 #include "servers/fleet/fleet_configuration.hpp"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -66,6 +70,9 @@
     boost::asio::awaitable<accept_end>
     accept(job_record record, std::string submission, steady_time deadline);
 
+    /// Results are read from `source` first. It must outlive the calls.
+    void use_result_source(result_source& source) { source_ = &source; }
+
     /// Reads the results from position `first` on. If there are none yet, waits
     /// up to `wait` for the next one.
     boost::asio::awaitable<outcome<result_page>>
@@ -79,8 +86,18 @@
     /// Ends a job. Succeeds if the job has already ended.
     boost::asio::awaitable<outcome<done>> end(job_id job);
 
-    /// Reads a job and the current list of its results.
-    boost::asio::awaitable<outcome<loaded_job>> load(job_record record);
+    /// Reads a job and the current list of its results. Precondition: this
+    /// instance holds `term`, in which it plans the job.
+    boost::asio::awaitable<outcome<loaded_job>> load(job_record record,
+                                                     store_revision term);
+
+    /// Returns the rows from `first` on if this instance knows all that are
+    /// listed; waits up to `wait` for the first one. `term` returns the term in
+    /// which this instance plans the job now, or 0. Makes no call to the store.
+    boost::asio::awaitable<std::optional<std::vector<std::string>>>
+    read_own_results(job_id job, std::size_t first,
+                     std::chrono::milliseconds wait,
+                     std::function<store_revision()> term);
 
     /// Reads the texts of unfinished items that a planner saved, by index of
     /// the item. Returns none if the store can't be read: without them the
@@ -88,36 +105,43 @@
     boost::asio::awaitable<std::map<std::size_t, item_progress>>
     load_progress(job_id job);
 
-    /// Saves parts of texts, provided that the term still holds.
-    boost::asio::awaitable<void> save_progress(held_term term,
-                                               struct save_progress progress);
+    /// Saves parts of texts of several jobs, provided that the term still
+    /// holds. Texts of different jobs may share a write.
+    boost::asio::awaitable<void>
+    save_progress(held_term term, std::vector<struct save_progress> texts);
 
     /// Lists results, provided that the term still holds.
     boost::asio::awaitable<commit_end> commit(held_term term,
                                               commit_results results);
 
 private:
-    /// Rows that were read, in order. Listed results never change, so the rows
-    /// stay valid.
     struct known_results {
-        std::vector<std::string> rows;
+        listed_rows rows;
+        /// The last key of the results that was read from the store.
         std::string last_key;
         /// `rows` is complete up to this revision of the store.
         store_revision revision = 0;
         /// The last call was a watch that returned rows, so the next watch may
         /// continue from `revision` without a read.
         bool can_resume_watch = false;
-        std::size_t bytes = 0;
     };
 
     boost::asio::awaitable<outcome<job_record>> find_record(job_id job);
     boost::asio::awaitable<outcome<done>> read_new_results(job_id job);
     boost::asio::awaitable<outcome<std::shared_ptr<const batch_job>>>
     read_submission(job_record record);
-    void append_rows(const job_id& job, const stored_value& value);
+    boost::asio::awaitable<outcome<result_page>>
+    read_results_from_store(job_record record, std::size_t first,
+                            std::chrono::milliseconds wait);
+    void append_stored_rows(const job_id& job, const stored_value& value);
+    void append_rows(const job_id& job, std::size_t position,
+                     std::vector<std::string> rows);
     [[nodiscard]] result_page make_page(const job_id& job, std::size_t total,
                                         std::size_t first) const;
+    void record_read(const job_id& job);
     void evict_old_results();
+    boost::asio::awaitable<void> save_texts(held_term term,
+                                            std::vector<stored_value> texts);
 
     store_client& client_;
     logger& log_;
@@ -129,6 +153,10 @@
     std::list<job_id> recently_read_;
     std::size_t result_bytes_ = 0;
     std::list<std::shared_ptr<const batch_job>> cached_submissions_;
+    result_source* source_ = nullptr;
+    /// Timers of the reads that wait for a job's next row.
+    std::multimap<job_id, std::shared_ptr<boost::asio::steady_timer>>
+        waiting_reads_;
     /// Number of progress saves by this process; makes their keys unique within
     /// a term.
     std::size_t save_count_ = 0;
--- a/drivers/feed/store_feed.cpp
+++ b/drivers/feed/store_feed.cpp
@@ -2,6 +2,9 @@
 
 #include "core/wire_codec.hpp"
 #include "servers/batch/job_keys.hpp"
+#include "servers/feed/claim_order.hpp"
+#include "servers/feed/root_feeder.hpp"
+#include "servers/membership/stable_hash.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -26,6 +29,26 @@
 /// renewal shows that the store is reachable, which a waiting watch doesn't.
 constexpr std::chrono::milliseconds feeder_lease{3'000};
 constexpr int feeder_renewals = 6;
+/// Longest pause between retries during an outage of the store. A feeder
+/// retries for its zone and tells the others when it succeeds; their own
+/// retries only matter if it fails as well, and become rarer with their number.
+constexpr std::chrono::milliseconds feeder_retry_pause{800};
+constexpr std::chrono::milliseconds retry_pause_per_instance{100};
+constexpr std::chrono::milliseconds max_retry_pause{4'000};
+/// How long an instance that has just started waits for the copies of its
+/// zone's feeder before it reads them from the store: while the zone may still
+/// elect a feeder, and once the feeder is known and was asked.
+constexpr std::chrono::milliseconds feeder_election_time{800};
+constexpr std::chrono::milliseconds first_copy_time{250};
+/// How often a feeder whose own copies aren't complete yet checks whether they
+/// are.
+constexpr std::chrono::milliseconds incomplete_copy_period{50};
+/// Smallest `change_bound` with which changes may take two hops.
+constexpr std::chrono::milliseconds min_bound_for_root{3'000};
+/// Limits of the age of data with two hops. The difference leaves a feeder the
+/// time to read the store itself before its followers give it up.
+constexpr std::chrono::milliseconds max_root_age{1'400};
+constexpr std::chrono::milliseconds max_feeder_age_with_root{2'000};
 
 std::vector<std::string>
 prefixes_of(const std::vector<feed_subscription>& subscriptions) {
@@ -37,6 +60,16 @@
     return prefixes;
 }
 
+feed_follower_options
+zone_follower_options(std::vector<std::string> prefixes,
+                      std::chrono::milliseconds change_bound) {
+    feed_follower_options options{.prefixes = std::move(prefixes)};
+    if (change_bound >= min_bound_for_root) {
+        options.max_age = max_feeder_age_with_root;
+    }
+    return options;
+}
+
 feed_change to_feed(const stored_value& value, bool is_removed) {
     return {.key = value.key,
             .value = value.value,
@@ -70,6 +103,9 @@
         owner.push(*this, changes);
     }
     listener.on_changes(changes, is_reread);
+    if (is_reread && mirror.prefix() == control_prefix) {
+        owner.request_first_copies();
+    }
 }
 
 store_feed::store_feed(asio::io_context& context, store_client& store,
@@ -90,6 +126,12 @@
            .lease_time = feeder_lease,
            .renewals_per_lease = feeder_renewals,
            .processor_share = options_.processor_share,
+           .claim_delay =
+               [this](const instance_id& last_holder) {
+                   return savorydock::claim_delay(
+                       directory_, term_key_, last_holder,
+                       {.self = options_.self, .zone = options_.zone});
+               },
            .seed = options_.seed},
           [this](const held_term&) {
               for (const auto& source : subscriptions_) {
@@ -102,10 +144,14 @@
               send_heartbeats();
           },
           [this](term_end) { update_mode(); }, log)
-    , follower_({.prefixes = prefixes_of(subscriptions)})
+    , zone_follower_(zone_follower_options(prefixes_of(subscriptions),
+                                           options_.change_bound))
+    , root_follower_(
+          {.prefixes = prefixes_of(subscriptions), .max_age = max_root_age})
     , context_(context)
     , heartbeat_timer_(context)
-    , freshness_timer_(context) {
+    , freshness_timer_(context)
+    , start_timer_(context) {
     for (const feed_subscription& wanted : subscriptions) {
         subscriptions_.push_back(
             std::make_unique<subscription>(*this, context, store, wanted, log));
@@ -124,14 +170,50 @@
 }
 
 void store_feed::start() {
+    wait_for_first_copies(feeder_election_time);
+    update_mode();
     for (const auto& source : subscriptions_) {
         asio::co_spawn(context_, source->mirror.run(), asio::detached);
     }
     asio::co_spawn(context_, term_.run(), asio::detached);
 }
 
-void store_feed::on_term_key(const stored_value* value) {
-    term_.on_key(value);
+void store_feed::wait_for_first_copies(std::chrono::milliseconds time) {
+    is_waiting_for_copies_ = true;
+    start_timer_.expires_after(time);
+    start_timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            is_waiting_for_copies_ = false;
+            update_mode();
+        }
+    });
+}
+
+void store_feed::request_first_copies() {
+    const auto feeder = find_zone_feeder();
+    if (!is_waiting_for_copies_ || has_requested_copies_ || !feeder) {
+        return;
+    }
+    has_requested_copies_ = true;
+    for (const auto& source : subscriptions_) {
+        request_snapshot(feeder->instance, source->mirror.prefix(), false);
+    }
+    wait_for_first_copies(first_copy_time);
+}
+
+std::optional<zone_feeder> store_feed::find_zone_feeder() const {
+    for (zone_feeder& feeder : other_feeders(
+             copy_of(std::string(control_prefix)).values(), options_.self)) {
+        if (feeder.zone == options_.zone) {
+            return std::move(feeder);
+        }
+    }
+    return std::nullopt;
+}
+
+void store_feed::on_term_key(const stored_value* value,
+                             store_revision revision) {
+    term_.on_key(value, revision);
 }
 
 const key_copy& store_feed::copy_of(const std::string& prefix) const {
@@ -144,9 +226,43 @@
     return nothing;
 }
 
+bool store_feed::has_root() const {
+    return options_.change_bound >= min_bound_for_root;
+}
+
+bool store_feed::is_root() const {
+    if (!is_feeder() || !has_root()) {
+        return false;
+    }
+    const auto root =
+        find_root_feeder(copy_of(std::string(control_prefix)).values(),
+                         options_.self, term_.term()->revision);
+    return root && root->instance == options_.self;
+}
+
+bool store_feed::is_from_source(bool is_between_zones) const {
+    return is_between_zones == is_feeder() && !is_root();
+}
+
 bool store_feed::is_following() const {
-    return !is_feeder() &&
-           follower_.is_following(std::chrono::steady_clock::now());
+    const bool watches_store = is_feeder() && (!has_root() || is_root());
+    return !watches_store &&
+           source().is_following(std::chrono::steady_clock::now());
+}
+
+steady_time store_feed::outage_ended_at() const {
+    return std::max(store_.reachable_since(), reported_outage_end_);
+}
+
+std::optional<std::chrono::milliseconds> store_feed::data_age() const {
+    const bool is_from_feeder = is_following();
+    if (!is_from_feeder && !has_current_copies()) {
+        return std::nullopt;
+    }
+    const steady_time contact =
+        is_from_feeder ? source().last_contact() : store_.last_contact();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - contact);
 }
 
 bool store_feed::has_current_copies() const {
@@ -156,8 +272,8 @@
 }
 
 bool store_feed::is_data_current() const {
-    const auto age = std::chrono::steady_clock::now() - store_.last_contact();
-    return is_following() || (has_current_copies() && age < max_data_age);
+    const auto age = data_age();
+    return age && (is_following() || *age < max_data_age);
 }
 
 void store_feed::update_mode() {
@@ -165,21 +281,42 @@
     if (has_feeder != was_following_) {
         was_following_ = has_feeder;
         log_.write(has_feeder ? log_event::feed_followed : log_event::feed_left,
-                   "feeder=" + follower_.feeder().text() +
+                   "feeder=" + source().feeder().text() +
                        " zone=" + options_.zone.text());
     }
-    const mirror_mode mode =
-        has_feeder ? mirror_mode::off : mirror_mode::watching;
+    const auto longest_pause = longest_retry_pause();
+    const bool is_waiting = is_waiting_for_copies_ && !is_feeder();
     for (const auto& source : subscriptions_) {
-        source->mirror.set_mode(mode);
+        // The control keys name the feeder, so they are read in any case.
+        const bool may_wait = source->mirror.prefix() != control_prefix;
+        source->mirror.set_longest_pause(longest_pause);
+        source->mirror.set_mode(has_feeder || (is_waiting && may_wait)
+                                    ? mirror_mode::off
+                                    : mirror_mode::watching);
     }
     if (has_feeder) {
         watch_freshness();
     }
 }
 
+std::chrono::milliseconds store_feed::longest_retry_pause() const {
+    if (is_feeder()) {
+        return feeder_retry_pause;
+    }
+    const auto in_zone = static_cast<long>(std::count_if(
+        directory_.begin(), directory_.end(),
+        [this](const auto& row) { return row.second.zone == options_.zone; }));
+    const auto pause = std::clamp(retry_pause_per_instance * in_zone,
+                                  feeder_retry_pause, max_retry_pause);
+    // Spreads the instances over half of the pause.
+    const auto spread =
+        static_cast<long>(stable_hash(options_.self.text()) %
+                          static_cast<std::uint64_t>(pause.count() / 2));
+    return pause - std::chrono::milliseconds(spread);
+}
+
 void store_feed::watch_freshness() {
-    freshness_timer_.expires_at(follower_.fresh_until());
+    freshness_timer_.expires_at(source().fresh_until());
     freshness_timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
             update_mode();
@@ -187,27 +324,47 @@
     });
 }
 
-std::vector<instance_id> store_feed::followers() const {
-    std::vector<instance_id> names;
+store_feed::recipients store_feed::find_recipients() const {
+    recipients found;
     for (const auto& [instance, entry] : directory_) {
         if (entry.zone == options_.zone && instance != options_.self) {
-            names.push_back(instance);
+            found.in_zone.push_back(instance);
+        }
+    }
+    if (is_root()) {
+        for (const zone_feeder& feeder :
+             other_feeders(copy_of(std::string(control_prefix)).values(),
+                           options_.self)) {
+            found.in_other_zones.push_back(feeder.instance);
         }
     }
-    return names;
+    return found;
 }
 
 void store_feed::send(const instance_id& to, peer_topic topic,
                       std::string body) {
     const auto entry = directory_.find(to);
-    if (entry == directory_.end()) {
-        return;
+    if (entry != directory_.end()) {
+        send_to(entry->second.address, to, topic, std::move(body));
     }
+}
+
+void store_feed::send_to(const endpoint& address, const instance_id& to,
+                         peer_topic topic, std::string body) {
     peers_.send({.from = options_.self,
                  .to = to,
                  .topic = topic,
                  .body = std::move(body)},
-                entry->second.address);
+                address);
+}
+
+void store_feed::request_snapshot(const instance_id& feeder,
+                                  const std::string& prefix,
+                                  bool is_between_zones) {
+    send(feeder, peer_topic::feed_request,
+         wire::encode(feed_request{.prefix = prefix,
+                                   .is_between_zones = is_between_zones,
+                                   .address = to_text(options_.address)}));
 }
 
 void store_feed::send_heartbeats() {
@@ -216,19 +373,18 @@
         return;
     }
     is_sending_heartbeats_ = true;
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-        std::chrono::steady_clock::now() - store_.last_contact());
-    if (age < max_contact_age && has_current_copies()) {
-        feed_heartbeat message{.term = term_.term()->revision, .age = age};
-        for (const auto& source : subscriptions_) {
-            message.numbers.push_back(source->pushes);
-        }
-        const std::string body = wire::encode(message);
-        for (const instance_id& follower : followers()) {
-            send(follower, peer_topic::feed_heartbeat, body);
-        }
+    update_mode();
+    auto heartbeat = make_heartbeat();
+    if (heartbeat) {
+        const recipients to = find_recipients();
+        send_to_all(to.in_zone, peer_topic::feed_heartbeat,
+                    wire::encode(*heartbeat));
+        heartbeat->is_between_zones = true;
+        send_to_all(to.in_other_zones, peer_topic::feed_heartbeat,
+                    wire::encode(*heartbeat));
     }
-    heartbeat_timer_.expires_after(heartbeat_period);
+    heartbeat_timer_.expires_after(heartbeat ? heartbeat_period
+                                             : incomplete_copy_period);
     heartbeat_timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
             send_heartbeats();
@@ -236,32 +392,72 @@
     });
 }
 
+std::chrono::milliseconds store_feed::since_outage() const {
+    const steady_time end = outage_ended_at();
+    return end == steady_time{}
+               ? no_outage
+               : std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::chrono::steady_clock::now() - end);
+}
+
+void store_feed::send_to_all(const std::vector<instance_id>& receivers,
+                             peer_topic topic, const std::string& body) {
+    for (const instance_id& receiver : receivers) {
+        send(receiver, topic, body);
+    }
+}
+
 void store_feed::push(const subscription& source,
                       const std::vector<store_change>& changes) {
     feed_push message{.prefix = source.mirror.prefix(),
                       .term = term_.term()->revision,
                       .number = source.pushes,
-                      .revision = source.mirror.copy().revision()};
+                      .revision = source.mirror.copy().revision(),
+                      .since_outage = since_outage()};
     for (const store_change& change : changes) {
         message.changes.push_back(to_feed(change.value, change.is_removed));
     }
-    const std::string body = wire::encode(message);
-    for (const instance_id& follower : followers()) {
-        send(follower, peer_topic::feed_push, body);
+    const recipients to = find_recipients();
+    send_to_all(to.in_zone, peer_topic::feed_push, wire::encode(message));
+    message.is_between_zones = true;
+    send_to_all(to.in_other_zones, peer_topic::feed_push,
+                wire::encode(message));
+}
+
+std::optional<feed_heartbeat> store_feed::make_heartbeat() const {
+    const auto age = data_age();
+    if (!is_feeder() || !age || (!is_following() && *age >= max_contact_age)) {
+        return std::nullopt;
+    }
+    feed_heartbeat heartbeat{.term = term_.term()->revision, .age = *age};
+    for (const auto& source : subscriptions_) {
+        heartbeat.numbers.push_back(source->pushes);
     }
+    return heartbeat;
 }
 
 void store_feed::send_snapshot(const subscription& source,
+                               const feed_request& request,
                                const instance_id& to) {
+    const auto address = parse_endpoint(request.address);
+    auto heartbeat = make_heartbeat();
+    if (!address || !heartbeat) {
+        return;
+    }
     feed_push message{.prefix = source.mirror.prefix(),
                       .term = term_.term()->revision,
                       .number = source.pushes,
                       .is_snapshot = true,
-                      .revision = source.mirror.copy().revision()};
+                      .revision = source.mirror.copy().revision(),
+                      .is_between_zones = request.is_between_zones,
+                      .since_outage = since_outage()};
     for (const auto& [key, value] : source.mirror.copy().values()) {
         message.changes.push_back(to_feed(value, false));
     }
-    send(to, peer_topic::feed_push, wire::encode(message));
+    send_to(*address, to, peer_topic::feed_push, wire::encode(message));
+    // The regular heartbeats reach the receiver only once it is known here.
+    heartbeat->is_between_zones = request.is_between_zones;
+    send_to(*address, to, peer_topic::feed_heartbeat, wire::encode(*heartbeat));
 }
 
 void store_feed::on_message(const peer_message& message) {
@@ -274,7 +470,7 @@
         for (const auto& source : subscriptions_) {
             if (request && source->mirror.prefix() == request->prefix &&
                 source->mirror.copy().has_snapshot()) {
-                send_snapshot(*source, message.from);
+                send_snapshot(*source, *request, message.from);
             }
         }
     }
@@ -282,18 +478,24 @@
 
 void store_feed::handle_push(const peer_message& message) {
     auto push = wire::decode<feed_push>(message.body);
-    if (!push || is_feeder()) {
+    if (!push || !is_from_source(push->is_between_zones)) {
         return;
     }
-    const auto action = follower_.on_push(message.from, *push,
-                                          std::chrono::steady_clock::now());
+    feed_follower& follower =
+        push->is_between_zones ? root_follower_ : zone_follower_;
+    const auto action =
+        follower.on_push(message.from, *push, std::chrono::steady_clock::now());
     if (action == push_action::request_snapshot) {
-        send(message.from, peer_topic::feed_request,
-             wire::encode(feed_request{.prefix = push->prefix}));
+        request_snapshot(message.from, push->prefix, push->is_between_zones);
     }
     if (action != push_action::apply) {
         return;
     }
+    if (push->since_outage < no_outage) {
+        reported_outage_end_ =
+            std::max(reported_outage_end_,
+                     std::chrono::steady_clock::now() - push->since_outage);
+    }
     for (const auto& source : subscriptions_) {
         if (source->mirror.prefix() != push->prefix) {
             continue;
@@ -318,14 +520,15 @@
 
 void store_feed::handle_heartbeat(const peer_message& message) {
     const auto heartbeat = wire::decode<feed_heartbeat>(message.body);
-    if (!heartbeat || is_feeder()) {
+    if (!heartbeat || !is_from_source(heartbeat->is_between_zones)) {
         return;
     }
-    const auto stale_prefixes = follower_.on_heartbeat(
+    feed_follower& follower =
+        heartbeat->is_between_zones ? root_follower_ : zone_follower_;
+    const auto stale_prefixes = follower.on_heartbeat(
         message.from, *heartbeat, std::chrono::steady_clock::now());
     for (const std::string& prefix : stale_prefixes) {
-        send(message.from, peer_topic::feed_request,
-             wire::encode(feed_request{.prefix = prefix}));
+        request_snapshot(message.from, prefix, heartbeat->is_between_zones);
     }
     update_mode();
 }
--- a/drivers/feed/store_feed.hpp
+++ b/drivers/feed/store_feed.hpp
@@ -7,6 +7,7 @@
 #include "drivers/store/store_mirror.hpp"
 #include "servers/feed/feed_follower.hpp"
 #include "servers/feed/node_directory.hpp"
+#include "servers/feed/root_feeder.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -14,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,7 +24,12 @@
 struct store_feed_options {
     instance_id self;
     availability_zone zone;
+    /// Where this instance takes messages of others.
+    endpoint address;
     double processor_share = 1.0;
+    /// Time within which a change in the store must take effect on all
+    /// instances.
+    std::chrono::milliseconds change_bound{2'000};
     std::uint64_t seed = 1;
 };
 
@@ -34,8 +41,14 @@
 };
 
 /// Keeps copies of the store's keys on an instance. One instance per zone is
-/// the feeder: it watches the store and forwards the changes to the others, its
-/// followers. A follower without a current feeder watches the store itself.
+/// the feeder and forwards the changes to the others, its followers. If
+/// `change_bound` leaves time for two hops, one of the feeders is the root: it
+/// watches the store and forwards the changes to the feeders of the other
+/// zones. Otherwise each feeder watches the store.
+///
+/// An instance whose source of changes is not current watches the store itself.
+/// A feeder gives up the root sooner than its followers give up the feeder, so
+/// that only the feeders read the store when the root fails.
 /// Belongs to one traffic thread.
 class store_feed {
 public:
@@ -49,8 +62,9 @@
     /// Starts to follow the store. Precondition: called once.
     void start();
 
-    /// Reports the key that names the zone's feeder; null if there is none.
-    void on_term_key(const stored_value* value);
+    /// Reports the key that names the zone's feeder, as in a copy of this
+    /// revision; null if there is none.
+    void on_term_key(const stored_value* value, store_revision revision);
     [[nodiscard]] const std::string& term_key() const { return term_key_; }
 
     /// Handles a message of one of the feed's topics.
@@ -64,6 +78,9 @@
     [[nodiscard]] bool is_following() const;
     /// Whether the copies are current, from a feeder or from own watches.
     [[nodiscard]] bool is_data_current() const;
+    /// When the last outage of the store ended, as noticed by this instance or
+    /// by those whose changes it follows; the epoch if there was none.
+    [[nodiscard]] steady_time outage_ended_at() const;
 
 private:
     /// Forwards a mirror's changes to its listener and to the followers.
@@ -83,16 +100,51 @@
     };
 
     [[nodiscard]] bool has_current_copies() const;
+    [[nodiscard]] bool has_root() const;
+    /// Whether this instance is the feeder that watches the store for all.
+    [[nodiscard]] bool is_root() const;
+    /// The instances to which this one forwards changes.
+    struct recipients {
+        std::vector<instance_id> in_zone;
+        std::vector<instance_id> in_other_zones;
+    };
+    [[nodiscard]] recipients find_recipients() const;
+    /// The state of what this instance follows now: the root as a feeder, the
+    /// zone's feeder otherwise.
+    [[nodiscard]] const feed_follower& source() const {
+        return is_feeder() ? root_follower_ : zone_follower_;
+    }
+    /// Whether a message of the feed comes from what this instance follows.
+    [[nodiscard]] bool is_from_source(bool is_between_zones) const;
+    /// Time since this instance's data was known to be current; nothing if it
+    /// isn't.
+    [[nodiscard]] std::optional<std::chrono::milliseconds> data_age() const;
     void update_mode();
+    /// Leaves the reading of all but the control keys to the zone's feeder for
+    /// a time after the start.
+    void wait_for_first_copies(std::chrono::milliseconds time);
+    void request_first_copies();
+    /// The zone's feeder if it is another instance.
+    [[nodiscard]] std::optional<zone_feeder> find_zone_feeder() const;
     void watch_freshness();
+    [[nodiscard]] std::chrono::milliseconds longest_retry_pause() const;
     void send_heartbeats();
     void push(const subscription& source,
               const std::vector<store_change>& changes);
-    void send_snapshot(const subscription& source, const instance_id& to);
+    /// Returns nothing if the copies are not current.
+    [[nodiscard]] std::optional<feed_heartbeat> make_heartbeat() const;
+    void send_snapshot(const subscription& source, const feed_request& request,
+                       const instance_id& to);
+    void request_snapshot(const instance_id& feeder, const std::string& prefix,
+                          bool is_between_zones);
     void handle_push(const peer_message& message);
     void handle_heartbeat(const peer_message& message);
+    [[nodiscard]] std::chrono::milliseconds since_outage() const;
     void send(const instance_id& to, peer_topic topic, std::string body);
-    [[nodiscard]] std::vector<instance_id> followers() const;
+    void send_to(const endpoint& address, const instance_id& to,
+                 peer_topic topic, std::string body);
+    void send_to_all(const std::vector<instance_id>& receivers,
+                     peer_topic topic, const std::string& body);
 
     store_client& store_;
     peer_transport& peers_;
@@ -102,12 +154,17 @@
     std::string term_key_;
     scope_term term_;
     std::vector<std::unique_ptr<subscription>> subscriptions_;
-    feed_follower follower_;
+    feed_follower zone_follower_;
+    feed_follower root_follower_;
     boost::asio::io_context& context_;
     boost::asio::steady_timer heartbeat_timer_;
     boost::asio::steady_timer freshness_timer_;
+    boost::asio::steady_timer start_timer_;
+    bool is_waiting_for_copies_ = false;
+    bool has_requested_copies_ = false;
     bool is_sending_heartbeats_ = false;
     bool was_following_ = false;
+    steady_time reported_outage_end_{};
 };
 
 } // namespace savorydock
--- a/drivers/node/fleet_mirror.cpp
+++ b/drivers/node/fleet_mirror.cpp
@@ -13,11 +13,9 @@
 
 } // namespace
 
-fleet_mirror::fleet_mirror(boost::asio::io_context& context,
-                           store_client& store, fleet_state& fleet,
+fleet_mirror::fleet_mirror(boost::asio::io_context& context, fleet_state& fleet,
                            fleet_events events, logger& log)
-    : store_(store)
-    , fleet_(fleet)
+    : fleet_(fleet)
     , events_(std::move(events))
     , log_(log)
     , operator_listener_(*this)
@@ -103,10 +101,10 @@
     const std::string& key = change.value.key;
     const upstream_id id(key.substr(platform::upstream_prefix.size()));
     if (change.is_removed) {
-        const steady_time remove_at =
-            store_.reachable_since() + reregistration_time;
+        const steady_time outage_end = events_.outage_ended_at();
+        const steady_time remove_at = outage_end + reregistration_time;
         const bool is_outage_recent =
-            store_.reachable_since() != steady_time{} &&
+            outage_end != steady_time{} &&
             remove_at > std::chrono::steady_clock::now();
         if (is_outage_recent && upstreams_.contains(id)) {
             pending_removals_.try_emplace(id, remove_at);
--- a/drivers/node/fleet_mirror.hpp
+++ b/drivers/node/fleet_mirror.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clock.hpp"
 #include "core/logger.hpp"
 #include "drivers/store/store_mirror.hpp"
 #include "servers/fleet/fleet_state.hpp"
@@ -22,6 +23,9 @@
     std::function<void(const std::string& model, weight_version)> on_version;
     /// An operator requested to retire a store machine.
     std::function<void(const std::string& machine)> on_retirement;
+    /// Returns when the last outage of the store ended; the epoch if there was
+    /// none.
+    std::function<steady_time()> outage_ended_at = [] { return steady_time{}; };
 };
 
 /// Follows the configuration, the wanted weight versions, the retirements and
@@ -30,8 +34,8 @@
 class fleet_mirror {
 public:
     /// All references must outlive `context`.
-    fleet_mirror(boost::asio::io_context& context, store_client& store,
-                 fleet_state& fleet, fleet_events events, logger& log);
+    fleet_mirror(boost::asio::io_context& context, fleet_state& fleet,
+                 fleet_events events, logger& log);
 
     /// The listeners for changes under the operators' prefix and under the
     /// prefix of the upstreams.
@@ -80,7 +84,6 @@
     void remove_due_upstreams();
     void publish_upstreams();
 
-    store_client& store_;
     fleet_state& fleet_;
     fleet_events events_;
     logger& log_;
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -5,6 +5,7 @@
 #include "core/wire_codec.hpp"
 #include "drivers/batch/engine_driver.hpp"
 #include "drivers/batch/job_store.hpp"
+#include "drivers/batch/result_exchange.hpp"
 #include "drivers/caf_runtime/control_mailbox.hpp"
 #include "drivers/feed/node_registration.hpp"
 #include "drivers/feed/peer_store_relay.hpp"
@@ -19,6 +20,8 @@
 #include "platform/configuration_codec.hpp"
 #include "platform/settings_file.hpp"
 #include "servers/batch/job_keys.hpp"
+#include "servers/feed/claim_order.hpp"
+#include "servers/feed/root_feeder.hpp"
 #include "servers/membership/stable_hash.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -69,6 +72,9 @@
 /// instance's leaves planning to larger ones: a takeover decodes all open jobs
 /// at once, which takes 1.3 s on an eighth of a core.
 constexpr double min_relative_planner_share = 0.75;
+/// How long after its start an instance takes the directory of instances for
+/// incomplete, because all may have started together.
+constexpr std::chrono::milliseconds directory_fill_time{500};
 /// Name of the scope whose holder performs duties that belong to no service.
 constexpr std::string_view fleet_scope = "~duty";
 
@@ -113,9 +119,20 @@
     /// Notifies the planner of the job's service that the job was accepted or
     /// ended.
     void notify_planner(const job_record& record);
-    /// Whether another instance should plan: this one feeds a zone, is draining
-    /// or has a small processor.
-    [[nodiscard]] bool should_leave_planning() const;
+    /// The planner of the job's service; empty if none is known.
+    [[nodiscard]] instance_id planner_of(const job_record& record) const;
+    /// The term in which this instance plans the job now, or 0.
+    [[nodiscard]] store_revision own_term_of(const job_id& job) const;
+    /// The instances that leave planning to others, because they feed a zone,
+    /// have a small processor or are leaving.
+    [[nodiscard]] std::set<instance_id> unsuited_planners() const;
+    /// Whether this instance should leave planning to another one.
+    [[nodiscard]] bool is_outranked() const;
+    /// How long to wait before a free scope is claimed; nothing while the
+    /// instance must not claim it.
+    [[nodiscard]] std::optional<std::chrono::milliseconds>
+    claim_delay_of(std::string_view scope,
+                   const instance_id& last_holder) const;
     /// Instances that may relay store calls: the feeder of the own zone first,
     /// then those of other zones. Feeders are connected to the store.
     [[nodiscard]] std::vector<instance_id> relay_candidates() const;
@@ -152,6 +169,7 @@
     node_directory directory_;
     peer_link peers_;
     peer_store_relay relay_;
+    result_exchange results_;
     item_runner runner_;
     run_host host_;
     fleet_mirror fleet_mirror_;
@@ -165,6 +183,7 @@
     std::unique_ptr<http_server> metrics_server_;
     asio::signal_set signals_;
     bool is_draining_ = false;
+    steady_time started_at_ = std::chrono::steady_clock::now();
     std::set<std::string> handled_retirements_;
     std::promise<bool> drained_;
 };
@@ -196,6 +215,13 @@
     , relay_(
           context_, store_, peers_, directory_, settings_.instance,
           [this] { return relay_candidates(); }, log)
+    , results_(
+          context_, jobs_, peers_, directory_, settings_.instance,
+          {.planner_of =
+               [this](const job_record& record) { return planner_of(record); },
+           .own_term_of =
+               [this](const job_id& job) { return own_term_of(job); }},
+          log)
     , runner_(engine_client_, plain_, fleet_, log)
     , host_(
           context_, runner_, settings_.instance,
@@ -208,7 +234,7 @@
           },
           log)
     , fleet_mirror_(
-          context_, store_, fleet_,
+          context_, fleet_,
           {.on_fleet_update = [this] { on_fleet_update(); },
            .on_version =
                [this](const std::string& model, weight_version version) {
@@ -217,12 +243,16 @@
                    }
                },
            .on_retirement =
-               [this](const std::string&) { complete_retirements(); }},
+               [this](const std::string&) { complete_retirements(); },
+           .outage_ended_at = [this] { return feed_.outage_ended_at(); }},
           log)
     , feed_(context_, store_, peers_, directory_,
             {.self = settings_.instance,
              .zone = settings_.zone,
+             .address = {.address = settings_.address,
+                         .port = settings_.internal_port},
              .processor_share = settings_.processor_share,
+             .change_bound = settings_.change_bound,
              .seed = random_seed()},
             subscriptions(), log)
     , registration_(context_, store_,
@@ -238,6 +268,10 @@
            .self = settings_.instance,
            .lease_time = settings_.holder_separation,
            .processor_share = settings_.processor_share,
+           .claim_delay =
+               [this](const instance_id& last_holder) {
+                   return claim_delay_of(fleet_scope, last_holder);
+               },
            .seed = random_seed()},
           [this](const held_term&) { complete_retirements(); }, [](term_end) {},
           log)
@@ -245,6 +279,7 @@
              [this](const job_record& record) { notify_planner(record); })
     , signals_(context_, SIGTERM, SIGINT, SIGHUP) {
     store_.use_relay(relay_);
+    jobs_.use_result_source(results_);
     if (auto text = read_text_file(settings_file_)) {
         settings_text_ = std::move(*text);
     }
@@ -352,7 +387,12 @@
                 .self = settings_.instance,
                 .processor_share = settings_.processor_share,
                 .lease_time = settings_.holder_separation,
-                .should_yield = [this] { return should_leave_planning(); },
+                .claim_delay =
+                    [this, scope = term_key(service.name)](
+                        const instance_id& last_holder) {
+                        return claim_delay_of(scope, last_holder);
+                    },
+                .is_outranked = [this] { return is_outranked(); },
                 .seed = random_seed()});
         driver->start();
         for (const auto& [model, version] : fleet_mirror_.wanted_versions()) {
@@ -361,7 +401,8 @@
         if (control_keys().has_snapshot()) {
             const auto& keys = control_keys().values();
             const auto key = keys.find(term_key(service.name));
-            driver->on_term_key(key == keys.end() ? nullptr : &key->second);
+            driver->on_term_key(key == keys.end() ? nullptr : &key->second,
+                                control_keys().revision());
         }
         engines_[service.name] = std::move(driver);
     }
@@ -378,12 +419,7 @@
 
 void node_instance::impl::notify_planner(const job_record& record) {
     on_job_update();
-    const auto& keys = control_keys().values();
-    const auto term = keys.find(term_key(record.service));
-    if (term == keys.end()) {
-        return;
-    }
-    const instance_id planner = holder_of(term->second.value);
+    const instance_id planner = planner_of(record);
     if (planner != settings_.instance) {
         send_peer(planner, peer_topic::job_notice,
                   wire::encode(job_notice{
@@ -391,27 +427,77 @@
     }
 }
 
-bool node_instance::impl::should_leave_planning() const {
+instance_id node_instance::impl::planner_of(const job_record& record) const {
+    const auto& keys = control_keys().values();
+    const auto term = keys.find(term_key(record.service));
+    return term == keys.end() ? instance_id() : holder_of(term->second.value);
+}
+
+store_revision node_instance::impl::own_term_of(const job_id& job) const {
+    for (const auto& [name, engine] : engines_) {
+        if (const store_revision term = engine->term_of(job)) {
+            return term;
+        }
+    }
+    return 0;
+}
+
+std::set<instance_id> node_instance::impl::unsuited_planners() const {
     double largest = 0;
     for (const auto& [instance, entry] : directory_) {
         largest = std::max(largest, entry.processor_share);
     }
-    return feed_.is_feeder() || is_draining_ ||
-           settings_.processor_share < min_relative_planner_share * largest;
+    std::set<instance_id> unsuited;
+    for (const auto& [instance, entry] : directory_) {
+        if (entry.is_leaving ||
+            entry.processor_share < min_relative_planner_share * largest) {
+            unsuited.insert(instance);
+        }
+    }
+    for (const zone_feeder& feeder :
+         other_feeders(control_keys().values(), instance_id())) {
+        unsuited.insert(feeder.instance);
+    }
+    return unsuited;
+}
+
+bool node_instance::impl::is_outranked() const {
+    const auto unsuited = unsuited_planners();
+    return unsuited.contains(settings_.instance) &&
+           std::any_of(
+               directory_.begin(), directory_.end(),
+               [&](const auto& row) { return !unsuited.contains(row.first); });
+}
+
+std::optional<std::chrono::milliseconds>
+node_instance::impl::claim_delay_of(std::string_view scope,
+                                    const instance_id& last_holder) const {
+    if (is_draining_) {
+        return std::nullopt;
+    }
+    const auto unsuited = unsuited_planners();
+    const auto is_last = [&](const node_entry& entry) {
+        return unsuited.contains(entry.instance);
+    };
+    const auto delay =
+        claim_delay(directory_, scope, last_holder,
+                    {.self = settings_.instance, .is_last = is_last});
+    if (!delay) {
+        return std::nullopt;
+    }
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - started_at_);
+    return *delay +
+           std::max(directory_fill_time - age, std::chrono::milliseconds(0));
 }
 
 std::vector<instance_id> node_instance::impl::relay_candidates() const {
-    const std::string own_key =
-        std::string(feed_term_prefix) + settings_.zone.text();
     std::vector<instance_id> own;
     std::vector<instance_id> others;
-    const auto& keys = control_keys().values();
-    for (auto key = keys.lower_bound(std::string(feed_term_prefix));
-         key != keys.end() && key->first.starts_with(feed_term_prefix); ++key) {
-        const instance_id feeder = holder_of(key->second.value);
-        if (feeder != settings_.instance) {
-            (key->first == own_key ? own : others).push_back(feeder);
-        }
+    for (const zone_feeder& feeder :
+         other_feeders(control_keys().values(), settings_.instance)) {
+        (feeder.zone == settings_.zone ? own : others)
+            .push_back(feeder.instance);
     }
     // Each instance starts with a different feeder to spread the load.
     if (!others.empty()) {
@@ -491,14 +577,17 @@
         }
         const auto& keys = control_keys().values();
         const auto value = keys.find(key);
-        term.on_term_key(value == keys.end() ? nullptr : &value->second);
+        term.on_term_key(value == keys.end() ? nullptr : &value->second,
+                         control_keys().revision());
     };
     for (const auto& [name, engine] : engines_) {
         update_term(term_key(name), *engine);
     }
     struct term_adapter {
         scope_term& term;
-        void on_term_key(const stored_value* value) { term.on_key(value); }
+        void on_term_key(const stored_value* value, store_revision revision) {
+            term.on_key(value, revision);
+        }
     } adapter{fleet_term_};
     update_term(std::string(term_prefix) + std::string(fleet_scope), adapter);
     update_term(feed_.term_key(), feed_);
@@ -553,6 +642,10 @@
     case peer_topic::job_notice:
         handle_job_notice(message);
         break;
+    case peer_topic::result_request:
+    case peer_topic::result_reply:
+        results_.on_message(message);
+        break;
     default:
         break;
     }
--- a/drivers/node/node_metrics.cpp
+++ b/drivers/node/node_metrics.cpp
@@ -17,6 +17,12 @@
     write("jobs_accepted_total", statistics.front.jobs_accepted);
     write("jobs_refused_total", statistics.front.jobs_refused);
     write("store_calls_total", statistics.store.calls);
+    for (std::size_t kind = 0; kind < store_call_kind_count; ++kind) {
+        const auto name = name_of(static_cast<store_call_kind>(kind));
+        write("store_calls_by_kind_total",
+              statistics.store.calls_by_kind.at(kind),
+              "{kind=\"" + std::string(name) + "\"}");
+    }
     write("store_refused_total", statistics.store.refused);
     write("store_unanswered_total", statistics.store.unanswered);
     write("store_reachable", statistics.is_store_reachable ? 1 : 0);
--- a/drivers/store/scope_term.cpp
+++ b/drivers/store/scope_term.cpp
@@ -13,15 +13,11 @@
 
 /// Pause after a claim that failed because of the store.
 constexpr std::chrono::milliseconds failed_claim_pause{200};
-/// Separates the holder's name from its lease in the value of a scope's key.
-constexpr char holder_separator = '/';
+/// Interval at which an instance that must not claim yet checks again.
+constexpr std::chrono::milliseconds claim_check_interval{100};
 
 } // namespace
 
-instance_id holder_of(const std::string& value) {
-    return instance_id(value.substr(0, value.rfind(holder_separator)));
-}
-
 scope_term::scope_term(asio::io_context& context, store_client& client,
                        scope_term_options options, gained_handler on_gained,
                        lost_handler on_lost, logger& log)
@@ -44,7 +40,8 @@
             co_await keep_renewed();
         } else if (suspended_) {
             co_await resume();
-        } else if (has_observed_ && !observed_value_) {
+        } else if (has_observed_ &&
+                   (!observed_value_ || is_left_by_own_restart())) {
             co_await claim();
         } else {
             co_await wait(std::chrono::hours(1));
@@ -52,15 +49,23 @@
     }
 }
 
-void scope_term::on_key(const stored_value* value) {
+void scope_term::on_key(const stored_value* value, store_revision revision) {
+    const store_revision own_revision = term_        ? term_->revision
+                                        : suspended_ ? suspended_->revision
+                                                     : 0;
+    if (revision < own_revision) {
+        return;
+    }
     has_observed_ = true;
     observed_value_ = value == nullptr ? std::nullopt : std::optional(*value);
+    if (value != nullptr) {
+        last_holder_ = holder_of(value->value);
+    }
     const bool is_own = value != nullptr && value->value == claim_value_;
     if (suspended_ && (value == nullptr || !is_own)) {
         suspended_.reset();
     }
     if (term_ && !(is_own && value->modified == term_->revision)) {
-        // A key that is older than the term is a late update from before it.
         if (value == nullptr || value->modified > term_->revision) {
             end_term(value == nullptr ? term_end::suspended
                                       : term_end::superseded);
@@ -102,17 +107,30 @@
     on_lost_(reason);
 }
 
+bool scope_term::is_left_by_own_restart() const {
+    return observed_value_ && observed_value_->value != claim_value_ &&
+           holder_of(observed_value_->value) == options_.self;
+}
+
 asio::awaitable<void> scope_term::claim() {
     const double share = std::max(options_.processor_share, 0.05);
     const auto max_delay_ms = static_cast<std::uint64_t>(
         static_cast<double>(options_.claim_spread.count()) * 0.25 / share);
-    const auto yield = options_.should_yield() ? options_.yield_time
-                                               : std::chrono::milliseconds(0);
-    co_await wait(yield +
-                  std::chrono::milliseconds(random_.below(max_delay_ms + 1)));
-    if (is_retired_ || observed_value_ || term_) {
+    if (!is_left_by_own_restart()) {
+        const auto delay = options_.claim_delay(last_holder_);
+        if (!delay) {
+            co_await wait(claim_check_interval);
+            co_return;
+        }
+        co_await wait(*delay + std::chrono::milliseconds(
+                                   random_.below(max_delay_ms + 1)));
+    }
+    if (is_retired_ || term_ ||
+        (observed_value_ && !is_left_by_own_restart())) {
         co_return;
     }
+    const store_revision replaced =
+        observed_value_ ? observed_value_->modified : 0;
     const boot_clock::time_point sent = boot_clock::now();
     const auto lease = co_await client_.grant(options_.lease_time);
     if (!lease) {
@@ -121,10 +139,9 @@
     }
     lease_ = lease->id;
     lease_until_ = sent + lease->time_to_live - options_.safety_margin;
-    claim_value_ =
-        options_.self.text() + holder_separator + std::to_string(lease_);
+    claim_value_ = encode_term_value(options_.self, lease_);
     store_transaction transaction = make_write(
-        {.key = options_.key},
+        {.key = options_.key, .revision = replaced},
         {.key = options_.key, .value = claim_value_, .lease = lease_});
     const auto result = co_await client_.commit(std::move(transaction));
     if (!result) {
@@ -141,7 +158,7 @@
         const std::uint64_t unused = lease_;
         lease_ = 0;
         co_await client_.end_lease(unused);
-        if (!observed_value_) {
+        if (!observed_value_ || is_left_by_own_restart()) {
             co_await wait(failed_claim_pause);
         }
         co_return;
@@ -204,6 +221,10 @@
 asio::awaitable<void> scope_term::retire() {
     is_retired_ = true;
     timer_.cancel();
+    co_await release();
+}
+
+asio::awaitable<void> scope_term::release() {
     if (!term_) {
         co_return;
     }
--- a/drivers/store/scope_term.hpp
+++ b/drivers/store/scope_term.hpp
@@ -4,6 +4,7 @@
 #include "core/logger.hpp"
 #include "core/random_source.hpp"
 #include "drivers/store/store_client.hpp"
+#include "servers/feed/term_value.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -41,23 +42,19 @@
     int renewals_per_lease = 3;
     /// This instance assumes that its lease ends this much sooner.
     std::chrono::milliseconds safety_margin{300};
-    /// Longest random delay before a free scope is claimed, for a
-    /// `processor_share` of 0.25. It is inversely proportional to the share, so
-    /// that larger machines usually win.
+    /// Longest random delay before a free scope is claimed, besides
+    /// `claim_delay`, for a `processor_share` of 0.25. It is inversely
+    /// proportional to the share, so that larger machines usually win.
     std::chrono::milliseconds claim_spread{120};
     double processor_share = 1.0;
-    /// Whether another instance is better suited to hold the scope. This one
-    /// then delays its claim by `yield_time`.
-    std::function<bool()> should_yield = [] { return false; };
-    /// Well above the time that another instance needs for its claim.
-    std::chrono::milliseconds yield_time{250};
+    /// Returns how long to wait before a free scope is claimed, given its last
+    /// holder; nothing if it must not be claimed yet.
+    std::function<std::optional<std::chrono::milliseconds>(const instance_id&)>
+        claim_delay =
+            [](const instance_id&) { return std::chrono::milliseconds(0); };
     std::uint64_t seed = 1;
 };
 
-/// Returns the instance that the value of a scope's key names as the holder.
-/// Thread safe.
-[[nodiscard]] instance_id holder_of(const std::string& value);
-
 /// Competes for one scope with a leased key in the platform's store.
 ///
 /// The term ends by the local clock before the lease can have expired, counted
@@ -77,7 +74,12 @@
     boost::asio::awaitable<void> run();
 
     /// Reports the scope's key as the mirror has it; null if there is none.
-    void on_key(const stored_value* value);
+    /// `revision` is the revision of the mirror's copy. Copies that are older
+    /// than this instance's own term are ignored: they may still lack its key.
+    void on_key(const stored_value* value, store_revision revision);
+
+    /// Releases the scope, but continues to compete for it.
+    boost::asio::awaitable<void> release();
 
     /// Reports that the store rejected a write of the term because its
     /// condition failed.
@@ -98,6 +100,10 @@
     boost::asio::awaitable<void> claim();
     boost::asio::awaitable<void> keep_renewed();
     boost::asio::awaitable<void> resume();
+    /// Whether the key was written by this instance before it restarted. It
+    /// may then be replaced at once: the process that held it is gone, and its
+    /// writes fail by the key's new revision.
+    [[nodiscard]] bool is_left_by_own_restart() const;
     void begin_term(held_term term);
     boost::asio::awaitable<void> wait(std::chrono::milliseconds time);
     void end_term(term_end reason);
@@ -112,6 +118,8 @@
     std::optional<held_term> term_;
     /// The key as last observed; empty if it did not exist.
     std::optional<stored_value> observed_value_;
+    /// The holder that was last observed.
+    instance_id last_holder_;
     bool has_observed_ = false;
     std::uint64_t lease_ = 0;
     boot_clock::time_point lease_until_{};
--- a/drivers/store/store_client.cpp
+++ b/drivers/store/store_client.cpp
@@ -36,6 +36,28 @@
 
 } // namespace
 
+std::string_view name_of(store_call_kind kind) {
+    switch (kind) {
+    case store_call_kind::read_key:
+        return "read_key";
+    case store_call_kind::read_range:
+        return "read_range";
+    case store_call_kind::watch:
+        return "watch";
+    case store_call_kind::transaction:
+        return "transaction";
+    case store_call_kind::lease_grant:
+        return "lease_grant";
+    case store_call_kind::lease_renewal:
+        return "lease_renewal";
+    case store_call_kind::lease_end:
+        return "lease_end";
+    case store_call_kind::for_peer:
+        return "for_peer";
+    }
+    return "unlisted";
+}
+
 store_client::store_client(asio::io_context& context, store_limits limits,
                            logger& log)
     : client_(context)
@@ -71,9 +93,11 @@
 }
 
 asio::awaitable<outcome<http_response>>
-store_client::send(http_request request, std::chrono::milliseconds timeout) {
+store_client::send(http_request request, std::chrono::milliseconds timeout,
+                   store_call_kind kind) {
     const std::string target(request.path());
     ++counters_.calls;
+    ++counters_.calls_by_kind.at(static_cast<std::size_t>(kind));
     const steady_time deadline = std::chrono::steady_clock::now() + timeout;
     auto response =
         co_await client_.call(limits_.address, std::move(request), deadline);
@@ -100,19 +124,20 @@
 
 asio::awaitable<outcome<http_response>>
 store_client::call_for_peer(http_request request) {
-    return send(std::move(request), relayed_call_timeout);
+    return send(std::move(request), relayed_call_timeout,
+                store_call_kind::for_peer);
 }
 
 asio::awaitable<outcome<http_response>>
-store_client::send_or_relay(http_request request) {
+store_client::send_or_relay(http_request request, store_call_kind kind) {
     const auto now = [] { return std::chrono::steady_clock::now(); };
     if (relay_ == nullptr || now() < relay_blocked_until_) {
-        co_return co_await send(std::move(request), call_timeout);
+        co_return co_await send(std::move(request), call_timeout, kind);
     }
     std::optional<outcome<http_response>> direct;
     if (now() >= relay_first_until_) {
         http_request copy = request;
-        direct = co_await send(std::move(copy), relayed_call_timeout);
+        direct = co_await send(std::move(copy), relayed_call_timeout, kind);
         const bool is_refused = *direct && is_refusal(**direct);
         const bool is_cancelled_call =
             !*direct && direct->reason().detail == cancelled_detail;
@@ -168,7 +193,8 @@
 asio::awaitable<outcome<std::optional<stored_value>>>
 store_client::read_key(std::string key) {
     http_request request = platform::make_read_key(key);
-    const auto response = co_await send_or_relay(std::move(request));
+    const auto response =
+        co_await send_or_relay(std::move(request), store_call_kind::read_key);
     if (!response) {
         co_return response.reason();
     }
@@ -185,9 +211,11 @@
         outcome<http_response> response =
             failure{result_code::store_refused, "not sent"};
         if (relay == relay_use::allowed) {
-            response = co_await send_or_relay(std::move(request));
+            response = co_await send_or_relay(std::move(request),
+                                              store_call_kind::read_range);
         } else {
-            response = co_await send(std::move(request), call_timeout);
+            response = co_await send(std::move(request), call_timeout,
+                                     store_call_kind::read_range);
         }
         if (!response) {
             co_return response.reason();
@@ -211,7 +239,8 @@
 store_client::watch(std::string prefix, store_revision after,
                     std::chrono::milliseconds wait) {
     http_request request = platform::make_watch(prefix, after, wait);
-    const auto response = co_await send(std::move(request), wait + watch_slack);
+    const auto response = co_await send(std::move(request), wait + watch_slack,
+                                        store_call_kind::watch);
     if (!response) {
         co_return response.reason();
     }
@@ -221,7 +250,8 @@
 asio::awaitable<outcome<transaction_result>>
 store_client::commit(store_transaction transaction) {
     http_request request = platform::make_transaction(transaction);
-    const auto response = co_await send_or_relay(std::move(request));
+    const auto response = co_await send_or_relay(std::move(request),
+                                                 store_call_kind::transaction);
     if (!response) {
         co_return response.reason();
     }
@@ -231,7 +261,8 @@
 asio::awaitable<outcome<store_lease>>
 store_client::grant(std::chrono::milliseconds time_to_live) {
     http_request request = platform::make_lease(time_to_live);
-    const auto response = co_await send(std::move(request), call_timeout);
+    const auto response = co_await send(std::move(request), call_timeout,
+                                        store_call_kind::lease_grant);
     if (!response) {
         co_return response.reason();
     }
@@ -240,7 +271,8 @@
 
 asio::awaitable<outcome<done>> store_client::renew(std::uint64_t lease) {
     http_request request = platform::make_lease_renewal(lease);
-    const auto response = co_await send_or_relay(std::move(request));
+    const auto response = co_await send_or_relay(
+        std::move(request), store_call_kind::lease_renewal);
     if (!response) {
         co_return response.reason();
     }
@@ -249,7 +281,8 @@
 
 asio::awaitable<outcome<done>> store_client::end_lease(std::uint64_t lease) {
     http_request request = platform::make_lease_end(lease);
-    const auto response = co_await send_or_relay(std::move(request));
+    const auto response =
+        co_await send_or_relay(std::move(request), store_call_kind::lease_end);
     if (!response) {
         co_return response.reason();
     }
--- a/drivers/store/store_client.hpp
+++ b/drivers/store/store_client.hpp
@@ -17,12 +17,34 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace savorydock {
 
-/// Number of calls to the store, in total and by failure, for the metrics.
+enum class store_call_kind : std::uint8_t {
+    read_key,
+    read_range,
+    watch,
+    transaction,
+    lease_grant,
+    lease_renewal,
+    lease_end,
+    /// Made on behalf of another instance.
+    for_peer,
+};
+
+inline constexpr std::size_t store_call_kind_count =
+    static_cast<std::size_t>(store_call_kind::for_peer) + 1;
+
+/// Returns the kind's name in the metrics. Thread safe.
+[[nodiscard]] std::string_view name_of(store_call_kind kind);
+
+/// Number of calls to the store, in total, by kind and by failure, for the
+/// metrics.
 struct store_counters {
     std::uint64_t calls = 0;
+    /// Indexed by the number of the kind.
+    std::array<std::uint64_t, store_call_kind_count> calls_by_kind{};
     std::uint64_t refused = 0;
     std::uint64_t unanswered = 0;
 };
@@ -108,10 +130,11 @@
 
 private:
     boost::asio::awaitable<outcome<http_response>>
-    send(http_request request, std::chrono::milliseconds timeout);
+    send(http_request request, std::chrono::milliseconds timeout,
+         store_call_kind kind);
     /// Like `send`, but uses the relay if this instance can't reach the store.
     boost::asio::awaitable<outcome<http_response>>
-    send_or_relay(http_request request);
+    send_or_relay(http_request request, store_call_kind kind);
     void record_call_result(bool is_answered, const std::string& target,
                             const std::string& detail);
 
--- a/drivers/store/store_mirror.cpp
+++ b/drivers/store/store_mirror.cpp
@@ -18,10 +18,7 @@
 constexpr std::chrono::milliseconds watch_wait{1'200};
 /// Pause before the first retry of a failed call; doubled for each further one.
 constexpr std::chrono::milliseconds first_pause{50};
-/// Bounds the load of retries from the whole fleet during an outage, while an
-/// instance still recovers within the 3 s allowed after it.
-constexpr std::chrono::milliseconds longest_pause{800};
-constexpr std::uint32_t max_doublings = 4;
+constexpr std::uint32_t max_doublings = 8;
 constexpr std::chrono::hours until_woken{24};
 /// Pause after changes, so that one call reads several: engines update their
 /// entries with each load report, dozens of times a second on large sites.
@@ -96,7 +93,7 @@
 asio::awaitable<void> store_mirror::pause() {
     const auto factor = 1U << std::min(failures_in_row_, max_doublings);
     ++failures_in_row_;
-    co_await sleep(std::min(first_pause * factor, longest_pause));
+    co_await sleep(std::min(first_pause * factor, longest_pause_));
 }
 
 asio::awaitable<bool> store_mirror::reread() {
--- a/drivers/store/store_mirror.hpp
+++ b/drivers/store/store_mirror.hpp
@@ -55,6 +55,11 @@
     void set_probing(bool is_probing) { is_probing_ = is_probing; }
     void on_store_reachable() { wake_.cancel(); }
 
+    /// Sets the longest pause between retries while the store fails.
+    void set_longest_pause(std::chrono::milliseconds pause) {
+        longest_pause_ = pause;
+    }
+
     /// Cancels a watch in progress and rereads the prefix.
     void restart();
 
@@ -86,6 +91,7 @@
     /// Cancelled to end a sleep or a watch in progress.
     boost::asio::steady_timer wake_;
     std::uint32_t failures_in_row_ = 0;
+    std::chrono::milliseconds longest_pause_{800};
 };
 
 } // namespace savorydock
--- a/servers/batch/job_keys.cpp
+++ b/servers/batch/job_keys.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/json.hpp>
 
+#include <charconv>
+
 namespace savorydock {
 
 namespace {
@@ -46,6 +48,21 @@
     return results_prefix(job) + padded(position);
 }
 
+std::optional<std::size_t> results_position(const job_id& job,
+                                            std::string_view key) {
+    const std::string prefix = results_prefix(job);
+    if (!key.starts_with(prefix)) {
+        return std::nullopt;
+    }
+    key.remove_prefix(prefix.size());
+    std::size_t position = 0;
+    const auto [end, error] =
+        std::from_chars(key.data(), key.data() + key.size(), position);
+    return error == std::errc() && end == key.data() + key.size()
+               ? std::optional(position)
+               : std::nullopt;
+}
+
 std::string progress_prefix(const job_id& job) {
     return "p/" + job.text() + '/';
 }
--- a/servers/batch/job_keys.hpp
+++ b/servers/batch/job_keys.hpp
@@ -33,6 +33,11 @@
 [[nodiscard]] std::string results_prefix(const job_id& job);
 [[nodiscard]] std::string results_key(const job_id& job, std::size_t position);
 
+/// Returns the position that a results key of the job names; nothing for other
+/// keys.
+[[nodiscard]] std::optional<std::size_t> results_position(const job_id& job,
+                                                          std::string_view key);
+
 [[nodiscard]] std::string progress_prefix(const job_id& job);
 [[nodiscard]] std::string progress_key(const job_id& job, store_revision term,
                                        std::size_t number);
--- /dev/null
+++ b/servers/batch/listed_rows.cpp
@@ -0,0 +1,59 @@
+#include "servers/batch/listed_rows.hpp"
+
+#include <utility>
+
+namespace savorydock {
+
+bool listed_rows::append(std::size_t position, std::vector<std::string> rows) {
+    if (position > rows_.size() || position + rows.size() <= rows_.size()) {
+        return false;
+    }
+    for (std::size_t at = rows_.size() - position; at < rows.size(); ++at) {
+        bytes_ += rows[at].size();
+        rows_.push_back(std::move(rows[at]));
+    }
+    return true;
+}
+
+std::vector<std::string> listed_rows::page(std::size_t first,
+                                           std::size_t max_bytes) const {
+    std::vector<std::string> found;
+    std::size_t bytes = 0;
+    for (std::size_t at = first; at < rows_.size(); ++at) {
+        bytes += rows_[at].size() + 1;
+        if (bytes > max_bytes && !found.empty()) {
+            break;
+        }
+        found.push_back(rows_[at]);
+    }
+    return found;
+}
+
+void listed_rows::on_read_complete(store_revision term) {
+    complete_in_term_ = term;
+    commit_sent_at_.reset();
+    has_open_commit_ = false;
+}
+
+void listed_rows::on_commit_sent(steady_time now) {
+    commit_sent_at_ = now;
+}
+
+void listed_rows::on_commit_listed() {
+    commit_sent_at_.reset();
+    has_open_commit_ = false;
+}
+
+void listed_rows::on_commit_failed(bool may_be_listed) {
+    commit_sent_at_.reset();
+    has_open_commit_ = has_open_commit_ || may_be_listed;
+}
+
+bool listed_rows::is_complete(store_revision term, steady_time now) const {
+    const bool is_commit_open =
+        has_open_commit_ ||
+        (commit_sent_at_ && now >= *commit_sent_at_ + max_commit_time);
+    return term != 0 && complete_in_term_ == term && !is_commit_open;
+}
+
+} // namespace savorydock
--- /dev/null
+++ b/servers/batch/listed_rows.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "core/clock.hpp"
+#include "core/ids.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace savorydock {
+
+/// The listed results of one job as far as this instance knows them, in
+/// encoded form.
+///
+/// Load pattern: clients read each open job twice a second through any
+/// instance. Rows that were listed once never change, so each instance keeps
+/// those it has seen. The job's planner also knows that there are no others:
+/// only the holder of the term lists results. The other instances ask it, and
+/// the store gets no call for a read while the planner is reachable.
+///
+/// Not thread safe; deterministic.
+class listed_rows {
+public:
+    /// A commit without an outcome for this long may have been listed, so the
+    /// planner no longer knows all rows.
+    static constexpr std::chrono::milliseconds max_commit_time{300};
+
+    /// Adds rows that begin at a position. Ignores those already known, and all
+    /// if rows before the position are missing. Returns whether rows were
+    /// added.
+    bool append(std::size_t position, std::vector<std::string> rows);
+
+    /// Returns the rows from a position on, at least one if there is one, and
+    /// otherwise up to `max_bytes`.
+    [[nodiscard]] std::vector<std::string> page(std::size_t first,
+                                                std::size_t max_bytes) const;
+
+    [[nodiscard]] std::size_t size() const { return rows_.size(); }
+    [[nodiscard]] std::size_t bytes() const { return bytes_; }
+    [[nodiscard]] const std::vector<std::string>& rows() const { return rows_; }
+
+    /// All rows listed in terms before this one have been read from the store,
+    /// after the term began.
+    void on_read_complete(store_revision term);
+    void on_commit_sent(steady_time now);
+    /// The rows of the commit are listed, and were appended.
+    void on_commit_listed();
+    /// `may_be_listed`: the store may still list the rows of the commit. The
+    /// next commit is for the same position, so only one of them takes effect.
+    void on_commit_failed(bool may_be_listed);
+
+    /// Whether `rows` are all that is listed, given that this instance holds
+    /// the job's term now.
+    [[nodiscard]] bool is_complete(store_revision term, steady_time now) const;
+
+private:
+    std::vector<std::string> rows_;
+    std::size_t bytes_ = 0;
+    /// The term in which the rows were read; 0 if in none.
+    store_revision complete_in_term_ = 0;
+    std::optional<steady_time> commit_sent_at_;
+    /// A commit failed that may still be listed.
+    bool has_open_commit_ = false;
+};
+
+} // namespace savorydock
--- a/servers/feed/feed_follower.cpp
+++ b/servers/feed/feed_follower.cpp
@@ -39,6 +39,7 @@
         return to_request;
     }
     last_contact_ = std::max(last_contact_, now - heartbeat.age);
+    last_heard_ = now;
     for (std::size_t i = 0; i < prefixes_.size(); ++i) {
         prefix_state& state = prefixes_[i];
         const bool is_behind =
--- a/servers/feed/feed_follower.hpp
+++ b/servers/feed/feed_follower.hpp
@@ -4,6 +4,7 @@
 #include "core/ids.hpp"
 #include "servers/feed/feed_message.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -20,6 +21,8 @@
     /// in force within 2 s, and this instance's own read of the store must fit
     /// into that time as well.
     std::chrono::milliseconds max_age{1'400};
+    /// A feeder that sent no heartbeat for this long is not followed.
+    std::chrono::milliseconds max_silence{1'400};
     /// Minimum time between two requests for the same prefix.
     std::chrono::milliseconds request_interval{200};
 };
@@ -62,9 +65,13 @@
 
     /// When `is_following` becomes false if no further heartbeat arrives.
     [[nodiscard]] steady_time fresh_until() const {
-        return last_contact_ + options_.max_age;
+        return std::min(last_contact_ + options_.max_age,
+                        last_heard_ + options_.max_silence);
     }
 
+    /// When the feeder last reached the store.
+    [[nodiscard]] steady_time last_contact() const { return last_contact_; }
+
     [[nodiscard]] const instance_id& feeder() const { return feeder_; }
 
 private:
@@ -82,6 +89,7 @@
     instance_id feeder_;
     store_revision term_ = 0;
     steady_time last_contact_{};
+    steady_time last_heard_{};
     std::vector<prefix_state> prefixes_;
 };
 
--- a/servers/feed/feed_message.hpp
+++ b/servers/feed/feed_message.hpp
@@ -22,6 +22,9 @@
 BOOST_DESCRIBE_STRUCT(feed_change, (),
                       (key, value, created, modified, is_removed))
 
+/// Stands for an outage so long ago that it has no effect any more.
+inline constexpr std::chrono::milliseconds no_outage{60'000};
+
 /// Changes under one key prefix, sent by the feeder of a zone to its followers.
 struct feed_push {
     std::string prefix;
@@ -34,9 +37,15 @@
     bool is_snapshot = false;
     store_revision revision = 0;
     std::vector<feed_change> changes;
+    /// Sent by the root feeder to the feeder of another zone.
+    bool is_between_zones = false;
+    /// Time since the last outage of the store ended for the feeder; at least
+    /// `no_outage` if it knows of none.
+    std::chrono::milliseconds since_outage = no_outage;
 };
 BOOST_DESCRIBE_STRUCT(feed_push, (),
-                      (prefix, term, number, is_snapshot, revision, changes))
+                      (prefix, term, number, is_snapshot, revision, changes,
+                       is_between_zones, since_outage))
 
 /// Reports that the feeder is running, and when it last reached the store.
 struct feed_heartbeat {
@@ -45,13 +54,20 @@
     std::chrono::milliseconds age{0};
     /// Number of the last push of each prefix, in the order of the prefixes.
     std::vector<std::uint64_t> numbers;
+    /// Sent by the root feeder to the feeder of another zone.
+    bool is_between_zones = false;
 };
-BOOST_DESCRIBE_STRUCT(feed_heartbeat, (), (term, age, numbers))
+BOOST_DESCRIBE_STRUCT(feed_heartbeat, (),
+                      (term, age, numbers, is_between_zones))
 
 /// Requests a snapshot of a prefix; sent by a follower that missed a push.
 struct feed_request {
     std::string prefix;
+    /// Sent by a zone's feeder to the root feeder.
+    bool is_between_zones = false;
+    /// Address of the sender as text: the feeder may not know it yet.
+    std::string address;
 };
-BOOST_DESCRIBE_STRUCT(feed_request, (), (prefix))
+BOOST_DESCRIBE_STRUCT(feed_request, (), (prefix, is_between_zones, address))
 
 } // namespace savorydock
--- /dev/null
+++ b/tests/drivers/feed/store_feed_test.cpp
@@ -0,0 +1,241 @@
+#include "drivers/feed/store_feed.hpp"
+#include "servers/batch/job_keys.hpp"
+#include "tests/fakes/fake_users_store.hpp"
+
+#include <boost/asio/post.hpp>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+
+using namespace savorydock;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+class copy_listener final : public store_mirror_listener {
+public:
+    void on_changes(const std::vector<store_change>& changes, bool) override {
+        for (const store_change& change : changes) {
+            if (change.is_removed) {
+                values.erase(change.value.key);
+            } else {
+                values[change.value.key] = change.value.value;
+            }
+        }
+    }
+    std::map<std::string, std::string> values;
+};
+
+/// One instance with a feed of two prefixes.
+struct member final : public store_mirror_listener {
+    member(asio::io_context& context, const endpoint& store,
+           peer_transport& transport, const node_directory& directory,
+           const std::string& name, const std::string& zone, logger& log)
+        : client(context, {.address = store}, log)
+        , feed(context, client, transport, directory,
+               {.self = instance_id(name),
+                .zone = availability_zone(zone),
+                .address = {.address = "127.0.0.1", .port = 1},
+                .change_bound = 3'000ms,
+                .seed = std::hash<std::string>()(name)},
+               {{"op/", &data}, {std::string(control_prefix), this}}, log) {}
+
+    void on_changes(const std::vector<store_change>&, bool) override {
+        const auto& keys = feed.copy_of(std::string(control_prefix)).values();
+        const auto own = keys.find(feed.term_key());
+        feed.on_term_key(own == keys.end() ? nullptr : &own->second,
+                         feed.copy_of(std::string(control_prefix)).revision());
+    }
+
+    [[nodiscard]] std::uint64_t calls(store_call_kind kind) const {
+        return client.counters().calls_by_kind.at(
+            static_cast<std::size_t>(kind));
+    }
+
+    copy_listener data;
+    store_client client;
+    store_feed feed;
+};
+
+/// Delivers messages between members, unless their sender is silent.
+class fleet_transport final : public peer_transport {
+public:
+    explicit fleet_transport(asio::io_context& context)
+        : context_(context) {}
+
+    void send(const peer_message& message, const endpoint&) override {
+        if (silent.contains(message.from) || silent.contains(message.to)) {
+            return;
+        }
+        asio::post(context_, [this, message] {
+            const auto to = members.find(message.to);
+            if (to != members.end()) {
+                to->second->feed.on_message(message);
+            }
+        });
+    }
+    void on_message(message_handler) override {}
+
+    std::map<instance_id, member*> members;
+    std::set<instance_id> silent;
+
+private:
+    asio::io_context& context_;
+};
+
+class store_feed_test : public ::testing::Test {
+public:
+    store_feed_test() {
+        for (const char* const zone : {"a", "b", "c"}) {
+            for (const char* const number : {"1", "2"}) {
+                const std::string name = std::string(zone) + number;
+                directory[instance_id(name)] = {.instance = instance_id(name),
+                                                .zone =
+                                                    availability_zone(zone)};
+                members.push_back(
+                    std::make_unique<member>(context, fake.address(), transport,
+                                             directory, name, zone, log));
+                transport.members[instance_id(name)] = members.back().get();
+            }
+        }
+        fake.put("op/config", "1");
+        for (const auto& one : members) {
+            one->feed.start();
+        }
+    }
+
+    template <class Test>
+    bool wait(Test is_done, std::chrono::milliseconds limit) {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!is_done() && std::chrono::steady_clock::now() < end) {
+            context.restart();
+            context.run_for(5ms);
+        }
+        return is_done();
+    }
+
+    void run_for(std::chrono::milliseconds time) {
+        wait([] { return false; }, time);
+    }
+
+    /// Number of members that watch the store themselves.
+    std::size_t watchers() const {
+        return static_cast<std::size_t>(
+            std::count_if(members.begin(), members.end(), [](const auto& one) {
+                return !one->feed.is_following();
+            }));
+    }
+
+    bool all_have(const std::string& value) const {
+        return std::all_of(
+            members.begin(), members.end(), [&](const auto& one) {
+                const auto found = one->data.values.find("op/config");
+                return found != one->data.values.end() &&
+                       found->second == value;
+            });
+    }
+
+    member& root() {
+        return **std::find_if(
+            members.begin(), members.end(), [](const auto& one) {
+                return one->feed.is_feeder() && !one->feed.is_following();
+            });
+    }
+
+    std::uint64_t watches() const {
+        std::uint64_t sum = 0;
+        for (const auto& one : members) {
+            sum += one->calls(store_call_kind::watch);
+        }
+        return sum;
+    }
+
+    fake_users_store fake;
+    null_logger log;
+    asio::io_context context;
+    node_directory directory;
+    fleet_transport transport{context};
+    std::vector<std::unique_ptr<member>> members;
+};
+
+} // namespace
+
+// Load pattern: with a watch per zone and prefix, the calls to the store grow
+// with the number of zones.
+TEST_F(store_feed_test, one_feeder_watches_the_store_for_all_zones) {
+    ASSERT_TRUE(wait([&] { return watchers() == 1; }, 5s));
+    fake.put("op/config", "2");
+    EXPECT_TRUE(wait([&] { return all_have("2"); }, 1s));
+    const auto before = watches();
+    run_for(2'600ms);
+    EXPECT_EQ(watchers(), 1U);
+    // One member with two prefixes, whose watches return after 1.2 s.
+    EXPECT_LE(watches() - before, 6U);
+}
+
+TEST_F(store_feed_test, silent_root_delays_a_change_within_the_bound) {
+    ASSERT_TRUE(wait([&] { return watchers() == 1; }, 5s));
+    const member* const old_root = &root();
+    const auto name =
+        std::find_if(transport.members.begin(), transport.members.end(),
+                     [&](const auto& row) { return row.second == old_root; });
+    transport.silent.insert(name->first);
+    fake.put("op/config", "3");
+    EXPECT_TRUE(wait([&] { return all_have("3"); }, 3s));
+}
+
+// The feeders must have read the store themselves before their followers give
+// them up: otherwise all instances would read it at once.
+TEST_F(store_feed_test, followers_of_other_zones_outlast_a_silent_root) {
+    ASSERT_TRUE(wait([&] { return watchers() == 1; }, 5s));
+    const auto name =
+        std::find_if(transport.members.begin(), transport.members.end(),
+                     [&](const auto& row) { return row.second == &root(); });
+    const availability_zone zone = directory[name->first].zone;
+    std::map<member*, std::uint64_t> reads;
+    for (const auto& [instance, one] : transport.members) {
+        if (directory[instance].zone != zone && !one->feed.is_feeder()) {
+            reads[one] = one->calls(store_call_kind::read_range);
+        }
+    }
+    ASSERT_EQ(reads.size(), 2U);
+    transport.silent.insert(name->first);
+    run_for(2'500ms);
+    for (const auto& [one, before] : reads) {
+        EXPECT_EQ(one->calls(store_call_kind::read_range), before);
+        EXPECT_TRUE(one->feed.is_following());
+    }
+}
+
+// Load pattern: hundreds of instances start at once, and each read three
+// prefixes of the store.
+TEST_F(store_feed_test, new_instance_takes_its_first_copies_from_the_feeder) {
+    ASSERT_TRUE(wait([&] { return watchers() == 1; }, 5s));
+    // Not in the others' directory yet.
+    member late(context, fake.address(), transport, directory, "a3", "a", log);
+    transport.members[instance_id("a3")] = &late;
+    late.feed.start();
+    ASSERT_TRUE(
+        wait([&] { return late.data.values.contains("op/config"); }, 1s));
+    run_for(400ms);
+    EXPECT_TRUE(late.feed.is_following());
+    EXPECT_EQ(late.calls(store_call_kind::read_range), 1U);
+    transport.members.erase(instance_id("a3"));
+    context.stop();
+}
+
+TEST_F(store_feed_test, end_of_an_outage_is_known_to_followers) {
+    ASSERT_TRUE(wait([&] { return watchers() == 1; }, 5s));
+    fake.set_refusing(true);
+    run_for(300ms);
+    fake.set_refusing(false);
+    fake.put("op/config", "4");
+    ASSERT_TRUE(wait([&] { return all_have("4"); }, 3s));
+    for (const auto& one : members) {
+        EXPECT_NE(one->feed.outage_ended_at(), steady_time{});
+    }
+}
--- a/tests/drivers/store/store_test.cpp
+++ b/tests/drivers/store/store_test.cpp
@@ -3,6 +3,7 @@
 #include "drivers/store/store_mirror.hpp"
 #include "servers/batch/job_keys.hpp"
 #include "tests/fakes/fake_users_store.hpp"
+#include "tests/fakes/run_call.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -23,23 +24,10 @@
         : client(context, {.address = fake.address()}, log)
         , jobs(client, log) {}
 
-    template <class Value>
-    static asio::awaitable<void> run_into(asio::awaitable<Value> call,
-                                          std::optional<Value>& result) {
-        result = co_await std::move(call);
-    }
-
     /// Runs a call until it ends and returns its value.
     template <class Value>
     Value run(asio::awaitable<Value> call) {
-        std::optional<Value> result;
-        asio::co_spawn(context, run_into(std::move(call), result),
-                       asio::detached);
-        while (!result) {
-            context.restart();
-            context.run_one();
-        }
-        return std::move(*result);
+        return run_call(context, std::move(call));
     }
 
     /// Runs the context until `is_done` returns true, for at most 2 s.
@@ -76,6 +64,25 @@
         return commit;
     }
 
+    static save_progress make_saved(const std::string& job, std::uint64_t base,
+                                    std::uint64_t events,
+                                    const std::string& text) {
+        save_progress progress{.job = job_id(job)};
+        progress.parts.push_back({.item = 0,
+                                  .base_events = base,
+                                  .events = events,
+                                  .text = text,
+                                  .versions = {1}});
+        return progress;
+    }
+
+    void save_all(const held_term& term, std::vector<save_progress> texts) {
+        bool is_done = false;
+        asio::co_spawn(context, jobs.save_progress(term, std::move(texts)),
+                       [&](const std::exception_ptr&) { is_done = true; });
+        EXPECT_TRUE(wait([&] { return is_done; }));
+    }
+
     fake_users_store fake;
     null_logger log;
     asio::io_context context;
@@ -210,16 +217,7 @@
     held_term term = hold();
     const auto save = [&](std::uint64_t base, std::uint64_t events,
                           const std::string& text) {
-        save_progress progress{.job = job_id("j")};
-        progress.parts.push_back({.item = 0,
-                                  .base_events = base,
-                                  .events = events,
-                                  .text = text,
-                                  .versions = {1}});
-        bool is_done = false;
-        asio::co_spawn(context, jobs.save_progress(term, std::move(progress)),
-                       [&](const std::exception_ptr&) { is_done = true; });
-        EXPECT_TRUE(wait([&] { return is_done; }));
+        save_all(term, {make_saved("j", base, events, text)});
     };
     save(0, 2, "a\nb");
     save(2, 3, "c");
@@ -230,6 +228,18 @@
     EXPECT_EQ(texts.at(0).events, 3U);
 }
 
+// Load pattern: all open jobs save their texts at the same interval.
+TEST_F(store_test, texts_of_several_jobs_share_a_write) {
+    accept();
+    const held_term term = hold();
+    const auto before = client.counters().calls;
+    save_all(term, {make_saved("j", 0, 1, "a"), make_saved("k", 0, 2, "b"),
+                    make_saved("l", 0, 3, "c")});
+    EXPECT_EQ(client.counters().calls, before + 1);
+    EXPECT_EQ(run(jobs.load_progress(job_id("k"))).at(0).events, 2U);
+    EXPECT_EQ(run(jobs.load_progress(job_id("l"))).at(0).text, "c");
+}
+
 TEST_F(store_test, mirror_rereads_after_the_history_is_dropped) {
     recording_listener listener;
     fake.put("p/a", "1");
@@ -414,15 +424,15 @@
         [&](const held_term& term) { terms.push_back(term.revision); },
         [&](term_end) { ++losses; }, log);
     asio::co_spawn(context, scope.run(), asio::detached);
-    scope.on_key(nullptr);
+    scope.on_key(nullptr, 1);
     ASSERT_TRUE(wait([&] { return terms.size() == 1; }));
     EXPECT_TRUE(scope.is_held_now());
     const auto held = fake.values().at("c/term/e");
-    scope.on_key(&held);
+    scope.on_key(&held, held.modified);
     EXPECT_EQ(losses, 0);
     // The store removes the key and no call fails.
     fake.end_all_leases();
-    scope.on_key(nullptr);
+    scope.on_key(nullptr, held.modified + 1);
     EXPECT_EQ(losses, 1);
     EXPECT_FALSE(scope.is_held_now());
     ASSERT_TRUE(wait([&] { return terms.size() == 2; }));
@@ -430,6 +440,66 @@
     context.stop();
 }
 
+// A claim is answered before the mirror reports that the last holder's key was
+// removed. Ending the new term then would leave the scope without a holder
+// until the claim's lease expires.
+TEST_F(store_test, late_report_from_before_the_term_does_not_end_it) {
+    fake.put("c/term/e", "another/1");
+    const auto old = fake.values().at("c/term/e");
+    fake.remove("c/term/e");
+    int losses = 0;
+    scope_term scope(
+        context, client, {.key = "c/term/e", .self = instance_id("n")},
+        [](const held_term&) {}, [&](term_end) { ++losses; }, log);
+    asio::co_spawn(context, scope.run(), asio::detached);
+    scope.on_key(nullptr, old.modified + 1);
+    ASSERT_TRUE(wait([&] { return scope.is_held_now(); }));
+    scope.on_key(nullptr, old.modified + 1);
+    EXPECT_TRUE(scope.is_held_now());
+    scope.on_key(&old, old.modified);
+    EXPECT_TRUE(scope.is_held_now());
+    EXPECT_EQ(losses, 0);
+    scope.on_key(nullptr, scope.term()->revision + 1);
+    EXPECT_FALSE(scope.is_held_now());
+    context.stop();
+}
+
+// Load pattern: all processes are killed and start again at once, while the
+// leases of the killed ones still hold all scopes for seconds.
+TEST_F(store_test, instance_that_restarts_takes_its_own_term_at_once) {
+    fake.put("c/term/e", "n/77");
+    const auto left = fake.values().at("c/term/e");
+    scope_term scope(
+        context, client, {.key = "c/term/e", .self = instance_id("n")},
+        [](const held_term&) {}, [](term_end) {}, log);
+    scope_term other(
+        context, client, {.key = "c/term/e", .self = instance_id("m")},
+        [](const held_term&) {}, [](term_end) {}, log);
+    asio::co_spawn(context, scope.run(), asio::detached);
+    asio::co_spawn(context, other.run(), asio::detached);
+    other.on_key(&left, left.modified);
+    scope.on_key(&left, left.modified);
+    ASSERT_TRUE(wait([&] { return scope.is_held_now(); }));
+    EXPECT_GT(scope.term()->revision, left.modified);
+    EXPECT_FALSE(other.is_held_now());
+    context.stop();
+}
+
+// The copy of the key may be old: another instance may hold the scope by now.
+TEST_F(store_test, term_that_another_instance_took_is_not_taken_back) {
+    fake.put("c/term/e", "n/77");
+    const auto left = fake.values().at("c/term/e");
+    fake.put("c/term/e", "m/78");
+    scope_term scope(
+        context, client, {.key = "c/term/e", .self = instance_id("n")},
+        [](const held_term&) {}, [](term_end) {}, log);
+    asio::co_spawn(context, scope.run(), asio::detached);
+    scope.on_key(&left, left.modified);
+    EXPECT_FALSE(wait([&] { return scope.is_held_now(); }));
+    EXPECT_EQ(fake.values().at("c/term/e").value, "m/78");
+    context.stop();
+}
+
 TEST_F(store_test,
        term_ends_on_the_local_clock_and_resumes_if_its_lease_lives) {
     int gains = 0;
@@ -442,7 +512,7 @@
          .safety_margin = 100ms},
         [&](const held_term&) { ++gains; }, [&](term_end) { ++losses; }, log);
     asio::co_spawn(context, scope.run(), asio::detached);
-    scope.on_key(nullptr);
+    scope.on_key(nullptr, 1);
     ASSERT_TRUE(wait([&] { return gains == 1; }));
     const store_revision first = scope.term()->revision;
     fake.set_refusing(true);
