Wait for claims on their way before a cold start ends

Cause: an instance that restarts while the store can't be reached asked its peers what it had served before. A peer could answer before the claim that the instance sent right before its restart had arrived, so all had answered, none knew the claim, and the instance served an older revision than before. A digest that arrived before the first hello was also compared with a time not set yet. Ruled out: claims lost by all peers (they are told of by five, a fifth is lost).

--- a/servers/configuration/cold_start.cpp
+++ b/servers/configuration/cold_start.cpp
@@ -13,8 +13,12 @@
 
 void cold_start::record_digest(const instance_id& peer, bool is_starting,
                                store_revision complete_through,
-                               store_revision claimed) {
-    answered_peers_.insert(peer);
+                               store_revision claimed, steady_time now) {
+    const bool is_settled =
+        first_hello_at_ && now >= *first_hello_at_ + settling_time;
+    if (is_settled) {
+        answered_peers_.insert(peer);
+    }
     // The claims that a peer has recorded are valid even while the peer itself
     // is starting.
     floor_ = std::max(floor_, claimed);
@@ -30,7 +34,8 @@
     if (has_store_read_) {
         return true;
     }
-    if (!has_serving_peer_ || complete_through < floor_) {
+    if (!has_serving_peer_ || answered_peers_.empty() ||
+        complete_through < floor_) {
         return false;
     }
     const auto waited = now - *first_hello_at_;
@@ -54,7 +59,7 @@
 
 bool cold_start::is_held_back(store_revision complete_through,
                               steady_time now) const {
-    return !is_over_ && has_serving_peer_ && complete_through < floor_ &&
+    return !is_over_ && !answered_peers_.empty() && complete_through < floor_ &&
            now - *first_hello_at_ >= answer_timeout;
 }
 
--- a/servers/configuration/cold_start.hpp
+++ b/servers/configuration/cold_start.hpp
@@ -17,11 +17,17 @@
 /// most advanced peer that answered, and has reached every revision that those
 /// peers recorded for it before the restart (its claims).
 ///
+/// A claim that the instance sent right before its restart may still be on its
+/// way when a peer answers. Answers therefore count only after `settling_time`,
+/// by which such claims have arrived or are lost.
+///
 /// Limitation: if none of the peers that answer recorded the last claim of the
 /// instance, it may serve an older revision than before its restart.
 /// Not thread safe.
 class cold_start {
 public:
+    /// How long a message between instances may be on its way.
+    static constexpr std::chrono::milliseconds settling_time{1'000};
     /// How long to wait for peers that have not answered yet.
     static constexpr std::chrono::milliseconds answer_timeout{2'000};
     /// How long to wait, from the first hello, until the instance has caught up
@@ -35,7 +41,8 @@
     /// complete through, and the highest claim of this instance that the peer
     /// has recorded.
     void record_digest(const instance_id& peer, bool is_starting,
-                       store_revision complete_through, store_revision claimed);
+                       store_revision complete_through, store_revision claimed,
+                       steady_time now);
 
     /// Records a complete read of the store; no instance can have had a newer
     /// revision in force at that time.
--- a/servers/configuration/configuration_server.cpp
+++ b/servers/configuration/configuration_server.cpp
@@ -110,7 +110,7 @@
         if (is_starting) {
             start_.record_digest(message.from, body->is_starting,
                                  body->complete_through,
-                                 body->claimed_by_receiver);
+                                 body->claimed_by_receiver, now);
         }
         gossip_.on_digest(message.from, *body, table_, is_starting, now, out);
         break;
