Log a fingerprint of the content with retries and unknown outcomes

A caller's attempts have different request ids, so the logs of the incident couldn't tell whether one call or many calls ended 20 upstreams. Not computed for requests that are answered by the first upstream. No decision depends on it yet.

--- a/drivers/front/front_service.cpp
+++ b/drivers/front/front_service.cpp
@@ -1,6 +1,7 @@
 #include "drivers/front/front_service.hpp"
 
 #include "platform/batch_codec.hpp"
+#include "servers/delivery/request_fingerprint.hpp"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 
@@ -208,7 +209,9 @@
     ++counters_.unknown;
     const bool is_late = now() + answer_margin >= begin + time_limit;
     log_.write(log_event::request_outcome_unknown,
-               "request=" + call.id.text() + " route=" + route.name +
+               "request=" + call.id.text() +
+                   " fingerprint=" + fingerprint_of(exchange.request()) +
+                   " route=" + route.name +
                    " attempts=" + std::to_string(result.attempts) +
                    " reason=\"" + result.reason.detail + '"');
     http_response response = platform::make_local_response(
--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -1,6 +1,7 @@
 #include "drivers/front/plain_caller.hpp"
 
 #include "platform/request_codec.hpp"
+#include "servers/delivery/request_fingerprint.hpp"
 
 #include <algorithm>
 #include <set>
@@ -219,7 +220,9 @@
             break;
         }
         log_.write(log_event::request_retried,
-                   "request=" + call.id + " route=" + call.route.name +
+                   "request=" + call.id +
+                       " fingerprint=" + fingerprint_of(call.request) +
+                       " route=" + call.route.name +
                        " upstream=" + upstream->id.text() + " attempts=" +
                        std::to_string(result.attempts) + " reason=\"" +
                        (result.answer
