--- a/tests/drivers/front/plain_caller_test.cpp
+++ b/tests/drivers/front/plain_caller_test.cpp
@@ -136,3 +136,30 @@
     EXPECT_FALSE(result.answer);
     EXPECT_TRUE(result.may_have_run);
 }
+
+// Each attempt of a caller has a new id and its own retries, so a limit per
+// call doesn't limit how many upstreams a crashing request ends.
+TEST_F(plain_caller_test, request_that_crashed_three_upstreams_is_not_sent) {
+    std::atomic<std::size_t> runs = 0;
+    const auto crash = [&runs](raw_connection& connection, std::size_t) {
+        runs += connection.read_request().empty() ? 0 : 1;
+    };
+    raw_upstream first(crash);
+    raw_upstream second(crash);
+    raw_upstream third(crash);
+    raw_upstream fourth(crash);
+    std::vector<upstream_entry> entries;
+    for (const raw_upstream* one : {&first, &second, &third, &fourth}) {
+        entries.push_back(
+            {.id = upstream_id("u" + std::to_string(entries.size())),
+             .service = service_name("s"),
+             .address = one->address()});
+    }
+    fleet.pool.set_upstreams(entries);
+    route.max_attempts = 2;
+    EXPECT_TRUE(call("a").may_have_run);
+    EXPECT_TRUE(call("b").may_have_run);
+    EXPECT_FALSE(call("c").may_have_run);
+    EXPECT_FALSE(call("d").may_have_run);
+    EXPECT_EQ(runs, 3U);
+}
