Read the request limits that upstreams name, and log them

The logs showed neither which limits were named nor by whom, so the hypotheses about them couldn't be told apart. Answers now update upstream_limits, and line 3307 says when an upstream names, changes or lifts a limit. No request is sent or held because of it yet.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -144,6 +144,9 @@
                     "an upstream was removed from the list"},
     log_event_entry{upstream_entry_ignored, warning, "upstream_entry_ignored",
                     "an invalid entry for an upstream or instance was ignored"},
+    log_event_entry{upstream_limit_changed, info, "upstream_limit_changed",
+                    "an upstream named, changed or lifted the request rate "
+                    "that it accepts"},
     log_event_entry{order_sent, info, "order_sent",
                     "an order was sent to an upstream"},
     log_event_entry{order_done, info, "order_done",
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -79,6 +79,7 @@
     upstream_registered = 3304,
     upstream_gone = 3305,
     upstream_entry_ignored = 3306,
+    upstream_limit_changed = 3307,
 
     order_sent = 3400,
     order_done = 3401,
--- a/drivers/batch/item_runner.cpp
+++ b/drivers/batch/item_runner.cpp
@@ -1,5 +1,6 @@
 #include "drivers/batch/item_runner.hpp"
 
+#include "drivers/front/request_limit.hpp"
 #include "platform/batch_codec.hpp"
 #include "platform/request_codec.hpp"
 
@@ -153,6 +154,7 @@
     }
     http_stream& stream = **opened;
     const auto answer = platform::decode_answer_metadata(stream.headers());
+    record_request_limit(fleet_, task->upstream, answer, log_);
     if (stream.status() != status_ok) {
         co_return end_for_status(stream.status(), answer.is_not_run);
     }
--- a/drivers/front/front_service.cpp
+++ b/drivers/front/front_service.cpp
@@ -1,5 +1,6 @@
 #include "drivers/front/front_service.hpp"
 
+#include "drivers/front/request_limit.hpp"
 #include "platform/batch_codec.hpp"
 #include "servers/delivery/request_fingerprint.hpp"
 
@@ -270,11 +271,11 @@
         tried.insert(upstream->id);
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
             deadline - now());
-        const platform::forwarding_metadata metadata{.upstream = upstream->id,
-                                                     .time_left = left,
-                                                     .last_event = last_event};
+        const platform::forwarding_metadata marks{.upstream = upstream->id,
+                                                  .time_left = left,
+                                                  .last_event = last_event};
         http_request request =
-            platform::forward_request(exchange.request(), metadata);
+            platform::forward_request(exchange.request(), marks);
         call_options options{.use = connection_use::fresh};
         auto opened =
             co_await stream_client_.open(upstream->address, std::move(request),
@@ -288,7 +289,10 @@
             continue;
         }
         http_stream& stream = **opened;
-        if (platform::decode_answer_metadata(stream.headers()).is_not_run) {
+        const auto metadata =
+            platform::decode_answer_metadata(stream.headers());
+        record_request_limit(fleet_, upstream->id, metadata, log_);
+        if (metadata.is_not_run) {
             continue;
         }
         may_have_run = true;
--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -1,5 +1,6 @@
 #include "drivers/front/plain_caller.hpp"
 
+#include "drivers/front/request_limit.hpp"
 #include "platform/request_codec.hpp"
 #include "servers/delivery/request_fingerprint.hpp"
 
@@ -155,6 +156,7 @@
     }
     const auto answer_metadata =
         platform::decode_answer_metadata(answer->headers);
+    record_request_limit(fleet_, upstream.id, answer_metadata, log_);
     if (answer_metadata.is_not_run || answer->status == status_misdirected) {
         guard.end(answer->status == status_misdirected ? call_outcome::failed
                                                        : call_outcome::full);
--- a/servers/fleet/upstream_pool.hpp
+++ b/servers/fleet/upstream_pool.hpp
@@ -3,6 +3,7 @@
 #include "core/clock.hpp"
 #include "core/random_source.hpp"
 #include "servers/fleet/upstream_entry.hpp"
+#include "servers/fleet/upstream_limits.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -76,6 +77,9 @@
     [[nodiscard]] std::chrono::microseconds
     smoothed_call_time(const upstream_id& upstream) const;
 
+    /// The request rates that upstreams have named.
+    [[nodiscard]] upstream_limits& limits() { return limits_; }
+
     /// Total slots of the service's upstreams that are not draining.
     [[nodiscard]] std::size_t slots_of(const service_name& service) const;
 
@@ -92,6 +96,7 @@
 
     upstream_pool_options options_;
     std::map<upstream_id, state> upstreams_;
+    upstream_limits limits_;
 };
 
 } // namespace savorydock
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -168,6 +168,20 @@
     EXPECT_TRUE(forwarded.header("Transfer-Encoding").empty());
 }
 
+TEST_F(codec_test, request_limit_of_an_answer_is_a_decimal_number) {
+    const auto limit_of = [](const std::string& value) {
+        return decode_answer_metadata({{"Server-Limit", value}}).request_limit;
+    };
+    EXPECT_EQ(limit_of("12.5"), 12.5);
+    EXPECT_EQ(limit_of("3"), 3);
+    EXPECT_EQ(limit_of("0"), 0);
+    for (const char* const invalid :
+         {"", "-1", "nan", "inf", "1e9", "2 ", "x"}) {
+        EXPECT_FALSE(limit_of(invalid)) << invalid;
+    }
+    EXPECT_FALSE(decode_answer_metadata({}).request_limit);
+}
+
 TEST_F(codec_test, calls_about_jobs_are_decoded) {
     http_request read{.target = "/savorydock/lots/j1?after=12",
                       .headers = {{"Wait-Ms", "1000"}}};
