--- a/tests/drivers/front/plain_caller_test.cpp
+++ b/tests/drivers/front/plain_caller_test.cpp
@@ -219,3 +219,31 @@
     EXPECT_EQ(crashing.connections(), 1U);
     EXPECT_TRUE(suspects.is_empty());
 }
+
+// Load: calls arrive faster than the only upstream accepts.
+TEST_F(plain_caller_test, calls_above_the_named_limit_are_not_sent) {
+    constexpr double limit = 4;
+    std::atomic<std::size_t> arrived = 0;
+    raw_upstream upstream([&](raw_connection& connection, std::size_t) {
+        while (true) {
+            const std::string request = connection.read_request();
+            const std::string id = header_of(request, "Request-Id");
+            if (request.empty()) {
+                return;
+            }
+            ++arrived;
+            connection.write(answer(
+                "200 OK", id, "Server-Stamp: s\r\nServer-Limit: 4.0\r\n", id));
+        }
+    });
+    use(upstream);
+    const auto begin = std::chrono::steady_clock::now();
+    for (int number = 0; number < 20; ++number) {
+        static_cast<void>(call(std::to_string(number), "/a/", 100ms));
+    }
+    const double seconds =
+        std::chrono::duration<double>(std::chrono::steady_clock::now() - begin)
+            .count();
+    EXPECT_LE(static_cast<double>(arrived), 1.5 * limit * seconds + 5);
+    EXPECT_GE(arrived, 2U);
+}
