Run samples of a step again after any number of crashes

A report of a system like ours: several servers died while they ran the same sound item; afterwards all was calm, but the item was never placed again. It could happen on the own interface: two crashes marked a group's prompt, all its samples were refused with not_run_suspect_request, and step_session counted that as a permanent refusal. In misc/test_failures the trainer connected 831 times in 60 s and got none of 32 samples, with three sound engines. On the users' platform it can't happen: the planner counts answers of 500 only (item_under_which_engines_crashed_is_placed_again passes without a change), and runs and scoring calls have no crash_guard.

--- a/drivers/caller_http/generation_run.cpp
+++ b/drivers/caller_http/generation_run.cpp
@@ -6,6 +6,7 @@
 #include <boost/container_hash/hash.hpp>
 
 #include <algorithm>
+#include <optional>
 
 namespace savorydock {
 
@@ -126,9 +127,13 @@
         co_return pass.reason();
     }
     const service_document& document = *request.service->document;
-    suspect_guard guard(services, request, task.prompt, worker);
-    std::vector<upstream_id> excluded = guard.excluded();
-    excluded.insert(excluded.end(), task.excluded.begin(), task.excluded.end());
+    std::optional<suspect_guard> guard;
+    std::vector<upstream_id> excluded = task.excluded;
+    if (task.may_be_blocked) {
+        guard.emplace(services, request, task.prompt, worker);
+        const auto lost = guard->excluded();
+        excluded.insert(excluded.end(), lost.begin(), lost.end());
+    }
     upstream_attempt attempt(services, request, std::move(excluded));
     const auto budget =
         services.budgets.of(document.service, document.retries.budget);
@@ -146,12 +151,15 @@
             co_return reason;
         }
         fire(task, "pick_upstream");
-        const auto entered = co_await guard.enter(choice->upstream->name);
-        if (!entered) {
-            attempt.finish({}, true);
-            const failure reason = reconcile_failures(entered.reason(), begun);
-            fire(task, end_event_of(classify(reason.code)));
-            co_return reason;
+        if (guard) {
+            const auto entered = co_await guard->enter(choice->upstream->name);
+            if (!entered) {
+                attempt.finish({}, true);
+                const failure reason =
+                    reconcile_failures(entered.reason(), begun);
+                fire(task, end_event_of(classify(reason.code)));
+                co_return reason;
+            }
         }
         if (task.on_upstream) {
             task.on_upstream(choice->upstream->name);
@@ -160,7 +168,9 @@
         const endpoint address = choice->upstream->address;
         last = co_await run_attempt(task, request, address, worker, answer,
                                     services, seen);
-        guard.leave(last.code);
+        if (guard) {
+            guard->leave(last.code);
+        }
         attempt.finish(seen, false);
         if (classify(last.code) != result_class::not_run) {
             fire(task, "hand_bytes");
--- a/drivers/caller_http/generation_run.hpp
+++ b/drivers/caller_http/generation_run.hpp
@@ -20,6 +20,10 @@
     std::uint32_t expected_tokens = 0;
     /// Upstreams on which the prompt must not run.
     std::vector<upstream_id> excluded;
+    /// Whether the prompt is blocked once several upstreams were lost while
+    /// they ran it. A sample of a step never is: the trainer waits until it has
+    /// it.
+    bool may_be_blocked = true;
     /// The state of the request; null for the runs of a step, whose slots have
     /// their own state chart.
     request_lifecycle* lifecycle = nullptr;
--- a/drivers/caller_http/step_runner.cpp
+++ b/drivers/caller_http/step_runner.cpp
@@ -155,6 +155,7 @@
         .prefix_hash = hash_prefix(group.prompt),
         .expected_tokens = group.max_tokens,
         .excluded = std::move(excluded),
+        .may_be_blocked = false,
         .on_upstream =
             [current_run](const upstream_id& upstream) {
                 current_run->upstream = upstream;
--- a/servers/delivery/step_session.cpp
+++ b/servers/delivery/step_session.cpp
@@ -15,8 +15,7 @@
 bool is_permanent_refusal(result_code code) {
     return code == result_code::not_run_bad_request ||
            code == result_code::not_run_unauthorized ||
-           code == result_code::not_run_too_large ||
-           code == result_code::not_run_suspect_request;
+           code == result_code::not_run_too_large;
 }
 
 } // namespace
--- a/tests/servers/batch/item_planner_test.cpp
+++ b/tests/servers/batch/item_planner_test.cpp
@@ -800,3 +800,18 @@
     add_job(make_job("j", 2, {2, {20, 20, 20, 20}}));
     EXPECT_EQ(take_commands<start_run>().size(), 3U);
 }
+
+// Load: a burst of crashes; the same sound item is lost each time, and then all
+// engines are well and have room.
+TEST_F(item_planner_test, item_under_which_engines_crashed_is_placed_again) {
+    set_engines(3, 2);
+    add_job(make_job("j", 1, {{20}}), {}, {}, {.time_to_live = 1h});
+    for (int crash = 0; crash < 30; ++crash) {
+        const auto started = take_commands<start_run>();
+        ASSERT_EQ(started.size(), 1U) << "after " << crash << " crashes";
+        report(started.front().ticket, 0, 0, run_end::interrupted, "");
+        // All engines pause after failures, for 4 s at most.
+        now += 4s;
+        step();
+    }
+}
