Return a reserved upstream as a value and bound Retry-After at limits

From reading the change as a newcomer: reserve_upstream had an output parameter; the comment on watching the caller stood above another line. A call that a request limit delays now also looks again whether its request was blocked meanwhile. Retry-After of a limit is 1 s at most: the wait of this instance says nothing about the others, which may have room.

--- a/drivers/front/front_service.cpp
+++ b/drivers/front/front_service.cpp
@@ -28,6 +28,9 @@
 /// When a refused caller should retry: upstreams and the store usually recover
 /// in well under a second.
 constexpr std::chrono::milliseconds retry_after{250};
+/// The same if request limits of upstreams prevented the call, at most: another
+/// instance may have room sooner than this one.
+constexpr std::chrono::milliseconds max_limit_retry_after{1'000};
 /// Limit for settling a submission whose outcome is unknown; its sender waits
 /// that long before it submits the job again.
 constexpr std::chrono::milliseconds max_accept_time{4'000};
@@ -179,10 +182,10 @@
     const steady_time begin = now();
     const auto time_limit =
         std::min(call.max_wait.value_or(default_time_limit), route.timeout);
+    crash_guard guard(suspects_, exchange.request(), call.id.text(), log_);
     // Watches the caller's connection during the call: if the caller
     // disconnects, the upstream connection is closed and the upstream drops the
     // request.
-    crash_guard guard(suspects_, exchange.request(), call.id.text(), log_);
     plain_call_request plain{.route = route,
                              .request = exchange.request(),
                              .id = call.id.text(),
@@ -229,7 +232,8 @@
         }
         co_await refuse_until(
             exchange, call.id.text(), status_unavailable, result.reason.detail,
-            std::max(retry_after, result.retry_after.value_or(retry_after)));
+            std::clamp(result.retry_after.value_or(retry_after), retry_after,
+                       max_limit_retry_after));
         co_return;
     }
     ++counters_.unknown;
--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -35,6 +35,10 @@
     return status >= 200 && status < 300;
 }
 
+bool is_blocked(const plain_call_request& call) {
+    return call.guard != nullptr && call.guard->is_blocked();
+}
+
 /// Records the end of a call in the upstream's counts, also if the coroutine is
 /// cancelled.
 class call_guard {
@@ -180,10 +184,9 @@
     co_return result;
 }
 
-std::optional<upstream_entry> plain_caller::reserve_upstream(
+std::optional<plain_caller::reserved_upstream> plain_caller::reserve_upstream(
     const plain_call_request& call, const service_name& service,
-    std::set<upstream_id>& tried, steady_time& send_at,
-    plain_call_result& result) {
+    std::set<upstream_id>& tried, plain_call_result& result) {
     const steady_time now = std::chrono::steady_clock::now();
     auto upstream = fleet_.pool.choose(service, tried, now);
     if (!upstream && call.route.kind == request_kind::idempotent &&
@@ -198,9 +201,9 @@
         call.max_limit_wait
             ? std::min(call.deadline, now + *call.max_limit_wait)
             : call.deadline;
-    const auto reserved =
+    const auto send_at =
         reserve_request(fleet_.pool, upstream->id, latest, now);
-    if (!reserved) {
+    if (!send_at) {
         result.reason = {result_code::not_run_limit,
                          "the request limits of the upstreams are used up"};
         result.retry_after =
@@ -208,8 +211,8 @@
                 fleet_.pool.limits().next_send_time(upstream->id, now) - now);
         return std::nullopt;
     }
-    send_at = *reserved;
-    return upstream;
+    return reserved_upstream{.upstream = std::move(*upstream),
+                             .send_at = *send_at};
 }
 
 asio::awaitable<plain_call_result> plain_caller::call(plain_call_request call) {
@@ -222,32 +225,31 @@
                                         "the service has no upstream"}};
     std::set<upstream_id> tried;
     for (std::uint32_t sends = 0; sends < max_sends; ++sends) {
-        if (call.guard != nullptr && call.guard->is_blocked()) {
+        if (is_blocked(call)) {
             result.reason = {result_code::not_run_suspect_request,
                              "several upstreams crashed while they ran it"};
             break;
         }
-        steady_time send_at;
-        const auto upstream =
-            reserve_upstream(call, service, tried, send_at, result);
-        if (!upstream) {
+        const auto reserved = reserve_upstream(call, service, tried, result);
+        if (!reserved) {
             break;
         }
-        co_await wait_until(send_at);
-        // It may have left while the call waited.
-        if (!fleet_.pool.is_available(upstream->id)) {
+        const upstream_entry& upstream = reserved->upstream;
+        co_await wait_until(reserved->send_at);
+        // Both may have changed while the call waited.
+        if (!fleet_.pool.is_available(upstream.id) || is_blocked(call)) {
             continue;
         }
-        tried.insert(upstream->id);
+        tried.insert(upstream.id);
         const steady_time attempt_end =
-            attempt_deadline(call, *upstream, max_attempts - result.attempts,
+            attempt_deadline(call, upstream, max_attempts - result.attempts,
                              std::chrono::steady_clock::now());
         attempt_result attempt =
-            co_await try_upstream(call, *upstream, attempt_end);
+            co_await try_upstream(call, upstream, attempt_end);
         if (call.guard != nullptr && attempt.answer) {
             call.guard->on_answered();
         } else if (call.guard != nullptr) {
-            call.guard->on_failed(*upstream, attempt.reason.code);
+            call.guard->on_failed(upstream, attempt.reason.code);
         }
         result.may_have_run = result.may_have_run || attempt.may_have_run;
         result.attempts += attempt.may_have_run ? 1 : 0;
@@ -270,7 +272,7 @@
                    "request=" + call.id +
                        " fingerprint=" + fingerprint_of(call.request) +
                        " route=" + call.route.name +
-                       " upstream=" + upstream->id.text() + " attempts=" +
+                       " upstream=" + upstream.id.text() + " attempts=" +
                        std::to_string(result.attempts) + " reason=\"" +
                        (result.answer
                             ? "status " + std::to_string(result.answer->status)
--- a/drivers/front/plain_caller.hpp
+++ b/drivers/front/plain_caller.hpp
@@ -65,6 +65,11 @@
 
 private:
     struct attempt_result;
+    struct reserved_upstream {
+        upstream_entry upstream;
+        /// The request must not be sent earlier.
+        steady_time send_at;
+    };
 
     [[nodiscard]] static attempt_result make_failed(bool may_have_run,
                                                     failure reason);
@@ -73,13 +78,13 @@
                                                const upstream_entry& upstream,
                                                std::uint32_t attempts_left,
                                                steady_time now) const;
-    /// Chooses an upstream and reserves a request there, which must not be sent
-    /// before `send_at`. Returns nothing if there is no upstream, or if the
-    /// request limits don't allow the call in time; then sets `result`.
-    [[nodiscard]] std::optional<upstream_entry>
+    /// Chooses an upstream and reserves a request there. Returns nothing if
+    /// there is no upstream, or if the request limits don't allow the call in
+    /// time; in the second case it says so in `result`.
+    [[nodiscard]] std::optional<reserved_upstream>
     reserve_upstream(const plain_call_request& call,
                      const service_name& service, std::set<upstream_id>& tried,
-                     steady_time& send_at, plain_call_result& result);
+                     plain_call_result& result);
     boost::asio::awaitable<attempt_result>
     try_upstream(const plain_call_request& call, const upstream_entry& upstream,
                  steady_time deadline);
