--- a/tests/servers/batch/item_planner_test.cpp
+++ b/tests/servers/batch/item_planner_test.cpp
@@ -734,6 +734,32 @@
     EXPECT_EQ(take_commands<release_run>().size(), 2U);
 }
 
+// A planner that missed the reports of its predecessor's runs had the item run
+// again, and failed in turn.
+TEST_F(planner_takeover_test, score_of_an_earlier_text_is_not_used) {
+    const auto job = make_job("j", 0, {{50}}, 0, true);
+    held_run earlier = held(900, *job, 0, 50);
+    earlier.has_ended = true;
+    held_run later = held(950, *job, 0, 50);
+    later.has_ended = true;
+    later.text = "another text";
+    held_run score{.ticket = 901,
+                   .job = job->id,
+                   .id = "s",
+                   .is_scoring = true,
+                   .has_ended = true,
+                   .score = "score of the earlier text"};
+    // The order in which instances report is arbitrary.
+    planner.on_held_run(later, now, commands);
+    planner.on_held_run(earlier, now, commands);
+    planner.on_held_run(score, now, commands);
+    add_job(job);
+    planner.end_adoption();
+    step();
+    EXPECT_TRUE(take_commands<commit_results>().empty());
+    EXPECT_EQ(take_commands<start_scoring>().size(), 1U);
+}
+
 TEST_F(planner_takeover_test, item_held_twice_is_run_once) {
     const auto job = make_job("j", 0, {{50}});
     planner.on_held_run(held(900, *job, 0, 30), now, commands);
