Take up a held score only with the text that it was made for

Cause: a planner that takes over accepted any held score of an item whose text is complete. After two takeovers the item had run twice, and the score of the first run was listed with a text of the second. Not traced: why the first successor had the item run again although its text was reported.

--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -448,7 +448,8 @@
             .id = scoring.id,
             .host = scoring.host,
             .path = scoring.path,
-            .body = scoring.body};
+            .body = scoring.body,
+            .text_ticket = command.text_ticket};
 }
 
 void engine_driver::execute_one(start_run& command) {
--- a/drivers/batch/run_host.cpp
+++ b/drivers/batch/run_host.cpp
@@ -304,7 +304,9 @@
                                " scoring=" + run->task->id +
                                " scored=" + (score ? "yes" : "no"));
                 if (score) {
-                    keep_result(*run, {.is_scoring = true, .score = *score});
+                    keep_result(*run, {.is_scoring = true,
+                                       .score = *score,
+                                       .text_ticket = run->task->text_ticket});
                 }
                 runner_update update{.service = run->service};
                 update.scores.push_back({.ticket = run->task->ticket,
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -122,8 +122,7 @@
     }
     std::vector<held_run> all = std::move(found->second);
     held_runs_.erase(found);
-    // Texts before scores, because a score is accepted only for an item whose
-    // text is complete.
+    // Texts before scores, because a score is accepted only for its text.
     std::stable_partition(all.begin(), all.end(),
                           [](const held_run& one) { return !one.is_scoring; });
     std::map<std::string, std::size_t> items;
@@ -146,7 +145,13 @@
                              steady_time now, planner_commands& out) {
     item_state& item = job.items[index];
     if (held.is_scoring) {
-        if (held.has_ended && item.phase == item_phase::to_score) {
+        // The item may have run again since, and the texts may differ.
+        const bool is_of_this_text =
+            std::find(item.unreleased_tickets.begin(),
+                      item.unreleased_tickets.end(),
+                      held.text_ticket) != item.unreleased_tickets.end();
+        if (held.has_ended && is_of_this_text &&
+            item.phase == item_phase::to_score) {
             std::erase(to_score_, std::pair(job.record.id, index));
             item.score = std::move(held.score);
             item.unreleased_tickets.push_back(held.ticket);
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -82,10 +82,12 @@
     std::vector<weight_version> versions;
     /// The score, if this is a scoring that ended.
     std::string score;
+    /// If this is a scoring: the run that generated the text; 0 if not known.
+    run_ticket text_ticket = 0;
 };
 BOOST_DESCRIBE_STRUCT(held_run, (),
                       (ticket, job, id, is_scoring, has_ended, upstream, events,
-                       text, versions, score))
+                       text, versions, score, text_ticket))
 
 struct run_report {
     run_ticket ticket = 0;
--- a/servers/batch/run_message.hpp
+++ b/servers/batch/run_message.hpp
@@ -40,11 +40,13 @@
     std::uint64_t after_event = 0;
     std::string text;
     std::vector<weight_version> versions;
+    /// Of a scoring: the run that generated the text; 0 if not known.
+    run_ticket text_ticket = 0;
 };
 BOOST_DESCRIBE_STRUCT(run_task, (),
                       (ticket, is_scoring, job, id, host, path, headers, body,
                        upstream, address, min_version, is_single_version,
-                       after_event, text, versions))
+                       after_event, text, versions, text_ticket))
 
 /// Message from the planner of a service to an instance that runs its items.
 /// Without tasks or tickets it serves as a heartbeat of the planner.
--- a/tests/servers/batch/item_planner_test.cpp
+++ b/tests/servers/batch/item_planner_test.cpp
@@ -717,7 +717,8 @@
                    .id = "s",
                    .is_scoring = true,
                    .has_ended = true,
-                   .score = "good"};
+                   .score = "good",
+                   .text_ticket = 900};
     // The score may be reported before its text.
     planner.on_held_run(score, now, commands);
     planner.on_held_run(text, now, commands);
@@ -748,7 +749,8 @@
                    .id = "s",
                    .is_scoring = true,
                    .has_ended = true,
-                   .score = "score of the earlier text"};
+                   .score = "score of the earlier text",
+                   .text_ticket = 900};
     // The order in which instances report is arbitrary.
     planner.on_held_run(later, now, commands);
     planner.on_held_run(earlier, now, commands);
