Log which upstream and software version serves a caller's stream

The hypotheses on mixed streams can't be told apart by the log: no line names the upstream of a stream, its software version, or the attempt that the caller continues. The entry's software version is decoded under a name that keeps it apart from the weight versions; an entry without it is refused, as for any other missing field. No decision uses it yet. codec_test fails without the decoding.

--- a/core/ids.hpp
+++ b/core/ids.hpp
@@ -38,6 +38,9 @@
 using request_id = text_id<struct request_tag>;
 using idempotency_key = text_id<struct idempotency_tag>;
 using class_name = text_id<struct class_tag>;
+/// The version of an upstream's software, not of its weights. Versions have no
+/// order. An empty version is unknown and compatible with none.
+using software_version = text_id<struct software_version_tag>;
 
 /// A version of model weights; the versions of one service only increase.
 using weight_version = std::uint64_t;
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -39,6 +39,11 @@
                     "released it"},
     log_event_entry{request_outcome_unknown, warning, "request_outcome_unknown",
                     "a caller was told that its request may have run"},
+    log_event_entry{stream_sent, info, "stream_sent",
+                    "a stream was requested from an upstream, from its first "
+                    "event or after a given one"},
+    log_event_entry{stream_ended, info, "stream_ended",
+                    "a caller's stream ended; the detail says how"},
     log_event_entry{step_started, info, "step_started",
                     "a session for a trainer's step began"},
     log_event_entry{step_finished, info, "step_finished",
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -24,6 +24,8 @@
     request_suspected = 2004,
     request_cleared = 2005,
     request_outcome_unknown = 2006,
+    stream_sent = 2007,
+    stream_ended = 2008,
 
     step_started = 2100,
     step_finished = 2101,
--- a/drivers/front/front_service.cpp
+++ b/drivers/front/front_service.cpp
@@ -296,6 +296,14 @@
         http_request request =
             platform::forward_request(exchange.request(), marks);
         call_options options{.use = connection_use::fresh};
+        log_.write(log_event::stream_sent,
+                   "request=" + call.id.text() + " route=" + route.name +
+                       " upstream=" + upstream->id.text() +
+                       " software=" + upstream->software.text() +
+                       " resumes=" + call.resumes.text() + " after_event=" +
+                       std::to_string(
+                           last_event.value_or(call.last_event.value_or(0))) +
+                       " begun=" + (has_begun ? "1" : "0"));
         auto opened =
             co_await stream_client_.open(upstream->address, std::move(request),
                                          deadline, std::move(options));
@@ -341,6 +349,10 @@
                 }
                 ++counters_.answered;
                 guard.on_answered();
+                log_.write(log_event::stream_ended,
+                           "request=" + call.id.text() + " outcome=complete" +
+                               " last_event=" +
+                               std::to_string(last_event.value_or(0)));
                 co_await exchange.end_stream();
                 co_return;
             }
@@ -377,6 +389,9 @@
     }
     if (has_begun) {
         // The missing last chunk tells the caller that the stream was cut off.
+        log_.write(log_event::stream_ended,
+                   "request=" + call.id.text() + " outcome=cut last_event=" +
+                       std::to_string(last_event.value_or(0)));
         ++counters_.unknown;
         co_return;
     }
--- a/drivers/node/fleet_mirror.cpp
+++ b/drivers/node/fleet_mirror.cpp
@@ -137,6 +137,7 @@
                    "upstream=" + id.text() +
                        " service=" + entry->service.text() +
                        " address=" + to_text(entry->address) +
+                       " software=" + entry->software.text() +
                        " revision=" + std::to_string(change.value.modified));
     }
     upstreams_[id] = std::move(*entry);
--- a/servers/fleet/upstream_entry.hpp
+++ b/servers/fleet/upstream_entry.hpp
@@ -21,6 +21,9 @@
     bool is_draining = false;
     /// Start time of its process in Unix milliseconds; 0 if not stated.
     std::uint64_t started_at = 0;
+    /// What upstreams of different software versions write doesn't fit
+    /// together.
+    software_version software;
     /// Version of the weights that it has loaded, by model.
     std::map<std::string, weight_version> versions;
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -112,12 +112,14 @@
 TEST_F(codec_test, invalid_upstream_entries_are_refused) {
     const std::string good =
         R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":8,)"
+        R"("version":"v1",)"
         R"("state":"ready","sequence":4,"born":1700000000000,)"
         R"("models":[{"name":"m","version":3}]})";
     const auto entry = decode_upstream("servers/i-1", good);
     ASSERT_TRUE(entry) << entry.reason().detail;
     EXPECT_EQ(entry->id, upstream_id("i-1"));
     EXPECT_EQ(entry->versions.at("m"), 3U);
+    EXPECT_EQ(entry->software, software_version("v1"));
     EXPECT_EQ(entry->started_at, 1'700'000'000'000U);
     for (const auto& [from, to] :
          std::vector<std::pair<std::string, std::string>>{
@@ -126,6 +128,8 @@
              {"\"ready\"", "\"asleep\""},
              {"\"slots\":8", "\"slots\":\"8\""},
              {"\"slots\":8", "\"slots\":0"},
+             {"\"v1\"", "1"},
+             {"\"version\":\"v1\",", ""},
              {"{\"service\"", "\xff\xfe"}}) {
         std::string bad = good;
         bad.replace(bad.find(from), from.size(), to);
