--- /dev/null
+++ b/tests/drivers/front/stream_forwarding_test.cpp
@@ -0,0 +1,235 @@
+#include "drivers/front/front_service.hpp"
+#include "tests/fakes/raw_upstream.hpp"
+
+#include <boost/asio/post.hpp>
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <mutex>
+#include <sstream>
+
+using namespace savorydock;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::uint64_t stream_length = 6;
+
+std::string chunk(const std::string& bytes) {
+    std::ostringstream text;
+    text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return text.str();
+}
+
+/// An engine whose events show the version of its software.
+class versioned_engine {
+public:
+    explicit versioned_engine(std::string version)
+        : version_(std::move(version)) {}
+
+    [[nodiscard]] upstream_entry entry(const std::string& id) const {
+        return {.id = upstream_id(id),
+                .service = service_name("s"),
+                .address = upstream_.address(),
+                .software = software_version(version_)};
+    }
+
+    /// Sends the events after the one that the request names.
+    void serve(raw_connection& connection) {
+        const std::string request = connection.read_request();
+        if (request.empty()) {
+            return;
+        }
+        const std::string after = header_of(request, "Last-Event-Id");
+        const std::uint64_t first =
+            after.empty() ? 1 : std::stoull(after) + 1 + skipped;
+        {
+            const std::lock_guard lock(mutex_);
+            starts_.push_back(first);
+        }
+        if (!answer.empty()) {
+            connection.write(answer);
+            return;
+        }
+        connection.write("HTTP/1.1 200 OK\r\nRequest-Id: " +
+                         header_of(request, "Request-Id") +
+                         "\r\nServer-Stamp: s\r\n"
+                         "Content-Type: text/event-stream\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n");
+        for (std::uint64_t number = first; number <= stream_length; ++number) {
+            if (number > breaks_after) {
+                return;
+            }
+            connection.write(chunk("id: " + std::to_string(number) +
+                                   "\ndata: " + version_ + "\n\n"));
+        }
+        connection.write("0\r\n\r\n");
+        connection.read_request();
+    }
+
+    /// The first events of the runs so far.
+    [[nodiscard]] std::vector<std::uint64_t> starts() const {
+        const std::lock_guard lock(mutex_);
+        return starts_;
+    }
+
+    /// Closes the connection after this event.
+    std::atomic<std::uint64_t> breaks_after = stream_length;
+    /// Events missing at the start of a resumed run.
+    std::atomic<std::uint64_t> skipped = 0;
+    /// If set, the answer to all requests. Set it before the first request.
+    std::string answer;
+
+private:
+    std::string version_;
+    mutable std::mutex mutex_;
+    std::vector<std::uint64_t> starts_;
+    raw_upstream upstream_{
+        [this](raw_connection& connection, std::size_t) { serve(connection); }};
+};
+
+/// A front service behind a real listener, with a resumable route.
+class stream_forwarding_test : public ::testing::Test {
+public:
+    stream_forwarding_test() {
+        auto configuration = std::make_shared<fleet_configuration>();
+        configuration->routes = {{.name = "r",
+                                  .host = "h",
+                                  .prefix = "/stream/",
+                                  .kind = request_kind::stream,
+                                  .timeout = 2s,
+                                  .target_latency = 500ms,
+                                  .services = {{.service = service_name("s")}},
+                                  .max_attempts = 3,
+                                  .is_resumable = true}};
+        fleet.routes = std::make_shared<const route_table>(configuration);
+        address = *server.listen({.address = "127.0.0.1", .port = 0});
+    }
+
+    ~stream_forwarding_test() override {
+        server.stop_accepting();
+        pool.stop();
+    }
+
+    /// Runs the function on the traffic thread and waits until it ended.
+    void on_traffic_thread(const std::function<void()>& function) {
+        std::promise<void> is_done;
+        asio::post(pool.context(0), [&] {
+            function();
+            is_done.set_value();
+        });
+        is_done.get_future().wait();
+    }
+
+    void set_upstreams(const std::vector<upstream_entry>& upstreams) {
+        on_traffic_thread([&] { fleet.pool.set_upstreams(upstreams); });
+    }
+
+    outcome<http_response> send(const std::string& id,
+                                http_headers headers = {}) {
+        headers.push_back({"Host", "h"});
+        headers.push_back({"Request-Id", id});
+        return call_blocking(
+            address, {.target = "/stream/a", .headers = std::move(headers)},
+            3s);
+    }
+
+    outcome<http_response> take_up(const std::string& id,
+                                   const std::string& first,
+                                   std::uint64_t last_event) {
+        return send(id, {{"Resumes", first},
+                         {"Last-Event-Id", std::to_string(last_event)}});
+    }
+
+    versioned_engine old_engine{"v1"};
+    versioned_engine new_engine{"v2"};
+    null_logger log;
+    metrics_registry metrics;
+    seeded_random_source random{1};
+    traffic_pool pool{1};
+    fleet_state fleet{.pool = upstream_pool({})};
+    http_client client{pool.context(0)};
+    store_client store{pool.context(0), {}, log};
+    job_store jobs{store, log};
+    plain_caller caller{client, fleet, random, log};
+    suspect_list suspects{{.self = instance_id("a"), .boot = "1"}};
+    front_service front{fleet,    caller,  client, jobs,
+                        suspects, metrics, log,    [](const job_record&) {}};
+    http_server server{pool, caller_limits{}, [this](http_exchange& exchange) {
+                           return front.handle(exchange);
+                       }};
+    endpoint address;
+};
+
+} // namespace
+
+// Of equal upstreams the pool chooses the one with the smallest id.
+TEST_F(stream_forwarding_test, broken_stream_goes_on_at_its_own_version) {
+    old_engine.breaks_after = 3;
+    versioned_engine second("v1");
+    set_upstreams(
+        {old_engine.entry("a"), new_engine.entry("b"), second.entry("c")});
+    const auto answer = send("1");
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(second.starts(), std::vector<std::uint64_t>{4});
+    EXPECT_TRUE(new_engine.starts().empty());
+}
+
+TEST_F(stream_forwarding_test, broken_stream_is_cut_if_its_version_is_gone) {
+    old_engine.breaks_after = 3;
+    set_upstreams({old_engine.entry("a"), new_engine.entry("b")});
+    EXPECT_FALSE(send("1"));
+    EXPECT_TRUE(new_engine.starts().empty());
+}
+
+TEST_F(stream_forwarding_test, stream_of_a_version_that_left_is_not_taken_up) {
+    old_engine.breaks_after = 3;
+    set_upstreams({old_engine.entry("a")});
+    EXPECT_FALSE(send("1"));
+    set_upstreams({new_engine.entry("b")});
+    const auto answer = take_up("2", "1", 3);
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->status, 503U);
+    EXPECT_TRUE(new_engine.starts().empty());
+}
+
+TEST_F(stream_forwarding_test, error_of_the_next_upstream_stays_out_of_it) {
+    old_engine.breaks_after = 3;
+    for (const std::string body : {"", "{\"error\":1}\n\n"}) {
+        versioned_engine broken("v1");
+        broken.answer = "HTTP/1.1 500 Internal Server Error\r\n"
+                        "Request-Id: 1\r\nServer-Stamp: s\r\nContent-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n" + body;
+        set_upstreams({old_engine.entry("a"), broken.entry("b")});
+        EXPECT_FALSE(send("1")) << body;
+        EXPECT_EQ(broken.starts(), std::vector<std::uint64_t>{4});
+    }
+}
+
+TEST_F(stream_forwarding_test, stream_with_a_missing_event_is_not_complete) {
+    old_engine.breaks_after = 3;
+    versioned_engine skipping("v1");
+    skipping.skipped = 1;
+    set_upstreams({old_engine.entry("a"), skipping.entry("b")});
+    EXPECT_FALSE(send("1"));
+    EXPECT_EQ(skipping.starts(), std::vector<std::uint64_t>{5});
+}
+
+// A head that stops before its blank line is no answer.
+TEST_F(stream_forwarding_test, unfinished_head_of_an_answer_is_no_success) {
+    for (const char* const head :
+         {"HTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: 1\r\n",
+          "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: 1\r\n"
+          "Content-Length: 0\r\n"}) {
+        versioned_engine broken("v1");
+        broken.answer = head;
+        set_upstreams({broken.entry("a")});
+        const auto answer = send("1");
+        ASSERT_TRUE(answer) << answer.reason().detail;
+        EXPECT_EQ(answer->status, 502U);
+    }
+}
