Keep answers without a stream out of a caller's stream

Callers found the text of another upstream's error in the middle of their stream, or the stream ended as complete after an error with an empty body, because the continuation looked at neither status nor signature nor at the numbers of events: any answer was appended. Every end of a stream is a named result now, decided in stream_forwarder; only a signed success with the next event goes on, and a failure before the first event is passed on whole (its body was lost before). Items and callers share one splitter of events; a route's services are picked by weight for streams too.

Ruled out: an unfinished head of an answer is a failure of http_client in all callers, the test passed before.

--- a/drivers/batch/item_runner.cpp
+++ b/drivers/batch/item_runner.cpp
@@ -1,6 +1,7 @@
 #include "drivers/batch/item_runner.hpp"
 
 #include "drivers/front/request_limit.hpp"
+#include "drivers/http/event_splitter.hpp"
 #include "platform/batch_codec.hpp"
 #include "platform/request_codec.hpp"
 
@@ -29,10 +30,6 @@
 constexpr unsigned status_unprocessable = 422;
 constexpr unsigned status_server_error = 500;
 
-constexpr std::string_view event_separator = "\n\n";
-/// A stream with a longer event is treated as broken.
-constexpr std::size_t max_event_bytes = 1U << 20U;
-
 /// Parses a stream and appends its complete events to the record of a run.
 class text_builder {
 public:
@@ -46,29 +43,24 @@
     /// Parses received bytes. Returns how the run must end, or nothing if it
     /// continues.
     [[nodiscard]] std::optional<run_end> feed(std::string_view bytes) {
-        buffer_ += bytes;
-        std::size_t begin = 0;
-        while (true) {
-            const std::size_t end = buffer_.find(event_separator, begin);
-            if (end == std::string::npos) {
-                break;
-            }
-            const auto verdict = append_event(platform::decode_item_event(
-                std::string_view(buffer_).substr(begin, end - begin)));
+        splitter_.feed(bytes);
+        while (const auto event = splitter_.next()) {
+            const auto verdict =
+                append_event(platform::decode_item_event(*event));
             if (verdict) {
                 return verdict;
             }
-            begin = end + event_separator.size();
         }
-        buffer_.erase(0, begin);
-        if (buffer_.size() > max_event_bytes) {
+        if (splitter_.is_event_too_long()) {
             return run_end::interrupted;
         }
         return std::nullopt;
     }
 
     /// Whether all bytes so far belong to complete events.
-    [[nodiscard]] bool is_at_boundary() const { return buffer_.empty(); }
+    [[nodiscard]] bool is_at_boundary() const {
+        return splitter_.is_at_boundary();
+    }
 
 private:
     [[nodiscard]] std::optional<run_end>
@@ -102,7 +94,7 @@
     weight_version version_;
     weight_version min_version_;
     bool is_single_version_;
-    std::string buffer_;
+    event_splitter splitter_;
 };
 
 run_end end_for_status(unsigned status, bool is_not_run) {
--- a/drivers/front/front_service.cpp
+++ b/drivers/front/front_service.cpp
@@ -1,13 +1,11 @@
 #include "drivers/front/front_service.hpp"
 
-#include "drivers/front/request_limit.hpp"
 #include "platform/batch_codec.hpp"
 #include "servers/delivery/request_fingerprint.hpp"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 
 #include <algorithm>
-#include <set>
 #include <variant>
 
 namespace savorydock {
@@ -40,9 +38,6 @@
 constexpr std::chrono::milliseconds default_time_limit{30'000};
 /// Time reserved for sending the answer back to the caller.
 constexpr std::chrono::milliseconds answer_margin{15};
-constexpr std::string_view event_separator = "\n\n";
-/// A stream with a longer event is treated as broken.
-constexpr std::size_t max_event_bytes = 1U << 20U;
 
 steady_time now() {
     return std::chrono::steady_clock::now();
@@ -70,6 +65,24 @@
     return "unlisted";
 }
 
+std::string to_word(stream_end end) {
+    switch (end) {
+    case stream_end::complete:
+        return "complete";
+    case stream_end::cut:
+        return "cut";
+    case stream_end::caller_gone:
+        return "caller_gone";
+    case stream_end::failed:
+        return "failed";
+    case stream_end::refused:
+        return "refused";
+    case stream_end::unknown:
+        return "unknown";
+    }
+    return "unlisted";
+}
+
 http_response make_json(std::string body) {
     return {.status = status_ok,
             .headers = {{"Content-Type", "application/json"}},
@@ -93,12 +106,12 @@
 } // namespace
 
 front_service::front_service(fleet_state& fleet, plain_caller& plain,
-                             http_client& streams, job_store& jobs,
+                             stream_forwarder& streams, job_store& jobs,
                              suspect_list& suspects, metrics_registry& metrics,
                              logger& log, job_listener on_job)
     : fleet_(fleet)
     , plain_caller_(plain)
-    , stream_client_(streams)
+    , streams_(streams)
     , jobs_(jobs)
     , suspects_(suspects)
     , metrics_(metrics)
@@ -255,159 +268,55 @@
     const steady_time deadline =
         now() +
         std::min(call.max_wait.value_or(default_time_limit), route.timeout);
-    const service_name service = route.services.empty()
-                                     ? service_name()
-                                     : route.services.front().service;
-    std::set<upstream_id> tried;
-    std::optional<std::uint64_t> last_event;
-    bool has_begun = false;
-    bool may_have_run = false;
     crash_guard guard(suspects_, exchange.request(), call.id.text(), log_);
-    const std::uint32_t attempts =
-        route.is_resumable ? std::max<std::uint32_t>(1, route.max_attempts) : 1;
-    for (std::uint32_t attempt = 0; attempt < attempts;) {
+    stream_request request{.exchange = exchange,
+                           .route = route,
+                           .call = call,
+                           .guard = guard,
+                           .deadline = deadline};
+    stream_result result = co_await streams_.forward(std::move(request));
+    log_.write(log_event::stream_ended,
+               "request=" + call.id.text() + " route=" + route.name +
+                   " outcome=" + to_word(result.end) +
+                   " last_event=" + std::to_string(result.last_event));
+    switch (result.end) {
+    case stream_end::complete:
+        ++counters_.answered;
+        break;
+    case stream_end::caller_gone:
+        ++counters_.callers_gone;
+        break;
+    case stream_end::cut:
+        // The missing last chunk tells the caller that the stream was cut off.
+        ++counters_.unknown;
+        break;
+    case stream_end::failed: {
+        ++counters_.answered;
+        http_response response = std::move(*result.answer);
+        co_await exchange.respond(std::move(response));
+        break;
+    }
+    case stream_end::refused:
         if (guard.is_blocked()) {
+            co_await refuse_suspect(exchange, call.id.text());
             break;
         }
-        const auto upstream = fleet_.pool.choose(service, tried, now());
-        if (!upstream || now() >= deadline) {
-            break;
-        }
-        const auto send_at =
-            reserve_request(fleet_.pool, upstream->id, deadline, now());
-        if (!send_at) {
-            break;
-        }
-        co_await wait_until(*send_at);
-        if (exchange.is_caller_disconnected()) {
-            ++counters_.callers_gone;
-            co_return;
-        }
-        // It may have left while the request waited.
-        if (!fleet_.pool.is_available(upstream->id)) {
-            continue;
-        }
-        tried.insert(upstream->id);
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-            deadline - now());
-        const platform::forwarding_metadata marks{.upstream = upstream->id,
-                                                  .time_left = left,
-                                                  .last_event = last_event};
-        http_request request =
-            platform::forward_request(exchange.request(), marks);
-        call_options options{.use = connection_use::fresh};
-        log_.write(log_event::stream_sent,
-                   "request=" + call.id.text() + " route=" + route.name +
-                       " upstream=" + upstream->id.text() +
-                       " software=" + upstream->software.text() +
-                       " resumes=" + call.resumes.text() + " after_event=" +
-                       std::to_string(
-                           last_event.value_or(call.last_event.value_or(0))) +
-                       " begun=" + (has_begun ? "1" : "0"));
-        auto opened =
-            co_await stream_client_.open(upstream->address, std::move(request),
-                                         deadline, std::move(options));
-        if (!opened) {
-            guard.on_failed(*upstream, opened.reason().code);
-            const bool may_have_begun =
-                classify(opened.reason().code) != result_class::not_run;
-            may_have_run = may_have_run || may_have_begun;
-            attempt += may_have_begun ? 1 : 0;
-            continue;
-        }
-        http_stream& stream = **opened;
-        const auto metadata =
-            platform::decode_answer_metadata(stream.headers());
-        record_request_limit(fleet_, upstream->id, metadata, log_);
-        if (metadata.is_not_run) {
-            continue;
-        }
-        may_have_run = true;
-        ++attempt;
-        if (!has_begun && !co_await exchange.begin_stream(
-                              stream.status(), platform::forward_answer_headers(
-                                                   stream.headers()))) {
-            co_return;
-        }
-        has_begun = true;
-        std::string buffer;
-        while (true) {
-            auto part = co_await (stream.read_some(deadline) ||
-                                  exchange.wait_for_disconnect());
-            if (part.index() == 1) {
-                ++counters_.callers_gone;
-                co_return;
-            }
-            auto& bytes = std::get<0>(part);
-            if (!bytes) {
-                guard.on_failed(*upstream, bytes.reason().code);
-                break;
-            }
-            if (bytes->empty()) {
-                if (!buffer.empty()) {
-                    break;
-                }
-                ++counters_.answered;
-                guard.on_answered();
-                log_.write(log_event::stream_ended,
-                           "request=" + call.id.text() + " outcome=complete" +
-                               " last_event=" +
-                               std::to_string(last_event.value_or(0)));
-                co_await exchange.end_stream();
-                co_return;
-            }
-            // Forwards complete events only, so that a resumed stream continues
-            // seamlessly.
-            buffer += *bytes;
-            const std::size_t end = buffer.rfind(event_separator);
-            if (end == std::string::npos) {
-                if (buffer.size() > max_event_bytes) {
-                    break;
-                }
-                continue;
-            }
-            const std::string complete_events =
-                buffer.substr(0, end + event_separator.size());
-            buffer.erase(0, complete_events.size());
-            const std::size_t last_begin = complete_events.rfind(
-                event_separator,
-                complete_events.size() - event_separator.size() - 1);
-            const auto event = platform::decode_item_event(
-                std::string_view(complete_events)
-                    .substr(last_begin == std::string::npos
-                                ? 0
-                                : last_begin + event_separator.size()));
-            last_event = event.number ? event.number : last_event;
-            if (!co_await exchange.write_chunk(complete_events)) {
-                co_return;
-            }
-        }
-        log_.write(log_event::request_resumed,
-                   "request=" + call.id.text() + " route=" + route.name +
-                       " upstream=" + upstream->id.text() +
-                       " last_event=" + std::to_string(last_event.value_or(0)));
-    }
-    if (has_begun) {
-        // The missing last chunk tells the caller that the stream was cut off.
-        log_.write(log_event::stream_ended,
-                   "request=" + call.id.text() + " outcome=cut last_event=" +
-                       std::to_string(last_event.value_or(0)));
+        co_await refuse_until(
+            exchange, call.id.text(),
+            result.is_invalid ? status_bad_request : status_unavailable,
+            result.reason,
+            result.is_invalid
+                ? std::nullopt
+                : std::optional(result.retry_after.value_or(retry_after)));
+        break;
+    case stream_end::unknown: {
         ++counters_.unknown;
-        co_return;
+        http_response response = platform::make_local_response(
+            status_bad_gateway, "the upstream may have run the request");
+        co_await exchange.respond(std::move(response));
+        break;
     }
-    if (!may_have_run && guard.is_blocked()) {
-        co_await refuse_suspect(exchange, call.id.text());
-        co_return;
     }
-    if (!may_have_run) {
-        co_await refuse(exchange, call.id.text(), status_unavailable,
-                        "no upstream took the stream");
-        co_return;
-    }
-    ++counters_.unknown;
-    http_response response = platform::make_local_response(
-        status_bad_gateway, "the upstream may have run the request");
-    co_await exchange.respond(std::move(response));
 }
 
 asio::awaitable<void>
--- a/drivers/front/front_service.hpp
+++ b/drivers/front/front_service.hpp
@@ -4,6 +4,7 @@
 #include "core/metrics_registry.hpp"
 #include "drivers/batch/job_store.hpp"
 #include "drivers/front/plain_caller.hpp"
+#include "drivers/front/stream_forwarder.hpp"
 #include "drivers/http/http_server.hpp"
 #include "platform/request_codec.hpp"
 #include "servers/fleet/fleet_state.hpp"
@@ -40,9 +41,10 @@
     using job_listener = std::function<void(const job_record&)>;
 
     /// All references must outlive the service.
-    front_service(fleet_state& fleet, plain_caller& plain, http_client& streams,
-                  job_store& jobs, suspect_list& suspects,
-                  metrics_registry& metrics, logger& log, job_listener on_job);
+    front_service(fleet_state& fleet, plain_caller& plain,
+                  stream_forwarder& streams, job_store& jobs,
+                  suspect_list& suspects, metrics_registry& metrics,
+                  logger& log, job_listener on_job);
 
     /// Handles one request of a caller and sends the response, unless the
     /// caller closes the connection first.
@@ -83,7 +85,7 @@
 
     fleet_state& fleet_;
     plain_caller& plain_caller_;
-    http_client& stream_client_;
+    stream_forwarder& streams_;
     job_store& jobs_;
     suspect_list& suspects_;
     metrics_registry& metrics_;
--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -92,25 +92,6 @@
     , random_(random)
     , log_(log) {}
 
-service_name plain_caller::pick_service(const route_rule& route) {
-    std::uint64_t total = 0;
-    for (const service_share& share : route.services) {
-        total += share.weight;
-    }
-    if (total == 0) {
-        return route.services.empty() ? service_name()
-                                      : route.services.front().service;
-    }
-    std::uint64_t drawn = random_.below(total);
-    for (const service_share& share : route.services) {
-        if (drawn < share.weight) {
-            return share.service;
-        }
-        drawn -= share.weight;
-    }
-    return route.services.back().service;
-}
-
 steady_time plain_caller::attempt_deadline(const plain_call_request& call,
                                            const upstream_entry& upstream,
                                            std::uint32_t attempts_left,
@@ -217,7 +198,7 @@
 
 asio::awaitable<plain_call_result> plain_caller::call(plain_call_request call) {
     call.deadline -= answer_margin;
-    const service_name service = pick_service(call.route);
+    const service_name service = pick_service(call.route, random_);
     const bool is_repeatable = call.route.kind == request_kind::idempotent;
     const std::uint32_t max_attempts =
         is_repeatable ? std::max<std::uint32_t>(1, call.route.max_attempts) : 1;
--- a/drivers/front/plain_caller.hpp
+++ b/drivers/front/plain_caller.hpp
@@ -73,7 +73,6 @@
 
     [[nodiscard]] static attempt_result make_failed(bool may_have_run,
                                                     failure reason);
-    [[nodiscard]] service_name pick_service(const route_rule& route);
     [[nodiscard]] steady_time attempt_deadline(const plain_call_request& call,
                                                const upstream_entry& upstream,
                                                std::uint32_t attempts_left,
--- /dev/null
+++ b/drivers/front/stream_forwarder.cpp
@@ -0,0 +1,261 @@
+#include "drivers/front/stream_forwarder.hpp"
+
+#include "drivers/front/request_limit.hpp"
+#include "drivers/http/event_splitter.hpp"
+#include "platform/batch_codec.hpp"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace savorydock {
+
+namespace asio = boost::asio;
+using namespace asio::experimental::awaitable_operators;
+
+namespace {
+
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_server_error = 500;
+/// Largest answer of an upstream without a stream that is passed on.
+constexpr std::size_t max_failure_bytes = 1U << 20U;
+
+steady_time now() {
+    return std::chrono::steady_clock::now();
+}
+
+bool is_success(unsigned status) {
+    return status / 100 == 2;
+}
+
+/// Whether the answer is the upstream's own stream and no other content.
+bool is_stream(const http_stream& answer,
+               const platform::upstream_answer_metadata& metadata) {
+    return is_success(answer.status()) && !metadata.stamp.empty() &&
+           find_header(answer.headers(), "Content-Encoding").empty();
+}
+
+} // namespace
+
+struct stream_forwarder::progress {
+    stream_result result;
+    std::set<upstream_id> tried;
+    std::uint32_t attempts = 0;
+    bool has_begun = false;
+    bool may_have_run = false;
+};
+
+stream_forwarder::stream_forwarder(fleet_state& fleet, http_client& client,
+                                   random_source& random, logger& log)
+    : fleet_(fleet)
+    , client_(client)
+    , random_(random)
+    , log_(log) {}
+
+asio::awaitable<stream_result>
+stream_forwarder::forward(stream_request request) {
+    progress state;
+    state.result.last_event = request.call.last_event.value_or(0);
+    state.result.reason = "no upstream took the stream";
+    const service_name service = pick_service(request.route, random_);
+    const std::uint32_t max_attempts =
+        request.route.is_resumable
+            ? std::max<std::uint32_t>(1, request.route.max_attempts)
+            : 1;
+    while (state.attempts < max_attempts && !request.guard.is_blocked()) {
+        const auto upstream = fleet_.pool.choose(service, state.tried, now());
+        if (!upstream || now() >= request.deadline) {
+            break;
+        }
+        const auto send_at =
+            reserve_request(fleet_.pool, upstream->id, request.deadline, now());
+        if (!send_at) {
+            state.result.reason =
+                "the request limits of the upstreams are used up";
+            break;
+        }
+        co_await wait_until(*send_at);
+        if (request.exchange.is_caller_disconnected()) {
+            state.result.end = stream_end::caller_gone;
+            co_return std::move(state.result);
+        }
+        // It may have left while the request waited.
+        if (!fleet_.pool.is_available(upstream->id)) {
+            continue;
+        }
+        state.tried.insert(upstream->id);
+        if (co_await try_upstream(request, *upstream, state) ==
+            attempt_end::finished) {
+            co_return std::move(state.result);
+        }
+    }
+    if (state.has_begun) {
+        state.result.end = stream_end::cut;
+    } else if (state.result.answer) {
+        state.result.end = stream_end::failed;
+    } else if (state.may_have_run) {
+        state.result.end = stream_end::unknown;
+    }
+    co_return std::move(state.result);
+}
+
+asio::awaitable<stream_forwarder::attempt_end>
+stream_forwarder::try_upstream(const stream_request& request,
+                               const upstream_entry& upstream,
+                               progress& state) {
+    const platform::caller_call& call = request.call;
+    platform::forwarding_metadata marks{
+        .upstream = upstream.id,
+        .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            request.deadline - now())};
+    if (state.has_begun) {
+        marks.last_event = state.result.last_event;
+    }
+    http_request forwarded =
+        platform::forward_request(request.exchange.request(), marks);
+    call_options options{.use = connection_use::fresh,
+                         .is_own_answer = [&call](const http_headers& headers) {
+                             return platform::may_answer(
+                                 call.id.text(),
+                                 platform::decode_answer_metadata(headers));
+                         }};
+    log_.write(log_event::stream_sent,
+               "request=" + call.id.text() + " route=" + request.route.name +
+                   " upstream=" + upstream.id.text() +
+                   " software=" + upstream.software.text() +
+                   " resumes=" + call.resumes.text() +
+                   " after_event=" + std::to_string(state.result.last_event) +
+                   " begun=" + (state.has_begun ? "1" : "0"));
+    auto opened = co_await client_.open(upstream.address, std::move(forwarded),
+                                        request.deadline, std::move(options));
+    if (!opened) {
+        request.guard.on_failed(upstream, opened.reason().code);
+        const bool may_have_begun =
+            classify(opened.reason().code) != result_class::not_run;
+        state.may_have_run = state.may_have_run || may_have_begun;
+        state.attempts += may_have_begun ? 1 : 0;
+        co_return attempt_end::may_retry;
+    }
+    http_stream& stream = **opened;
+    const auto metadata = platform::decode_answer_metadata(stream.headers());
+    record_request_limit(fleet_, upstream.id, metadata, log_);
+    if (metadata.is_not_run || stream.status() == status_misdirected) {
+        co_return attempt_end::may_retry;
+    }
+    state.may_have_run = true;
+    ++state.attempts;
+    if (!is_stream(stream, metadata)) {
+        co_return co_await read_failure(request, stream, state);
+    }
+    if (!state.has_begun) {
+        state.has_begun = true;
+        http_headers headers =
+            platform::forward_answer_headers(stream.headers());
+        if (!co_await request.exchange.begin_stream(stream.status(),
+                                                    std::move(headers))) {
+            state.result.end = stream_end::caller_gone;
+            co_return attempt_end::finished;
+        }
+    }
+    co_return co_await pass_on_events(request, upstream, stream, state);
+}
+
+asio::awaitable<stream_forwarder::attempt_end>
+stream_forwarder::read_failure(const stream_request& request,
+                               http_stream& stream, progress& state) {
+    // Nothing of it may get into a stream that has begun, and a success without
+    // the upstream's signature isn't an answer.
+    if (state.has_begun || is_success(stream.status())) {
+        co_return attempt_end::may_retry;
+    }
+    http_response answer{
+        .status = stream.status(),
+        .headers = platform::forward_answer_headers(stream.headers())};
+    while (true) {
+        auto part = co_await (stream.read_some(request.deadline) ||
+                              request.exchange.wait_for_disconnect());
+        if (part.index() == 1) {
+            state.result.end = stream_end::caller_gone;
+            co_return attempt_end::finished;
+        }
+        auto& bytes = std::get<0>(part);
+        if (!bytes || answer.body.size() + bytes->size() > max_failure_bytes) {
+            co_return attempt_end::may_retry;
+        }
+        if (bytes->empty()) {
+            break;
+        }
+        answer.body += *bytes;
+    }
+    request.guard.on_answered();
+    const bool is_final = answer.status < status_server_error;
+    state.result.answer = std::move(answer);
+    state.result.end = stream_end::failed;
+    co_return is_final ? attempt_end::finished : attempt_end::may_retry;
+}
+
+asio::awaitable<stream_forwarder::attempt_end>
+stream_forwarder::pass_on_events(const stream_request& request,
+                                 const upstream_entry& upstream,
+                                 http_stream& stream, progress& state) {
+    stream_result& result = state.result;
+    event_splitter splitter;
+    while (true) {
+        auto part = co_await (stream.read_some(request.deadline) ||
+                              request.exchange.wait_for_disconnect());
+        if (part.index() == 1) {
+            result.end = stream_end::caller_gone;
+            co_return attempt_end::finished;
+        }
+        auto& bytes = std::get<0>(part);
+        if (!bytes) {
+            request.guard.on_failed(upstream, bytes.reason().code);
+            result.reason = bytes.reason().detail;
+            break;
+        }
+        if (bytes->empty()) {
+            if (!splitter.is_at_boundary()) {
+                result.reason = "the stream ended within an event";
+                break;
+            }
+            request.guard.on_answered();
+            result.end = co_await request.exchange.end_stream()
+                             ? stream_end::complete
+                             : stream_end::caller_gone;
+            co_return attempt_end::finished;
+        }
+        splitter.feed(*bytes);
+        std::string complete_events;
+        bool is_in_order = true;
+        while (const auto event = splitter.next()) {
+            const auto number = platform::decode_item_event(*event).number;
+            is_in_order = !number || !request.route.is_resumable ||
+                          *number == result.last_event + 1;
+            if (!is_in_order) {
+                break;
+            }
+            result.last_event = number.value_or(result.last_event);
+            complete_events += *event;
+        }
+        if (!co_await request.exchange.write_chunk(
+                std::move(complete_events))) {
+            result.end = stream_end::caller_gone;
+            co_return attempt_end::finished;
+        }
+        if (!is_in_order || splitter.is_event_too_long()) {
+            result.reason = is_in_order ? "an event is too long"
+                                        : "an event is missing or repeated";
+            break;
+        }
+    }
+    log_.write(log_event::request_resumed,
+               "request=" + request.call.id.text() + " route=" +
+                   request.route.name + " upstream=" + upstream.id.text() +
+                   " software=" + upstream.software.text() +
+                   " last_event=" + std::to_string(result.last_event) +
+                   " reason=\"" + result.reason + '"');
+    co_return attempt_end::may_retry;
+}
+
+} // namespace savorydock
--- /dev/null
+++ b/drivers/front/stream_forwarder.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "core/logger.hpp"
+#include "core/random_source.hpp"
+#include "drivers/front/crash_guard.hpp"
+#include "drivers/http/http_client.hpp"
+#include "drivers/http/http_server.hpp"
+#include "platform/request_codec.hpp"
+#include "servers/fleet/fleet_state.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace savorydock {
+
+/// How a caller's stream ended.
+enum class stream_end : std::uint8_t {
+    /// The caller has the stream up to its end.
+    complete,
+    /// The stream began and broke; nothing may be appended to it.
+    cut,
+    /// The caller closed its connection.
+    caller_gone,
+    /// An upstream answered with a failure, before any event.
+    failed,
+    /// No upstream has started the request.
+    refused,
+    /// Nothing was sent to the caller, but an upstream may have started.
+    unknown,
+};
+
+struct stream_result {
+    stream_end end = stream_end::refused;
+    /// Number of the last event that the caller has; 0 if it has none.
+    std::uint64_t last_event = 0;
+    /// If `failed`: the upstream's answer.
+    std::optional<http_response> answer;
+    /// If `refused` or `unknown`: the reason.
+    std::string reason;
+    /// If `refused`: whether the request itself is invalid, and when to retry
+    /// otherwise.
+    bool is_invalid = false;
+    std::optional<std::chrono::milliseconds> retry_after;
+};
+
+struct stream_request {
+    http_exchange& exchange;
+    const route_rule& route;
+    const platform::caller_call& call;
+    crash_guard& guard;
+    steady_time deadline;
+};
+
+/// Passes the stream of an upstream to a caller. If it breaks, continues it at
+/// another upstream with the same software version. Only complete events are
+/// passed on, so that a continued stream has no gap.
+///
+/// Not thread safe: all calls must come from one traffic thread.
+class stream_forwarder {
+public:
+    /// All references must outlive the forwarder.
+    stream_forwarder(fleet_state& fleet, http_client& client,
+                     random_source& random, logger& log);
+
+    /// Runs the request. Sends the caller the stream, but neither refusals nor
+    /// answers of upstreams without a stream. The references in `request` must
+    /// stay valid during the call.
+    boost::asio::awaitable<stream_result> forward(stream_request request);
+
+private:
+    struct progress;
+    /// What follows an attempt.
+    enum class attempt_end : std::uint8_t { finished, may_retry };
+
+    boost::asio::awaitable<attempt_end>
+    try_upstream(const stream_request& request, const upstream_entry& upstream,
+                 progress& state);
+    boost::asio::awaitable<attempt_end>
+    pass_on_events(const stream_request& request,
+                   const upstream_entry& upstream, http_stream& stream,
+                   progress& state);
+    boost::asio::awaitable<attempt_end>
+    read_failure(const stream_request& request, http_stream& stream,
+                 progress& state);
+
+    fleet_state& fleet_;
+    http_client& client_;
+    random_source& random_;
+    logger& log_;
+};
+
+} // namespace savorydock
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -11,6 +11,7 @@
 #include "drivers/feed/peer_store_relay.hpp"
 #include "drivers/feed/store_feed.hpp"
 #include "drivers/front/front_service.hpp"
+#include "drivers/front/stream_forwarder.hpp"
 #include "drivers/front/suspect_publisher.hpp"
 #include "drivers/http/http_server.hpp"
 #include "drivers/node/fleet_mirror.hpp"
@@ -186,6 +187,7 @@
     store_feed feed_;
     node_registration registration_;
     scope_term fleet_term_;
+    stream_forwarder streams_;
     front_service front_;
     std::map<service_name, std::unique_ptr<engine_driver>> engines_;
     std::unique_ptr<http_server> caller_server_;
@@ -295,7 +297,8 @@
            .seed = random_seed()},
           [this](const held_term&) { complete_retirements(); }, [](term_end) {},
           log)
-    , front_(fleet_, plain_, engine_client_, jobs_, suspects_, metrics_, log,
+    , streams_(fleet_, engine_client_, random_, log)
+    , front_(fleet_, plain_, streams_, jobs_, suspects_, metrics_, log,
              [this](const job_record& record) { notify_planner(record); })
     , signals_(context_, SIGTERM, SIGINT, SIGHUP) {
     store_.use_relay(relay_);
--- a/servers/fleet/route_table.cpp
+++ b/servers/fleet/route_table.cpp
@@ -72,4 +72,23 @@
     return found == services.end() ? nullptr : &*found;
 }
 
+service_name pick_service(const route_rule& route, random_source& random) {
+    std::uint64_t total = 0;
+    for (const service_share& share : route.services) {
+        total += share.weight;
+    }
+    if (total == 0) {
+        return route.services.empty() ? service_name()
+                                      : route.services.front().service;
+    }
+    std::uint64_t drawn = random.below(total);
+    for (const service_share& share : route.services) {
+        if (drawn < share.weight) {
+            return share.service;
+        }
+        drawn -= share.weight;
+    }
+    return route.services.back().service;
+}
+
 } // namespace savorydock
--- a/servers/fleet/route_table.hpp
+++ b/servers/fleet/route_table.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/random_source.hpp"
 #include "servers/fleet/fleet_configuration.hpp"
 
 #include <memory>
@@ -41,4 +42,9 @@
     std::unordered_map<std::string, std::vector<const route_rule*>> by_host_;
 };
 
+/// Picks one of the route's services at random, by their weights; an empty name
+/// if it has none.
+[[nodiscard]] service_name pick_service(const route_rule& route,
+                                        random_source& random);
+
 } // namespace savorydock
--- a/tests/drivers/front/stream_forwarding_test.cpp
+++ b/tests/drivers/front/stream_forwarding_test.cpp
@@ -156,8 +156,9 @@
     job_store jobs{store, log};
     plain_caller caller{client, fleet, random, log};
     suspect_list suspects{{.self = instance_id("a"), .boot = "1"}};
-    front_service front{fleet,    caller,  client, jobs,
-                        suspects, metrics, log,    [](const job_record&) {}};
+    stream_forwarder streams{fleet, client, random, log};
+    front_service front{fleet,    caller,  streams, jobs,
+                        suspects, metrics, log,     [](const job_record&) {}};
     http_server server{pool, caller_limits{}, [this](http_exchange& exchange) {
                            return front.handle(exchange);
                        }};
