Continue a caller's stream only at the software version that began it

A stream whose version has no upstream left is cut, never ended as complete. broken_stream_goes_on_at_its_own_version and broken_stream_is_cut_if_its_version_is_gone failed before and pass now.

--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -40,6 +40,9 @@
 
 struct stream_forwarder::progress {
     stream_result result;
+    /// Set once an event may have reached the caller: only upstreams of this
+    /// software may continue the stream.
+    std::optional<software_version> software;
     std::set<upstream_id> tried;
     std::uint32_t attempts = 0;
     bool has_begun = false;
@@ -64,7 +67,9 @@
             ? std::max<std::uint32_t>(1, request.route.max_attempts)
             : 1;
     while (state.attempts < max_attempts && !request.guard.is_blocked()) {
-        const auto upstream = fleet_.pool.choose(service, state.tried, now());
+        const auto upstream =
+            fleet_.pool.choose(service, state.tried, now(),
+                               state.software ? &*state.software : nullptr);
         if (!upstream || now() >= request.deadline) {
             break;
         }
@@ -150,6 +155,7 @@
     }
     if (!state.has_begun) {
         state.has_begun = true;
+        state.software = upstream.software;
         http_headers headers =
             platform::forward_answer_headers(stream.headers());
         if (!co_await request.exchange.begin_stream(stream.status(),
--- a/servers/fleet/upstream_pool.cpp
+++ b/servers/fleet/upstream_pool.cpp
@@ -56,14 +56,16 @@
 
 std::optional<upstream_entry>
 upstream_pool::choose(const service_name& service,
-                      const std::set<upstream_id>& tried,
-                      steady_time now) const {
+                      const std::set<upstream_id>& tried, steady_time now,
+                      const software_version* software) const {
     const state* best = nullptr;
     double best_cost = 0;
     const state* soonest = nullptr;
     for (const auto& [id, candidate] : upstreams_) {
         if (candidate.entry.service != service || candidate.entry.is_draining ||
-            tried.contains(id)) {
+            tried.contains(id) ||
+            (software != nullptr &&
+             (software->is_empty() || candidate.entry.software != *software))) {
             continue;
         }
         if (candidate.backoff_until > now) {
--- a/servers/fleet/upstream_pool.hpp
+++ b/servers/fleet/upstream_pool.hpp
@@ -71,10 +71,11 @@
     void set_upstreams(const std::vector<upstream_entry>& upstreams);
 
     /// Returns the upstream of the service with the shortest expected time
-    /// that is neither in `tried` nor draining, or nothing if there is none.
+    /// that is neither in `tried` nor draining, or nothing if there is none. If
+    /// `software` isn't null, only upstreams of that version are considered.
     [[nodiscard]] std::optional<upstream_entry>
     choose(const service_name& service, const std::set<upstream_id>& tried,
-           steady_time now) const;
+           steady_time now, const software_version* software = nullptr) const;
 
     /// Whether the upstream is listed and not draining.
     [[nodiscard]] bool is_available(const upstream_id& upstream) const;
