Know the software that began a stream when its caller takes it up

Now it is in the platform's store before the first event is sent: as the default of the route, or, for streams of any other version, as a record under the attempt's id. A default is replaced once no upstream of it was listed for longer than a stream without a record can live, so a late reader records too much or refuses, but never takes one version for another. Records have no lease, because leases may lapse with the store; their instance deletes them after the deadline, the holder of the fleet's term what a restart left. A take-up that can't go on is refused at once as not run.

Before: stream_of_a_version_that_left_is_not_taken_up failed (listed); the other new tests have no meaning on the old code.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -44,6 +44,9 @@
                     "event or after a given one"},
     log_event_entry{stream_ended, info, "stream_ended",
                     "a caller's stream ended; the detail says how"},
+    log_event_entry{stream_default_changed, info, "stream_default_changed",
+                    "streams of a route without a record are taken to be of "
+                    "another software version"},
     log_event_entry{step_started, info, "step_started",
                     "a session for a trainer's step began"},
     log_event_entry{step_finished, info, "step_finished",
@@ -86,6 +89,9 @@
                     "is read instead"},
     log_event_entry{runner_found, info, "runner_found",
                     "an instance that was taken for lost reports runs again"},
+    log_event_entry{item_text_discarded, info, "item_text_discarded",
+                    "an item starts from its first event again, because no "
+                    "engine can continue its text"},
     log_event_entry{configuration_in_force, info, "configuration_in_force",
                     "a revision of a service's configuration took effect"},
     log_event_entry{configuration_refused, error, "configuration_refused",
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -26,6 +26,7 @@
     request_outcome_unknown = 2006,
     stream_sent = 2007,
     stream_ended = 2008,
+    stream_default_changed = 2009,
 
     step_started = 2100,
     step_finished = 2101,
@@ -48,6 +49,7 @@
     run_order_ignored = 2218,
     result_read_unanswered = 2219,
     runner_found = 2220,
+    item_text_discarded = 2221,
 
     configuration_in_force = 3000,
     configuration_refused = 3001,
--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -21,6 +21,16 @@
 /// Largest answer of an upstream without a stream that is passed on.
 constexpr std::size_t max_failure_bytes = 1U << 20U;
 
+/// How long a caller is assumed to continue a stream if it states no deadline.
+constexpr std::chrono::milliseconds default_stream_wait{30'000};
+/// Streams of callers who wait longer are recorded always: the default origin
+/// of their route may be replaced while they live.
+constexpr std::chrono::milliseconds max_unrecorded_wait{30'000};
+/// Time that the store gets to take the record of a stream.
+constexpr std::chrono::milliseconds max_record_time{1'500};
+/// Crashed upstreams of a version that is being replaced may come back.
+constexpr std::chrono::milliseconds origin_retry_after{1'000};
+
 steady_time now() {
     return std::chrono::steady_clock::now();
 }
@@ -40,8 +50,9 @@
 
 struct stream_forwarder::progress {
     stream_result result;
-    /// Set once an event may have reached the caller: only upstreams of this
-    /// software may continue the stream.
+    service_name service;
+    /// Set once an event may have reached the caller, in this attempt or an
+    /// earlier one: only upstreams of this software may continue the stream.
     std::optional<software_version> software;
     std::set<upstream_id> tried;
     std::uint32_t attempts = 0;
@@ -50,9 +61,11 @@
 };
 
 stream_forwarder::stream_forwarder(fleet_state& fleet, http_client& client,
-                                   random_source& random, logger& log)
+                                   stream_ledger& ledger, random_source& random,
+                                   logger& log)
     : fleet_(fleet)
     , client_(client)
+    , ledger_(ledger)
     , random_(random)
     , log_(log) {}
 
@@ -61,15 +74,24 @@
     progress state;
     state.result.last_event = request.call.last_event.value_or(0);
     state.result.reason = "no upstream took the stream";
-    const service_name service = pick_service(request.route, random_);
+    const bool is_taken_up = state.result.last_event > 0;
+    if (request.call.has_invalid_last_event ||
+        (is_taken_up && !request.route.is_resumable)) {
+        state.result.reason = "the stream can't be continued from that event";
+        state.result.is_invalid = true;
+        co_return std::move(state.result);
+    }
+    if (!is_taken_up) {
+        state.service = pick_service(request.route, random_);
+    } else if (!co_await find_origin(request, state)) {
+        co_return std::move(state.result);
+    }
     const std::uint32_t max_attempts =
         request.route.is_resumable
             ? std::max<std::uint32_t>(1, request.route.max_attempts)
             : 1;
     while (state.attempts < max_attempts && !request.guard.is_blocked()) {
-        const auto upstream =
-            fleet_.pool.choose(service, state.tried, now(),
-                               state.software ? &*state.software : nullptr);
+        const auto upstream = choose_upstream(request, state);
         if (!upstream || now() >= request.deadline) {
             break;
         }
@@ -105,6 +127,80 @@
     co_return std::move(state.result);
 }
 
+asio::awaitable<bool>
+stream_forwarder::find_origin(const stream_request& request, progress& state) {
+    const platform::caller_call& call = request.call;
+    stream_result& result = state.result;
+    result.retry_after = origin_retry_after;
+    if (call.resumes.is_empty()) {
+        result.reason = "the stream's first attempt isn't named";
+        co_return false;
+    }
+    auto found = co_await (ledger_.find(call.resumes, request.route.name) ||
+                           request.exchange.wait_for_disconnect());
+    if (found.index() == 1) {
+        result.end = stream_end::caller_gone;
+        co_return false;
+    }
+    auto& origin = std::get<0>(found);
+    if (!origin) {
+        result.reason = "the stream's origin can't be read now";
+        result.retry_after.reset();
+        co_return false;
+    }
+    const auto& services = request.route.services;
+    if (!*origin || std::none_of(services.begin(), services.end(),
+                                 [&](const service_share& share) {
+                                     return share.service == (*origin)->service;
+                                 })) {
+        result.reason = "the stream's origin isn't known";
+        co_return false;
+    }
+    state.service = (*origin)->service;
+    state.software = (*origin)->software;
+    if (!fleet_.pool.choose(state.service, {}, now(), &*state.software)) {
+        result.reason = "no upstream has the software version " +
+                        state.software->text() + " that began the stream";
+        co_return false;
+    }
+    result.retry_after.reset();
+    co_return true;
+}
+
+std::optional<upstream_entry>
+stream_forwarder::choose_upstream(const stream_request& request,
+                                  progress& state) const {
+    if (state.software) {
+        return fleet_.pool.choose(state.service, state.tried, now(),
+                                  &*state.software);
+    }
+    auto upstream = fleet_.pool.choose(state.service, state.tried, now());
+    if (!upstream || ledger_.is_store_reachable() ||
+        !needs_record(request, {.service = upstream->service,
+                                .software = upstream->software})) {
+        return upstream;
+    }
+    const stream_origin* const usual = ledger_.default_of(request.route.name);
+    if (usual != nullptr && usual->service == state.service) {
+        if (auto known = fleet_.pool.choose(state.service, state.tried, now(),
+                                            &usual->software)) {
+            return known;
+        }
+    }
+    return upstream;
+}
+
+bool stream_forwarder::needs_record(const stream_request& request,
+                                    const stream_origin& origin) const {
+    if (!request.route.is_resumable || request.call.id.is_empty()) {
+        return false;
+    }
+    const stream_origin* const usual = ledger_.default_of(request.route.name);
+    return usual == nullptr || *usual != origin ||
+           request.call.max_wait.value_or(default_stream_wait) >
+               max_unrecorded_wait;
+}
+
 asio::awaitable<stream_forwarder::attempt_end>
 stream_forwarder::try_upstream(const stream_request& request,
                                const upstream_entry& upstream,
@@ -153,20 +249,64 @@
     if (!is_stream(stream, metadata)) {
         co_return co_await read_failure(request, stream, state);
     }
-    if (!state.has_begun) {
-        state.has_begun = true;
-        state.software = upstream.software;
-        http_headers headers =
-            platform::forward_answer_headers(stream.headers());
-        if (!co_await request.exchange.begin_stream(stream.status(),
-                                                    std::move(headers))) {
-            state.result.end = stream_end::caller_gone;
-            co_return attempt_end::finished;
-        }
+    if (!state.has_begun &&
+        co_await begin_stream(request, upstream, stream, state) ==
+            attempt_end::finished) {
+        co_return attempt_end::finished;
     }
     co_return co_await pass_on_events(request, upstream, stream, state);
 }
 
+asio::awaitable<stream_forwarder::attempt_end>
+stream_forwarder::begin_stream(const stream_request& request,
+                               const upstream_entry& upstream,
+                               http_stream& stream, progress& state) {
+    const platform::caller_call& call = request.call;
+    stream_origin origin{.service = upstream.service,
+                         .software = upstream.software};
+    const bool is_new = !state.software;
+    if (is_new && needs_record(request, origin)) {
+        const steady_time deadline =
+            now() + call.max_wait.value_or(default_stream_wait);
+        const stream_origin* const usual =
+            ledger_.default_of(request.route.name);
+        // Without a record the stream would be taken for one of the default
+        // origin, which has no upstream that could continue it.
+        const bool is_safe_without =
+            usual != nullptr &&
+            !fleet_.pool.has_software(usual->service, usual->software);
+        if (!ledger_.is_store_reachable() && is_safe_without) {
+            ledger_.record_later(call.id, std::move(origin), deadline);
+        } else {
+            const steady_time write_by =
+                std::min(request.deadline, now() + max_record_time);
+            auto recorded = co_await (ledger_.record(call.id, std::move(origin),
+                                                     write_by, deadline) ||
+                                      request.exchange.wait_for_disconnect());
+            if (recorded.index() == 1) {
+                state.result.end = stream_end::caller_gone;
+                co_return attempt_end::finished;
+            }
+            if (!std::get<0>(recorded)) {
+                // Another origin must not begin it: the write may still take
+                // effect.
+                state.result.end = stream_end::unknown;
+                state.result.reason = "the stream's origin was not stored";
+                co_return attempt_end::finished;
+            }
+        }
+    }
+    state.has_begun = true;
+    state.software = upstream.software;
+    http_headers headers = platform::forward_answer_headers(stream.headers());
+    if (!co_await request.exchange.begin_stream(stream.status(),
+                                                std::move(headers))) {
+        state.result.end = stream_end::caller_gone;
+        co_return attempt_end::finished;
+    }
+    co_return attempt_end::may_retry;
+}
+
 asio::awaitable<stream_forwarder::attempt_end>
 stream_forwarder::read_failure(const stream_request& request,
                                http_stream& stream, progress& state) {
--- a/drivers/front/stream_forwarder.hpp
+++ b/drivers/front/stream_forwarder.hpp
@@ -3,6 +3,7 @@
 #include "core/logger.hpp"
 #include "core/random_source.hpp"
 #include "drivers/front/crash_guard.hpp"
+#include "drivers/front/stream_ledger.hpp"
 #include "drivers/http/http_client.hpp"
 #include "drivers/http/http_server.hpp"
 #include "platform/request_codec.hpp"
@@ -56,15 +57,17 @@
 };
 
 /// Passes the stream of an upstream to a caller. If it breaks, continues it at
-/// another upstream with the same software version. Only complete events are
-/// passed on, so that a continued stream has no gap.
+/// another upstream with the same software version, and so does a caller's
+/// further attempt at any instance: the origin of a stream is known to the
+/// store before its first event is sent. Only complete events are passed on, so
+/// that a continued stream has no gap.
 ///
 /// Not thread safe: all calls must come from one traffic thread.
 class stream_forwarder {
 public:
     /// All references must outlive the forwarder.
     stream_forwarder(fleet_state& fleet, http_client& client,
-                     random_source& random, logger& log);
+                     stream_ledger& ledger, random_source& random, logger& log);
 
     /// Runs the request. Sends the caller the stream, but neither refusals nor
     /// answers of upstreams without a stream. The references in `request` must
@@ -76,6 +79,18 @@
     /// What follows an attempt.
     enum class attempt_end : std::uint8_t { finished, may_retry };
 
+    /// Finds out which upstreams may continue the stream that the caller took
+    /// up. Returns false if none can; the result says why.
+    boost::asio::awaitable<bool> find_origin(const stream_request& request,
+                                             progress& state);
+    [[nodiscard]] std::optional<upstream_entry>
+    choose_upstream(const stream_request& request, progress& state) const;
+    /// Whether the store must have a record of the stream, if it begins here.
+    [[nodiscard]] bool needs_record(const stream_request& request,
+                                    const stream_origin& origin) const;
+    boost::asio::awaitable<attempt_end>
+    begin_stream(const stream_request& request, const upstream_entry& upstream,
+                 http_stream& stream, progress& state);
     boost::asio::awaitable<attempt_end>
     try_upstream(const stream_request& request, const upstream_entry& upstream,
                  progress& state);
@@ -89,6 +104,7 @@
 
     fleet_state& fleet_;
     http_client& client_;
+    stream_ledger& ledger_;
     random_source& random_;
     logger& log_;
 };
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -11,7 +11,9 @@
 #include "drivers/feed/peer_store_relay.hpp"
 #include "drivers/feed/store_feed.hpp"
 #include "drivers/front/front_service.hpp"
+#include "drivers/front/stream_duty.hpp"
 #include "drivers/front/stream_forwarder.hpp"
+#include "drivers/front/stream_ledger.hpp"
 #include "drivers/front/suspect_publisher.hpp"
 #include "drivers/http/http_server.hpp"
 #include "drivers/node/fleet_mirror.hpp"
@@ -26,6 +28,7 @@
 #include "servers/feed/root_feeder.hpp"
 #include "servers/fleet/limit_sharing.hpp"
 #include "servers/membership/stable_hash.hpp"
+#include "servers/streams/stream_keys.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -78,6 +81,8 @@
 /// How long after its start an instance takes the directory of instances for
 /// incomplete, because all may have started together.
 constexpr std::chrono::milliseconds directory_fill_time{500};
+/// Part of the store's writes that records of streams may use.
+constexpr double stream_record_share = 0.5;
 /// Name of the scope whose holder performs duties that belong to no service.
 constexpr std::string_view fleet_scope = "~duty";
 
@@ -144,6 +149,9 @@
     /// Instances that may relay store calls: the feeder of the own zone first,
     /// then those of other zones. Feeders are connected to the store.
     [[nodiscard]] std::vector<instance_id> relay_candidates() const;
+    /// The time between two writes of stream records, so that all instances
+    /// together leave most of the store's writes to others.
+    [[nodiscard]] std::chrono::milliseconds stream_record_interval() const;
     void handle_job_notice(const peer_message& message);
     void send_peer(const instance_id& to, peer_topic topic, std::string body);
     void on_signal(int signal);
@@ -187,6 +195,8 @@
     store_feed feed_;
     node_registration registration_;
     scope_term fleet_term_;
+    stream_duty stream_duty_;
+    stream_ledger stream_ledger_;
     stream_forwarder streams_;
     front_service front_;
     std::map<service_name, std::unique_ptr<engine_driver>> engines_;
@@ -295,9 +305,18 @@
                    return claim_delay_of(fleet_scope, last_holder);
                },
            .seed = random_seed()},
-          [this](const held_term&) { complete_retirements(); }, [](term_end) {},
-          log)
-    , streams_(fleet_, engine_client_, random_, log)
+          [this](const held_term&) {
+              complete_retirements();
+              stream_duty_.on_term_gained();
+          },
+          [](term_end) {}, log)
+    , stream_duty_(
+          context_, store_, fleet_, fleet_term_,
+          [this] { return feed_.is_data_current(); }, {}, log)
+    , stream_ledger_(
+          context_, store_,
+          {.write_interval = [this] { return stream_record_interval(); }}, log)
+    , streams_(fleet_, engine_client_, stream_ledger_, random_, log)
     , front_(fleet_, plain_, streams_, jobs_, suspects_, metrics_, log,
              [this](const job_record& record) { notify_planner(record); })
     , signals_(context_, SIGTERM, SIGINT, SIGHUP) {
@@ -550,6 +569,17 @@
     return own;
 }
 
+std::chrono::milliseconds node_instance::impl::stream_record_interval() const {
+    const double writes_per_second =
+        stream_record_share * store_.limits().writes_per_second;
+    if (writes_per_second <= 0) {
+        return std::chrono::milliseconds(0);
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::duration<double>(static_cast<double>(directory_.size()) /
+                                      writes_per_second));
+}
+
 void node_instance::impl::handle_job_notice(const peer_message& message) {
     const auto notice = wire::decode<job_notice>(message.body);
     if (!notice) {
@@ -595,6 +625,10 @@
             suspect_publisher_.on_change(change);
             continue;
         }
+        if (key == stream_defaults_key) {
+            stream_ledger_.on_defaults_change(change);
+            continue;
+        }
         if (!key.starts_with(job_prefix)) {
             changed_keys.insert(key);
             continue;
--- a/servers/fleet/upstream_pool.cpp
+++ b/servers/fleet/upstream_pool.cpp
@@ -91,6 +91,15 @@
     return found != upstreams_.end() && !found->second.entry.is_draining;
 }
 
+bool upstream_pool::has_software(const service_name& service,
+                                 const software_version& software) const {
+    return std::any_of(upstreams_.begin(), upstreams_.end(),
+                       [&](const auto& row) {
+                           return row.second.entry.service == service &&
+                                  row.second.entry.software == software;
+                       });
+}
+
 void upstream_pool::on_started(const upstream_id& upstream) {
     const auto found = upstreams_.find(upstream);
     if (found != upstreams_.end()) {
--- a/servers/fleet/upstream_pool.hpp
+++ b/servers/fleet/upstream_pool.hpp
@@ -80,6 +80,11 @@
     /// Whether the upstream is listed and not draining.
     [[nodiscard]] bool is_available(const upstream_id& upstream) const;
 
+    /// Whether the service has an upstream of this version, also a draining
+    /// one.
+    [[nodiscard]] bool has_software(const service_name& service,
+                                    const software_version& software) const;
+
     void on_started(const upstream_id& upstream);
     void on_ended(const upstream_id& upstream, call_outcome end,
                   std::chrono::microseconds time, steady_time now);
--- a/tests/drivers/front/front_service_test.cpp
+++ b/tests/drivers/front/front_service_test.cpp
@@ -79,7 +79,8 @@
     job_store jobs{store, log};
     plain_caller caller{client, fleet, random, log};
     suspect_list suspects{{.self = instance_id("a"), .boot = "1"}};
-    stream_forwarder streams{fleet, client, random, log};
+    stream_ledger ledger{pool.context(0), store, {}, log};
+    stream_forwarder streams{fleet, client, ledger, random, log};
     front_service front{fleet,    caller,  streams, jobs,
                         suspects, metrics, log,     [](const job_record&) {}};
     http_server server{pool, caller_limits{}, [this](http_exchange& exchange) {
--- a/tests/drivers/front/stream_forwarding_test.cpp
+++ b/tests/drivers/front/stream_forwarding_test.cpp
@@ -1,4 +1,7 @@
+#include "core/wire_codec.hpp"
 #include "drivers/front/front_service.hpp"
+#include "servers/streams/stream_keys.hpp"
+#include "tests/fakes/fake_users_store.hpp"
 #include "tests/fakes/raw_upstream.hpp"
 
 #include <boost/asio/post.hpp>
@@ -144,6 +147,21 @@
                          {"Last-Event-Id", std::to_string(last_event)}});
     }
 
+    /// Streams without a record began at this version.
+    void set_default(const std::string& version) {
+        const default_origins defaults{
+            {"r",
+             {.service = service_name("s"),
+              .software = software_version(version)}}};
+        store_change change{.value = {.key = std::string(stream_defaults_key),
+                                      .value = wire::encode(defaults)}};
+        on_traffic_thread([&] { ledger.on_defaults_change(change); });
+    }
+
+    [[nodiscard]] bool has_record(const std::string& id) const {
+        return fake.values().contains("s/" + id);
+    }
+
     versioned_engine old_engine{"v1"};
     versioned_engine new_engine{"v2"};
     null_logger log;
@@ -152,11 +170,13 @@
     traffic_pool pool{1};
     fleet_state fleet{.pool = upstream_pool({})};
     http_client client{pool.context(0)};
-    store_client store{pool.context(0), {}, log};
+    fake_users_store fake;
+    store_client store{pool.context(0), {.address = fake.address()}, log};
     job_store jobs{store, log};
     plain_caller caller{client, fleet, random, log};
     suspect_list suspects{{.self = instance_id("a"), .boot = "1"}};
-    stream_forwarder streams{fleet, client, random, log};
+    stream_ledger ledger{pool.context(0), store, {}, log};
+    stream_forwarder streams{fleet, client, ledger, random, log};
     front_service front{fleet,    caller,  streams, jobs,
                         suspects, metrics, log,     [](const job_record&) {}};
     http_server server{pool, caller_limits{}, [this](http_exchange& exchange) {
@@ -188,15 +208,132 @@
 
 TEST_F(stream_forwarding_test, stream_of_a_version_that_left_is_not_taken_up) {
     old_engine.breaks_after = 3;
+    set_default("v1");
     set_upstreams({old_engine.entry("a")});
     EXPECT_FALSE(send("1"));
     set_upstreams({new_engine.entry("b")});
     const auto answer = take_up("2", "1", 3);
     ASSERT_TRUE(answer) << answer.reason().detail;
     EXPECT_EQ(answer->status, 503U);
+    EXPECT_FALSE(answer->header("Retry-After").empty());
     EXPECT_TRUE(new_engine.starts().empty());
 }
 
+// Nothing but the store knows the stream: the instance that began it may have
+// been restarted.
+TEST_F(stream_forwarding_test, recorded_stream_is_taken_up_at_its_version) {
+    new_engine.breaks_after = 3;
+    set_default("v1");
+    set_upstreams({new_engine.entry("b")});
+    EXPECT_FALSE(send("1"));
+    EXPECT_TRUE(has_record("1"));
+    new_engine.breaks_after = stream_length;
+    set_upstreams({old_engine.entry("a"), new_engine.entry("b")});
+    const auto answer = take_up("2", "1", 3);
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->status, 200U);
+    EXPECT_EQ(new_engine.starts(), (std::vector<std::uint64_t>{1, 4}));
+    EXPECT_TRUE(old_engine.starts().empty());
+}
+
+TEST_F(stream_forwarding_test, stream_of_the_default_version_costs_no_write) {
+    old_engine.breaks_after = 3;
+    set_default("v1");
+    set_upstreams({old_engine.entry("a")});
+    EXPECT_FALSE(send("1"));
+    EXPECT_FALSE(has_record("1"));
+    old_engine.breaks_after = stream_length;
+    set_upstreams({new_engine.entry("A"), old_engine.entry("a")});
+    const auto answer = take_up("2", "1", 3);
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->status, 200U);
+    EXPECT_EQ(old_engine.starts(), (std::vector<std::uint64_t>{1, 4}));
+}
+
+TEST_F(stream_forwarding_test, stream_of_a_patient_caller_is_recorded) {
+    set_default("v1");
+    set_upstreams({old_engine.entry("a")});
+    EXPECT_TRUE(send("1", {{"Deadline-Ms", "30000"}}));
+    EXPECT_FALSE(has_record("1"));
+    EXPECT_TRUE(send("2", {{"Deadline-Ms", "30001"}}));
+    EXPECT_TRUE(has_record("2"));
+}
+
+TEST_F(stream_forwarding_test, event_isnt_sent_before_its_origin_is_stored) {
+    fake.fail_transactions(store_fault::refuse, 1'000);
+    set_upstreams({new_engine.entry("b")});
+    const auto answer = send("1");
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->status, 502U);
+    EXPECT_FALSE(has_record("1"));
+}
+
+TEST_F(stream_forwarding_test, lost_answer_to_a_record_costs_one_more_write) {
+    fake.fail_transactions(store_fault::lose_answer, 1);
+    set_upstreams({new_engine.entry("b")});
+    const auto answer = send("1");
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->status, 200U);
+    EXPECT_TRUE(has_record("1"));
+}
+
+// While the store is away, only streams of the default version can be found
+// again.
+TEST_F(stream_forwarding_test, new_streams_prefer_the_default_without_a_store) {
+    set_default("v2");
+    set_upstreams({old_engine.entry("a"), new_engine.entry("b")});
+    fake.set_refusing(true);
+    const auto refused = take_up("1", "0", 3);
+    ASSERT_TRUE(refused) << refused.reason().detail;
+    EXPECT_EQ(refused->status, 503U);
+    const auto answer = send("2");
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->status, 200U);
+    EXPECT_TRUE(old_engine.starts().empty());
+}
+
+TEST_F(stream_forwarding_test, stream_is_served_and_recorded_after_an_outage) {
+    set_default("v0");
+    set_upstreams({old_engine.entry("a")});
+    fake.set_refusing(true);
+    const auto refused = take_up("1", "0", 3);
+    ASSERT_TRUE(refused) << refused.reason().detail;
+    const auto answer = send("2");
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->status, 200U);
+    fake.set_refusing(false);
+    const auto end = std::chrono::steady_clock::now() + 2s;
+    while (!has_record("2") && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(10ms);
+    }
+    EXPECT_TRUE(has_record("2"));
+}
+
+TEST_F(stream_forwarding_test, take_up_without_a_known_origin_is_refused) {
+    set_upstreams({old_engine.entry("a")});
+    const auto unnamed = send("1", {{"Last-Event-Id", "3"}});
+    ASSERT_TRUE(unnamed) << unnamed.reason().detail;
+    EXPECT_EQ(unnamed->status, 503U);
+    const auto unknown = take_up("2", "0", 3);
+    ASSERT_TRUE(unknown) << unknown.reason().detail;
+    EXPECT_EQ(unknown->status, 503U);
+    for (const char* const number : {"x", "3x", "-1", "99999999999999999999"}) {
+        const auto invalid = send("3", {{"Last-Event-Id", number}});
+        ASSERT_TRUE(invalid) << invalid.reason().detail;
+        EXPECT_EQ(invalid->status, 400U) << number;
+    }
+    EXPECT_TRUE(old_engine.starts().empty());
+}
+
+// A new stream may name event 0 as the last one.
+TEST_F(stream_forwarding_test, stream_after_event_zero_is_a_new_one) {
+    set_upstreams({old_engine.entry("a")});
+    const auto answer = send("1", {{"Last-Event-Id", "0"}});
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->status, 200U);
+    EXPECT_TRUE(has_record("1"));
+}
+
 TEST_F(stream_forwarding_test, error_of_the_next_upstream_stays_out_of_it) {
     old_engine.breaks_after = 3;
     for (const std::string body : {"", "{\"error\":1}\n\n"}) {
