Continue an item's text only at the software version that began it

A text now carries its origin (software and first run) through planner, runner, takeover and the saved parts, in the write of the text itself, so that no kill parts them. Saved parts are joined only within one origin: before, a part of a text begun anew could be appended to the older text.

An item whose software has no engine left starts anew at once; one whose engines have no room waits no longer than its text took. Ruled out: dropping complete texts of unknown origin, which no engine continues.

--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -433,7 +433,8 @@
                   .is_single_version = command.is_single_version,
                   .after_event = command.progress.events,
                   .text = command.progress.text,
-                  .versions = command.progress.versions};
+                  .versions = command.progress.versions,
+                  .origin = command.progress.origin};
     for (const http_header& header : item.headers) {
         task.headers.push_back({header.name, header.value});
     }
@@ -496,6 +497,13 @@
     }
 }
 
+void engine_driver::execute_one(discard_text& command) {
+    log_.write(log_event::item_text_discarded,
+               "item=" + command.item.text() + " job=" + command.job.text() +
+                   " software=" + command.origin.software.text() +
+                   " events=" + std::to_string(command.events));
+}
+
 void engine_driver::send_orders() {
     std::map<instance_id, runner_command> orders;
     orders.swap(orders_);
--- a/drivers/batch/engine_driver.hpp
+++ b/drivers/batch/engine_driver.hpp
@@ -97,6 +97,7 @@
     void execute_one(release_run& command);
     void execute_one(start_scoring& command);
     void execute_one(commit_results& command);
+    void execute_one(discard_text& command);
     /// Releases the term when another instance should plan.
     boost::asio::awaitable<void> hand_over_if_outranked();
     void send_orders();
--- a/drivers/batch/job_store.cpp
+++ b/drivers/batch/job_store.cpp
@@ -41,17 +41,19 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-/// Appends a saved part to a text, or replaces the text if the part begins with
-/// the first event and has more events. Ignores a part whose predecessor was
-/// not saved.
+/// Appends a saved part to a text of the same origin, or replaces the text if
+/// the part begins with the first event and has more events. Ignores a part
+/// whose predecessor was not saved.
 void merge_saved_part(item_progress& text, const saved_progress& part) {
     if (part.base_events == 0 && part.events > text.events) {
         text = {.text = part.text,
                 .events = part.events,
-                .versions = part.versions};
+                .versions = part.versions,
+                .origin = part.origin};
         return;
     }
-    if (part.base_events != text.events || part.base_events == 0) {
+    if (part.base_events != text.events || part.base_events == 0 ||
+        part.origin != text.origin) {
         return;
     }
     text.text += '\n' + part.text;
--- a/drivers/batch/run_host.cpp
+++ b/drivers/batch/run_host.cpp
@@ -116,7 +116,8 @@
                                .upstream = run->task->upstream,
                                .events = progress.events,
                                .text = progress.text,
-                               .versions = progress.versions});
+                               .versions = progress.versions,
+                               .origin = progress.origin});
         // Marks the text as reported, so that the next report doesn't repeat
         // it.
         static_cast<void>(run->record->take_delta(ticket));
@@ -237,7 +238,8 @@
     run->record = std::make_shared<run_record>(
         run_record::resumed_after({.text = std::move(task.text),
                                    .events = task.after_event,
-                                   .versions = std::move(task.versions)}));
+                                   .versions = std::move(task.versions),
+                                   .origin = task.origin}));
     run->task = std::make_shared<const run_task>(std::move(task));
     if (!runs_.emplace(run->task->ticket, run).second) {
         return;
@@ -255,6 +257,7 @@
     log_.write(log_event::item_started,
                "item=" + run->task->id + " job=" + run->task->job.text() +
                    " upstream=" + run->task->upstream.text() +
+                   " software=" + run->task->origin.software.text() +
                    " after_event=" + std::to_string(run->task->after_event));
     asio::co_spawn(
         context_, runner_.run(run->task, run->record),
@@ -279,7 +282,8 @@
         const item_progress& progress = run->record->progress;
         keep_result(*run, {.events = progress.events,
                            .text = progress.text,
-                           .versions = progress.versions});
+                           .versions = progress.versions,
+                           .origin = progress.origin});
     }
     runner_update update{.service = run->service};
     update.ends.push_back(
--- a/servers/batch/engine_roster.cpp
+++ b/servers/batch/engine_roster.cpp
@@ -95,6 +95,11 @@
             limits_.next_send_time(id, now) != now) {
             continue;
         }
+        if (requirements.software != nullptr &&
+            (requirements.software->is_empty() ||
+             engine.listed_upstream.software != *requirements.software)) {
+            continue;
+        }
         const auto version =
             engine.listed_upstream.versions.find(requirements.model);
         if (version != engine.listed_upstream.versions.end() &&
@@ -112,6 +117,13 @@
     return best;
 }
 
+bool engine_roster::has_software(const software_version& software) const {
+    return std::any_of(engines_.begin(), engines_.end(), [&](const auto& row) {
+        const upstream_entry& entry = row.second.listed_upstream;
+        return !entry.is_draining && entry.software == software;
+    });
+}
+
 const roster_entry* engine_roster::find(const upstream_id& id) const {
     const auto found = engines_.find(id);
     return found == engines_.end() ? nullptr : &found->second;
--- a/servers/batch/engine_roster.hpp
+++ b/servers/batch/engine_roster.hpp
@@ -47,6 +47,8 @@
     std::uint64_t cache_tokens = 0;
     /// Engines that failed on the item; chosen only if no other has room.
     const std::set<upstream_id>& avoid;
+    /// The software that the engine must have; any if null.
+    const software_version* software = nullptr;
 };
 
 /// An engine with its load of planned items and its measured speed.
@@ -96,6 +98,12 @@
     choose(const engine_requirements& requirements, steady_time now) const;
     /// Returns the engine, or null if unknown.
     [[nodiscard]] const roster_entry* find(const upstream_id& id) const;
+    /// Whether an engine of this software is listed and not draining.
+    [[nodiscard]] bool has_software(const software_version& software) const;
+    /// Median time per event of the measured engines; 0 if there are none.
+    [[nodiscard]] double typical_event_milliseconds() const {
+        return typical_milliseconds_;
+    }
     [[nodiscard]] bool is_loading(const upstream_id& id,
                                   const std::string& model,
                                   steady_time now) const {
@@ -156,7 +164,6 @@
     double limit_fraction_ = 1;
     std::map<upstream_id, roster_entry> engines_;
     std::uint64_t cache_tokens_ = 0;
-    /// Median time per event of the measured engines.
     double typical_milliseconds_ = 0;
 };
 
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -161,8 +161,11 @@
     }
     item_progress progress{.text = std::move(held.text),
                            .events = held.events,
-                           .versions = std::move(held.versions)};
-    if (item.phase != item_phase::waiting || !is_reusable(progress, job)) {
+                           .versions = std::move(held.versions),
+                           .origin = std::move(held.origin)};
+    const bool is_usable = held.has_ended ? has_allowed_versions(progress, job)
+                                          : is_reusable(progress, job);
+    if (item.phase != item_phase::waiting || !is_usable) {
         if (!held.has_ended) {
             out.emplace_back(stop_run{.ticket = held.ticket});
         }
@@ -210,6 +213,13 @@
 
 bool item_planner::is_reusable(const item_progress& progress,
                                const job_state& job) {
+    const bool has_origin =
+        progress.events == 0 || !progress.origin.software.is_empty();
+    return has_origin && has_allowed_versions(progress, job);
+}
+
+bool item_planner::has_allowed_versions(const item_progress& progress,
+                                        const job_state& job) {
     const auto& versions = progress.versions;
     const bool is_allowed =
         std::all_of(versions.begin(), versions.end(), [&](auto version) {
@@ -227,8 +237,10 @@
         retained_text text = std::move(found->second);
         retained_texts_.erase(found);
         item_state& item = job.items[at];
-        if (!is_reusable(text.progress, job) ||
-            text.progress.events <= item.progress.events) {
+        const bool is_usable = text.is_text_complete
+                                   ? has_allowed_versions(text.progress, job)
+                                   : is_reusable(text.progress, job);
+        if (!is_usable || text.progress.events <= item.progress.events) {
             continue;
         }
         item.progress = std::move(text.progress);
@@ -589,12 +601,14 @@
 
 const roster_entry* item_planner::choose_engine(const job_state& job,
                                                 const item_state& item,
+                                                const item_progress& text,
                                                 steady_time now) const {
     const engine_requirements requirements{
         .model = job.submission->model,
         .min_version = job.submission->min_version,
         .cache_tokens = expected_cache_tokens(item),
-        .avoid = item.avoid};
+        .avoid = item.avoid,
+        .software = text.events == 0 ? nullptr : &text.origin.software};
     return roster_.choose(requirements, now);
 }
 
@@ -618,7 +632,12 @@
                      .last_event_at = now};
     run_state& run = runs_[ticket];
     run.initial_events = run.progress.events;
+    if (run.progress.events == 0) {
+        run.progress.origin = {.software = engine.listed_upstream.software,
+                               .first_run = ticket};
+    }
     item.progress = {};
+    item.discard_text_at.reset();
     out.emplace_back(
         start_run{.ticket = ticket,
                   .job = job.submission,
@@ -638,18 +657,59 @@
         if (!job->is_confirmed) {
             continue;
         }
-        while (!job->waiting.empty()) {
-            const std::size_t index = job->waiting.begin()->second;
-            const roster_entry* const engine =
-                choose_engine(*job, job->items[index], now);
-            if (engine == nullptr) {
+        // Placing an item removes it from the waiting ones.
+        for (auto next = job->waiting.begin(); next != job->waiting.end();) {
+            const std::size_t index = (next++)->second;
+            const bool is_tied = job->items[index].progress.events > 0;
+            // An item that waits for certain engines doesn't hold up others.
+            if (!place_item(*job, index, now, out) && !is_tied) {
                 break;
             }
-            start(*job, index, *engine, now, out);
         }
     }
 }
 
+bool item_planner::place_item(job_state& job, std::size_t index,
+                              steady_time now, planner_commands& out) {
+    item_state& item = job.items[index];
+    const roster_entry* engine = choose_engine(job, item, item.progress, now);
+    if (engine == nullptr && item.progress.events > 0 &&
+        is_text_hopeless(job, item, now)) {
+        out.emplace_back(discard_text{.job = job.record.id,
+                                      .item = job.submission->items[index].id,
+                                      .origin = item.progress.origin,
+                                      .events = item.progress.events});
+        item.progress = {};
+        item.discard_text_at.reset();
+        engine = choose_engine(job, item, item.progress, now);
+    }
+    if (engine == nullptr) {
+        return false;
+    }
+    start(job, index, *engine, now, out);
+    return true;
+}
+
+bool item_planner::is_text_hopeless(const job_state& job, item_state& item,
+                                    steady_time now) const {
+    if (!roster_.has_software(item.progress.origin.software)) {
+        return true;
+    }
+    // Waits only if an engine could start the item anew meanwhile.
+    if (choose_engine(job, item, {}, now) == nullptr) {
+        return false;
+    }
+    if (!item.discard_text_at) {
+        const std::chrono::duration<double, std::milli> regeneration(
+            static_cast<double>(item.progress.events) *
+            roster_.typical_event_milliseconds());
+        item.discard_text_at =
+            now +
+            std::chrono::duration_cast<steady_time::duration>(regeneration);
+    }
+    return now >= *item.discard_text_at;
+}
+
 bool item_planner::is_stalled(const run_state& run, steady_time now) const {
     const auto silence = now - run.last_event_at;
     const roster_entry* const engine = roster_.find(run.upstream);
@@ -686,8 +746,8 @@
         const auto owner = jobs_.find(run.job);
         if (run.upstream != upstream || run.model != model || run.is_stopping ||
             owner == jobs_.end() ||
-            choose_engine(owner->second, owner->second.items[run.item], now) ==
-                nullptr) {
+            choose_engine(owner->second, owner->second.items[run.item],
+                          run.progress, now) == nullptr) {
             continue;
         }
         run.is_stopping = true;
@@ -717,8 +777,10 @@
 }
 
 void item_planner::move_stragglers(steady_time now, planner_commands& out) {
-    // The best engine with room for each model, chosen again after each move.
-    std::map<std::string, const roster_entry*> targets;
+    // The best engine with room for each model and software, chosen again after
+    // each move.
+    std::map<std::pair<std::string, software_version>, const roster_entry*>
+        targets;
     std::size_t moves = 0;
     for (auto& [ticket, run] : runs_) {
         const auto owner = jobs_.find(run.job);
@@ -734,9 +796,11 @@
         if (item.moves >= options_.max_moves) {
             continue;
         }
-        const auto [known, is_new] = targets.try_emplace(run.model, nullptr);
+        const std::pair key(run.model, run.progress.origin.software);
+        const auto [known, is_new] = targets.try_emplace(key, nullptr);
         if (is_new) {
-            known->second = choose_engine(owner->second, item, now);
+            known->second =
+                choose_engine(owner->second, item, run.progress, now);
         }
         const roster_entry* const target = known->second;
         if (target == nullptr || !roster_.is_measured(*target) ||
@@ -746,7 +810,7 @@
         ++item.moves;
         run.is_stopping = true;
         out.emplace_back(stop_run{.ticket = ticket});
-        targets.erase(run.model);
+        targets.erase(key);
         if (++moves >= options_.moves_per_round) {
             break;
         }
@@ -769,7 +833,8 @@
                                   .base_events = run.saved_events,
                                   .events = run.progress.events,
                                   .text = run.progress.text.substr(begin),
-                                  .versions = run.progress.versions});
+                                  .versions = run.progress.versions,
+                                  .origin = run.progress.origin});
         run.saved_events = run.progress.events;
         run.saved_bytes = run.progress.text.size();
     }
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -20,6 +20,21 @@
 
 namespace savorydock {
 
+/// Identifies one run or one scoring of an item. Never reused.
+using run_ticket = std::uint64_t;
+
+/// Where a text comes from. Texts of different origins must not be joined.
+struct text_origin {
+    /// Engines of other software can't continue the text. Empty if not known,
+    /// then none can.
+    software_version software;
+    /// The run that generated the first event.
+    run_ticket first_run = 0;
+
+    bool operator==(const text_origin&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(text_origin, (), (software, first_run))
+
 /// The text that was generated so far for an item, and the weight versions
 /// that generated it.
 struct item_progress {
@@ -28,11 +43,9 @@
     /// requests the next event from the engine.
     std::uint64_t events = 0;
     std::vector<weight_version> versions;
+    text_origin origin;
 };
 
-/// Identifies one run or one scoring of an item. Never reused.
-using run_ticket = std::uint64_t;
-
 /// How the run of an item ended.
 enum class run_end : std::uint8_t {
     /// The text is complete.
@@ -84,10 +97,11 @@
     std::string score;
     /// If this is a scoring: the run that generated the text; 0 if not known.
     run_ticket text_ticket = 0;
+    text_origin origin;
 };
 BOOST_DESCRIBE_STRUCT(held_run, (),
                       (ticket, job, id, is_scoring, has_ended, upstream, events,
-                       text, versions, score, text_ticket))
+                       text, versions, score, text_ticket, origin))
 
 struct run_report {
     run_ticket ticket = 0;
@@ -160,18 +174,28 @@
     std::uint64_t events = 0;
     std::string text;
     std::vector<weight_version> versions;
+    text_origin origin;
 };
 BOOST_DESCRIBE_STRUCT(saved_progress, (),
-                      (item, base_events, events, text, versions))
+                      (item, base_events, events, text, versions, origin))
 
 struct save_progress {
     job_id job;
     std::vector<saved_progress> parts;
 };
 
+/// An item starts from its first event again, because no engine can continue
+/// its text in time. For the log.
+struct discard_text {
+    job_id job;
+    item_id item;
+    text_origin origin;
+    std::uint64_t events = 0;
+};
+
 using planner_command =
     std::variant<start_run, stop_run, release_run, start_scoring,
-                 commit_results, save_progress>;
+                 commit_results, save_progress, discard_text>;
 using planner_commands = std::vector<planner_command>;
 
 /// Settings of a job that come from its route.
@@ -255,6 +279,9 @@
 /// - Items wait here and are never queued at an engine.
 /// - Long items move off slow engines once other slots are free, and off
 ///   engines that start to load weights, which would delay them by a second.
+/// - A text is continued only by an engine of the software that began it. If
+///   such engines exist but none has room, the item waits for one no longer
+///   than its text would take to be generated again; then it starts anew.
 ///
 /// A result is listed once it is in the job's list in the store, where the
 /// trainer can read it.
@@ -385,6 +412,9 @@
         std::uint64_t expected_tokens = 0;
         std::uint64_t prompt_tokens = 0;
         item_progress progress;
+        /// While no engine that can continue the text has room: when the text
+        /// is discarded.
+        std::optional<steady_time> discard_text_at;
         std::string score;
         bool is_given_up = false;
         /// The text has its last event.
@@ -463,8 +493,17 @@
 
     void add_items(job_state& job);
     void place_items(steady_time now, planner_commands& out);
+    /// Places the item if an engine has room.
+    bool place_item(job_state& job, std::size_t item, steady_time now,
+                    planner_commands& out);
+    /// Whether the item should start anew instead of waiting for an engine that
+    /// can continue its text. Precondition: no such engine has room now.
+    [[nodiscard]] bool is_text_hopeless(const job_state& job, item_state& item,
+                                        steady_time now) const;
+    /// Returns the best engine to continue the text, or null.
     [[nodiscard]] const roster_entry* choose_engine(const job_state& job,
                                                     const item_state& item,
+                                                    const item_progress& text,
                                                     steady_time now) const;
     /// Cache tokens that the item is expected to fill.
     [[nodiscard]] std::uint64_t
@@ -494,6 +533,9 @@
     /// Appends the events. Returns false if earlier events are missing.
     [[nodiscard]] static bool append_delta(item_progress& progress,
                                            const run_delta& delta);
+    /// Whether the job allows the weight versions of the text.
+    [[nodiscard]] static bool
+    has_allowed_versions(const item_progress& progress, const job_state& job);
     /// Whether a run of the job may continue the text.
     [[nodiscard]] static bool is_reusable(const item_progress& progress,
                                           const job_state& job);
--- a/servers/batch/run_message.hpp
+++ b/servers/batch/run_message.hpp
@@ -42,11 +42,13 @@
     std::vector<weight_version> versions;
     /// Of a scoring: the run that generated the text; 0 if not known.
     run_ticket text_ticket = 0;
+    /// Of the text so far, or of the text that this run begins.
+    text_origin origin;
 };
 BOOST_DESCRIBE_STRUCT(run_task, (),
                       (ticket, is_scoring, job, id, host, path, headers, body,
                        upstream, address, min_version, is_single_version,
-                       after_event, text, versions, text_ticket))
+                       after_event, text, versions, text_ticket, origin))
 
 /// Message from the planner of a service to an instance that runs its items.
 /// Without tasks or tickets it serves as a heartbeat of the planner.
--- a/tests/drivers/batch/run_host_test.cpp
+++ b/tests/drivers/batch/run_host_test.cpp
@@ -32,7 +32,9 @@
                              .job = job_id(job),
                              .id = "i",
                              .upstream = upstream_id("u"),
-                             .address = address});
+                             .address = address,
+                             .origin = {.software = software_version("v1"),
+                                        .first_run = ticket}});
         host.on_order(instance_id("planner"), std::move(one));
     }
 
@@ -96,6 +98,30 @@
     EXPECT_TRUE(updates[0].held.empty());
 }
 
+// The next planner must not continue the text at other software.
+TEST_F(run_host_test, held_text_names_its_origin) {
+    raw_upstream engine([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write("HTTP/1.1 200 OK\r\nRequest-Id: i\r\n"
+                         "Weight-Versions: 1\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n"
+                         "f\r\nid: 1\ndata: t\n\n\r\n");
+        connection.read_request();
+    });
+    order(1, "open", to_text(engine.address()));
+    context.run_for(100ms);
+    updates.clear();
+    host.on_order(
+        instance_id("next"),
+        {.service = service_name("e"), .term = 9, .is_takeover = true});
+    ASSERT_EQ(updates.size(), 1U);
+    ASSERT_EQ(updates[0].held.size(), 1U);
+    EXPECT_EQ(updates[0].held[0].events, 1U);
+    EXPECT_EQ(
+        updates[0].held[0].origin,
+        (text_origin{.software = software_version("v1"), .first_run = 1}));
+}
+
 // A planner gives a lost runner no runs, so only a probe shows that it is back.
 TEST_F(run_host_test, probe_of_an_idle_runner_is_answered) {
     host.on_order(
--- a/tests/drivers/store/store_test.cpp
+++ b/tests/drivers/store/store_test.cpp
@@ -228,6 +228,29 @@
     EXPECT_EQ(texts.at(0).events, 3U);
 }
 
+// The item began anew at other software, or from its first event.
+TEST_F(store_test, saved_texts_of_two_origins_are_not_joined) {
+    accept();
+    const held_term term = hold();
+    const auto save = [&](std::uint64_t base, std::uint64_t events,
+                          run_ticket first_run, const std::string& software) {
+        save_progress saved = make_saved("j", base, events, software);
+        saved.parts[0].origin = {.software = software_version(software),
+                                 .first_run = first_run};
+        save_all(term, {saved});
+    };
+    save(0, 20, 1, "v1");
+    save(0, 15, 2, "v2");
+    save(15, 20, 2, "v2");
+    save(20, 30, 2, "v2");
+    save(20, 40, 3, "v1");
+    const auto texts = run(jobs.load_progress(job_id("j")));
+    ASSERT_EQ(texts.size(), 1U);
+    EXPECT_EQ(texts.at(0).text, "v1");
+    EXPECT_EQ(texts.at(0).events, 20U);
+    EXPECT_EQ(texts.at(0).origin.software, software_version("v1"));
+}
+
 // Load pattern: all open jobs save their texts at the same interval.
 TEST_F(store_test, texts_of_several_jobs_share_a_write) {
     accept();
