Test answers that stop in their head or never end, in all three callers

Endless events and failures of streams are bounded; a failure before the first event is passed on whole.

--- a/tests/drivers/batch/item_runner_test.cpp
+++ b/tests/drivers/batch/item_runner_test.cpp
@@ -76,6 +76,20 @@
     EXPECT_EQ(record->progress.events, 4U);
 }
 
+TEST_F(item_runner_test, unfinished_head_of_an_answer_is_no_text) {
+    for (const char* const head :
+         {"HTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 200 OK\r\nRequest-Id: i\r\nWeight-Versions: 1\r\n",
+          "HTTP/1.1 200 OK\r\nRequest-Id: i\r\nWeight-Versions: 1\r\n"
+          "Content-Length: 0\r\n"}) {
+        raw_upstream upstream([&](raw_connection& connection, std::size_t) {
+            connection.read_request();
+            connection.write(head);
+        });
+        EXPECT_EQ(run(upstream), run_end::interrupted) << head;
+    }
+}
+
 // Bytes alone are no progress: a stalled engine may still send comments.
 TEST_F(item_runner_test, stalled_stream_with_comments_is_interrupted) {
     raw_upstream upstream([](raw_connection& connection, std::size_t) {
--- a/tests/drivers/front/plain_caller_test.cpp
+++ b/tests/drivers/front/plain_caller_test.cpp
@@ -131,6 +131,23 @@
     EXPECT_FALSE(result.may_have_run);
 }
 
+TEST_F(plain_caller_test, unfinished_head_of_an_answer_is_no_success) {
+    for (const char* const head :
+         {"HTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Stamp: s\r\n",
+          "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Stamp: s\r\n"
+          "Content-Length: 0\r\n"}) {
+        raw_upstream upstream([&](raw_connection& connection, std::size_t) {
+            connection.read_request();
+            connection.write(head);
+        });
+        use(upstream);
+        const plain_call_result result = call("a");
+        EXPECT_FALSE(result.answer) << head;
+        EXPECT_TRUE(result.may_have_run) << head;
+    }
+}
+
 TEST_F(plain_caller_test, success_without_an_id_is_not_used) {
     raw_upstream upstream([](raw_connection& connection, std::size_t) {
         connection.read_request();
--- a/tests/drivers/front/stream_forwarding_test.cpp
+++ b/tests/drivers/front/stream_forwarding_test.cpp
@@ -371,3 +371,59 @@
         EXPECT_EQ(answer->status, 502U);
     }
 }
+
+TEST_F(stream_forwarding_test, event_without_end_is_cut) {
+    std::size_t written = 0;
+    raw_upstream endless([&](raw_connection& connection, std::size_t) {
+        const std::string id =
+            header_of(connection.read_request(), "Request-Id");
+        connection.write("HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+                         "\r\nServer-Stamp: s\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n");
+        written = connection.write_until_closed(chunk(std::string(8'192, 'x')));
+    });
+    upstream_entry entry = old_engine.entry("a");
+    entry.address = endless.address();
+    set_upstreams({entry});
+    EXPECT_FALSE(send("1"));
+    EXPECT_LT(written, 32U << 20U);
+}
+
+// A failure without end is no answer either.
+TEST_F(stream_forwarding_test, failure_without_end_is_not_passed_on) {
+    raw_upstream endless([&](raw_connection& connection, std::size_t) {
+        const std::string id =
+            header_of(connection.read_request(), "Request-Id");
+        connection.write("HTTP/1.1 500 Internal Server Error\r\nRequest-Id: " +
+                         id + "\r\nTransfer-Encoding: chunked\r\n\r\n");
+        connection.write_until_closed(chunk(std::string(8'192, 'x')));
+    });
+    upstream_entry entry = old_engine.entry("a");
+    entry.address = endless.address();
+    set_upstreams({entry});
+    const auto answer = send("1");
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->status, 502U);
+}
+
+TEST_F(stream_forwarding_test, failure_before_the_first_event_is_passed_on) {
+    old_engine.answer =
+        "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: 1\r\n"
+        "Server-Stamp: s\r\nContent-Length: 4\r\n\r\nbody";
+    set_upstreams({old_engine.entry("a")});
+    const auto answer = send("1");
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->status, 500U);
+    EXPECT_EQ(answer->body, "body");
+    EXPECT_EQ(answer->header("Server-Stamp"), "s");
+}
+
+TEST_F(stream_forwarding_test, success_without_a_signature_is_no_stream) {
+    old_engine.answer = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
+                        "Content-Length: 0\r\n\r\n";
+    set_upstreams({old_engine.entry("a"), new_engine.entry("b")});
+    const auto answer = send("1");
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->status, 200U);
+    EXPECT_EQ(new_engine.starts(), std::vector<std::uint64_t>{1});
+}
