Send nothing to an upstream that said in an answer that it leaves

An upstream that leaves says so in each answer (Server-Leaving). A mark now holds for the upstream's id and start, whatever a lagging list says afterwards; it is looked at where each path chooses and again right before the bytes go out: plain calls, retries, waiting calls, scoring, streams, take-ups, items. A runner refuses items for it itself and tells the planner at once; the list that planners use counts it as draining. Idle connections to it are closed. A later start under the same id serves again.

Not read: load reports, whose answers name no upstream. Telling other instances isn't built: an answer with the header is served, so nothing is lost by a first request.

--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -629,6 +629,18 @@
             result_locations_[score.ticket] = runner;
         }
     }
+    bool has_news = false;
+    for (const upstream_id& upstream : update.leaving) {
+        if (fleet_.pool.mark_leaving(upstream)) {
+            log_.write(log_event::upstream_leaving,
+                       "upstream=" + upstream.text() +
+                           " source=runner runner=" + runner.text());
+            has_news = true;
+        }
+    }
+    if (has_news) {
+        fleet_.on_leaving();
+    }
     runners_.on_heard(runner);
     adopt_found_runs(runner, update, now);
     std::vector<run_ticket> missing;
--- a/drivers/batch/item_runner.cpp
+++ b/drivers/batch/item_runner.cpp
@@ -1,5 +1,6 @@
 #include "drivers/batch/item_runner.hpp"
 
+#include "drivers/front/leaving_notice.hpp"
 #include "drivers/front/request_limit.hpp"
 #include "drivers/http/event_splitter.hpp"
 #include "platform/batch_codec.hpp"
@@ -135,10 +136,20 @@
     http_request request = platform::make_item_request(
         task->id, task->host, task->path, headers, task->body, marks);
     const steady_time open_deadline = now() + first_event_timeout;
-    call_options options{.is_own_answer = [&](const http_headers& received) {
-        return platform::may_answer(task->id,
-                                    platform::decode_answer_metadata(received));
-    }};
+    const auto is_leaving = [this, &task] {
+        return fleet_.pool.is_leaving(task->upstream);
+    };
+    if (is_leaving()) {
+        on_leaving_(*task);
+        co_return run_end::not_run;
+    }
+    call_options options{
+        .may_write = [&is_leaving] { return !is_leaving(); },
+        .is_own_answer =
+            [&](const http_headers& received) {
+                return platform::may_answer(
+                    task->id, platform::decode_answer_metadata(received));
+            }};
     auto opened = co_await client_.open(*address, std::move(request),
                                         open_deadline, std::move(options));
     if (!opened) {
@@ -147,6 +158,10 @@
     http_stream& stream = **opened;
     const auto answer = platform::decode_answer_metadata(stream.headers());
     record_request_limit(fleet_, task->upstream, answer, log_);
+    if (record_leaving(fleet_, task->upstream, *address, answer, client_,
+                       log_)) {
+        on_leaving_(*task);
+    }
     if (answer.request_limit || !answer.is_not_run) {
         on_limit_(*task, answer.request_limit);
     }
--- a/drivers/batch/item_runner.hpp
+++ b/drivers/batch/item_runner.hpp
@@ -44,6 +44,10 @@
     using limit_handler =
         std::function<void(const run_task& task, std::optional<double> limit)>;
 
+    /// Called when an upstream said that it leaves, or a run was refused
+    /// because it had said so.
+    using leaving_handler = std::function<void(const run_task& task)>;
+
     /// All references must outlive the runner.
     item_runner(http_client& client, plain_caller& scorers, fleet_state& fleet,
                 logger& log);
@@ -55,6 +59,9 @@
                                         std::shared_ptr<run_record> record);
 
     void on_limit(limit_handler handler) { on_limit_ = std::move(handler); }
+    void on_leaving(leaving_handler handler) {
+        on_leaving_ = std::move(handler);
+    }
 
     /// Scores a finished text. Retries until it has a score, the scorer has
     /// failed as often as its route allows, or the coroutine is cancelled; the
@@ -68,6 +75,7 @@
     fleet_state& fleet_;
     logger& log_;
     limit_handler on_limit_ = [](const run_task&, std::optional<double>) {};
+    leaving_handler on_leaving_ = [](const run_task&) {};
 };
 
 } // namespace savorydock
--- a/drivers/batch/run_host.cpp
+++ b/drivers/batch/run_host.cpp
@@ -64,6 +64,7 @@
     runner_.on_limit([this](const run_task& task, std::optional<double> limit) {
         on_limit(task, limit);
     });
+    runner_.on_leaving([this](const run_task& task) { on_leaving(task); });
 }
 
 void run_host::on_order(const instance_id& planner, runner_command order) {
@@ -188,6 +189,17 @@
         });
 }
 
+void run_host::on_leaving(const run_task& task) {
+    const auto run = runs_.find(task.ticket);
+    if (run == runs_.end()) {
+        return;
+    }
+    // The planner must know before it places the next items.
+    runner_update update{.service = run->second->service};
+    update.leaving.push_back(task.upstream);
+    report_(run->second->planner, std::move(update));
+}
+
 void run_host::on_limit(const run_task& task, std::optional<double> limit) {
     const auto run = runs_.find(task.ticket);
     const auto known = limits_.find(task.upstream);
--- a/drivers/batch/run_host.hpp
+++ b/drivers/batch/run_host.hpp
@@ -79,6 +79,7 @@
         steady_time answered_at;
     };
 
+    void on_leaving(const run_task& task);
     void on_limit(const run_task& task, std::optional<double> limit);
     [[nodiscard]] std::vector<observed_limit>
     limits_of(const service_name& service, steady_time now) const;
--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -1,5 +1,6 @@
 #include "drivers/front/plain_caller.hpp"
 
+#include "drivers/front/leaving_notice.hpp"
 #include "drivers/front/request_limit.hpp"
 #include "platform/request_codec.hpp"
 #include "servers/delivery/request_fingerprint.hpp"
@@ -123,14 +124,17 @@
     }
     call_guard guard(fleet_.pool, upstream.id);
     http_request request = platform::forward_request(call.request, metadata);
-    call_options options{.use = call.route.kind == request_kind::idempotent
-                                    ? connection_use::reuse
-                                    : connection_use::fresh,
-                         .is_own_answer = [&call](const http_headers& headers) {
-                             return platform::may_answer(
-                                 call.id,
-                                 platform::decode_answer_metadata(headers));
-                         }};
+    call_options options{
+        .use = call.route.kind == request_kind::idempotent
+                   ? connection_use::reuse
+                   : connection_use::fresh,
+        .may_write =
+            [this, &upstream] { return fleet_.pool.is_available(upstream.id); },
+        .is_own_answer =
+            [&call](const http_headers& headers) {
+                return platform::may_answer(
+                    call.id, platform::decode_answer_metadata(headers));
+            }};
     auto answer = co_await client_.call(upstream.address, std::move(request),
                                         deadline, std::move(options));
     if (!answer) {
@@ -142,6 +146,8 @@
     const auto answer_metadata =
         platform::decode_answer_metadata(answer->headers);
     record_request_limit(fleet_, upstream.id, answer_metadata, log_);
+    record_leaving(fleet_, upstream.id, upstream.address, answer_metadata,
+                   client_, log_);
     if (answer_metadata.is_not_run || answer->status == status_misdirected) {
         guard.end(answer->status == status_misdirected ? call_outcome::failed
                                                        : call_outcome::full);
--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -1,5 +1,6 @@
 #include "drivers/front/stream_forwarder.hpp"
 
+#include "drivers/front/leaving_notice.hpp"
 #include "drivers/front/request_limit.hpp"
 #include "drivers/http/event_splitter.hpp"
 #include "platform/batch_codec.hpp"
@@ -215,12 +216,15 @@
     }
     http_request forwarded =
         platform::forward_request(request.exchange.request(), marks);
-    call_options options{.use = connection_use::fresh,
-                         .is_own_answer = [&call](const http_headers& headers) {
-                             return platform::may_answer(
-                                 call.id.text(),
-                                 platform::decode_answer_metadata(headers));
-                         }};
+    call_options options{
+        .use = connection_use::fresh,
+        .may_write =
+            [this, &upstream] { return fleet_.pool.is_available(upstream.id); },
+        .is_own_answer =
+            [&call](const http_headers& headers) {
+                return platform::may_answer(
+                    call.id.text(), platform::decode_answer_metadata(headers));
+            }};
     log_.write(log_event::stream_sent,
                "request=" + call.id.text() + " route=" + request.route.name +
                    " upstream=" + upstream.id.text() +
@@ -241,6 +245,8 @@
     http_stream& stream = **opened;
     const auto metadata = platform::decode_answer_metadata(stream.headers());
     record_request_limit(fleet_, upstream.id, metadata, log_);
+    record_leaving(fleet_, upstream.id, upstream.address, metadata, client_,
+                   log_);
     if (metadata.is_not_run || stream.status() == status_misdirected) {
         co_return attempt_end::may_retry;
     }
--- a/drivers/node/fleet_mirror.cpp
+++ b/drivers/node/fleet_mirror.cpp
@@ -20,7 +20,9 @@
     , log_(log)
     , operator_listener_(*this)
     , upstream_listener_(*this)
-    , removal_timer_(context) {}
+    , removal_timer_(context) {
+    fleet_.on_leaving = [this] { publish_upstreams(); };
+}
 
 void fleet_mirror::operator_listener::on_changes(
     const std::vector<store_change>& changes, bool) {
@@ -180,6 +182,10 @@
         fleet_.upstreams.push_back(entry);
     }
     fleet_.pool.set_upstreams(fleet_.upstreams);
+    for (upstream_entry& entry : fleet_.upstreams) {
+        // Its answers may be ahead of the list.
+        entry.is_draining = entry.is_draining || fleet_.pool.is_leaving(entry);
+    }
     events_.on_fleet_update();
 }
 
--- a/servers/batch/run_message.hpp
+++ b/servers/batch/run_message.hpp
@@ -118,9 +118,11 @@
     std::vector<held_run> held;
     /// Limits that the service's upstreams named or lifted lately.
     std::vector<observed_limit> limits;
+    /// Upstreams that told the instance that they leave.
+    std::vector<upstream_id> leaving;
 };
 BOOST_DESCRIBE_STRUCT(runner_update, (),
                       (service, deltas, ends, scores, active, takeover_term,
-                       held, limits))
+                       held, limits, leaving))
 
 } // namespace savorydock
--- a/servers/fleet/fleet_state.hpp
+++ b/servers/fleet/fleet_state.hpp
@@ -3,6 +3,7 @@
 #include "servers/fleet/route_table.hpp"
 #include "servers/fleet/upstream_pool.hpp"
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -15,6 +16,8 @@
     std::shared_ptr<const route_table> routes;
     std::vector<upstream_entry> upstreams;
     upstream_pool pool;
+    /// Called when an upstream was marked as leaving in `pool`.
+    std::function<void()> on_leaving = [] {};
 };
 
 } // namespace savorydock
--- a/servers/fleet/upstream_pool.cpp
+++ b/servers/fleet/upstream_pool.cpp
@@ -28,6 +28,8 @@
             known.backoff_until = {};
         }
         known.entry = entry;
+        known.entry.is_draining =
+            entry.is_draining || leaving_.is_leaving(entry);
     }
     std::erase_if(upstreams_,
                   [&](const auto& row) { return !listed.contains(row.first); });
@@ -86,6 +88,21 @@
     return best == nullptr ? std::nullopt : std::optional(best->entry);
 }
 
+bool upstream_pool::mark_leaving(const upstream_id& upstream) {
+    const auto found = upstreams_.find(upstream);
+    if (found == upstreams_.end()) {
+        return leaving_.mark(upstream, std::nullopt);
+    }
+    found->second.entry.is_draining = true;
+    return leaving_.mark(upstream, found->second.entry.started_at);
+}
+
+bool upstream_pool::is_leaving(const upstream_id& upstream) const {
+    const auto found = upstreams_.find(upstream);
+    return found == upstreams_.end() ? leaving_.contains(upstream)
+                                     : leaving_.is_leaving(found->second.entry);
+}
+
 bool upstream_pool::is_available(const upstream_id& upstream) const {
     const auto found = upstreams_.find(upstream);
     return found != upstreams_.end() && !found->second.entry.is_draining;
--- a/servers/fleet/upstream_pool.hpp
+++ b/servers/fleet/upstream_pool.hpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.hpp"
 #include "core/random_source.hpp"
+#include "servers/fleet/leaving_marks.hpp"
 #include "servers/fleet/upstream_entry.hpp"
 #include "servers/fleet/upstream_limits.hpp"
 
@@ -77,6 +78,15 @@
     choose(const service_name& service, const std::set<upstream_id>& tried,
            steady_time now, const software_version* software = nullptr) const;
 
+    /// The upstream said that it leaves. It counts as draining from now on,
+    /// whatever the lists say. Returns false if that was known.
+    bool mark_leaving(const upstream_id& upstream);
+    /// Whether the upstream said that it leaves.
+    [[nodiscard]] bool is_leaving(const upstream_id& upstream) const;
+    [[nodiscard]] bool is_leaving(const upstream_entry& entry) const {
+        return leaving_.is_leaving(entry);
+    }
+
     /// Whether the upstream is listed and not draining.
     [[nodiscard]] bool is_available(const upstream_id& upstream) const;
 
@@ -115,6 +125,7 @@
     upstream_pool_options options_;
     std::map<upstream_id, state> upstreams_;
     upstream_limits limits_;
+    leaving_marks leaving_;
 };
 
 } // namespace savorydock
--- a/tests/drivers/batch/run_host_test.cpp
+++ b/tests/drivers/batch/run_host_test.cpp
@@ -155,6 +155,29 @@
         << "a new planner learns the limit from the periodic reports";
 }
 
+// Otherwise the planner would place the next items there.
+TEST_F(run_host_test, leaving_engine_is_reported_at_once) {
+    raw_upstream engine([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write("HTTP/1.1 200 OK\r\nRequest-Id: i\r\n"
+                         "Weight-Versions: 1\r\nServer-Leaving: 1\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n");
+        connection.read_request();
+    });
+    order(1, "open", to_text(engine.address()));
+    context.run_for(200ms);
+    ASSERT_EQ(updates.size(), 1U) << "before the first periodic report";
+    EXPECT_EQ(updates[0].leaving, std::vector<upstream_id>{upstream_id("u")});
+    updates.clear();
+    order(2, "open", to_text(engine.address()));
+    context.restart();
+    context.run_for(100ms);
+    ASSERT_EQ(updates.size(), 2U);
+    EXPECT_EQ(updates[0].leaving.size(), 1U);
+    EXPECT_EQ(updates[1].ends.at(0).end, run_end::not_run);
+    EXPECT_EQ(engine.connections(), 1U);
+}
+
 TEST(run_record_test, reports_join_to_the_complete_text) {
     run_record record = run_record::resumed_after(
         {.text = "a\nb", .events = 2, .versions = {1}});
--- a/tests/drivers/front/stream_forwarding_test.cpp
+++ b/tests/drivers/front/stream_forwarding_test.cpp
@@ -59,7 +59,7 @@
         }
         connection.write("HTTP/1.1 200 OK\r\nRequest-Id: " +
                          header_of(request, "Request-Id") +
-                         "\r\nServer-Stamp: s\r\n"
+                         "\r\nServer-Stamp: s\r\n" + headers +
                          "Content-Type: text/event-stream\r\n"
                          "Transfer-Encoding: chunked\r\n\r\n");
         for (std::uint64_t number = first; number <= stream_length; ++number) {
@@ -83,6 +83,8 @@
     std::atomic<std::uint64_t> breaks_after = stream_length;
     /// Events missing at the start of a resumed run.
     std::atomic<std::uint64_t> skipped = 0;
+    /// Added to the answers with a stream. Set it before the first request.
+    std::string headers;
     /// If set, the answer to all requests. Set it before the first request.
     std::string answer;
 
@@ -427,3 +429,19 @@
     EXPECT_EQ(answer->status, 200U);
     EXPECT_EQ(new_engine.starts(), std::vector<std::uint64_t>{1});
 }
+
+TEST_F(stream_forwarding_test, leaving_upstream_finishes_its_stream_only) {
+    old_engine.headers = "Server-Leaving: 1\r\n";
+    set_default("v1");
+    set_upstreams({old_engine.entry("a"), new_engine.entry("b")});
+    for (const char* const id : {"1", "2"}) {
+        const auto answer = send(id);
+        ASSERT_TRUE(answer) << answer.reason().detail;
+        EXPECT_EQ(answer->status, 200U);
+    }
+    EXPECT_EQ(old_engine.starts().size(), 1U);
+    const auto refused = take_up("3", "1", 3);
+    ASSERT_TRUE(refused) << refused.reason().detail;
+    EXPECT_EQ(refused->status, 503U);
+    EXPECT_EQ(old_engine.starts().size(), 1U);
+}
