--- a/tests/servers/batch/item_software_test.cpp
+++ b/tests/servers/batch/item_software_test.cpp
@@ -166,3 +166,40 @@
     add_job(make_job("k", 0, {{100}}));
     EXPECT_EQ(take_commands<start_run>().at(0).progress.events, 0U);
 }
+
+// A release replaces all engines at once: the long text would be cut in its
+// middle after the drain.
+TEST_F(item_software_test, doomed_text_starts_anew_before_its_engine_leaves) {
+    const start_run first = start_on_first();
+    measure(first, 20ms);
+    EXPECT_TRUE(take_commands<stop_run>().empty());
+    engines[0].is_draining = true;
+    publish_engines();
+    // 35 events of 20 ms are left, by the estimate: they fit into the drain.
+    now += 300ms;
+    step();
+    EXPECT_TRUE(take_commands<stop_run>().empty());
+    progress(first.ticket, 70, 71);
+    now += 1'100ms;
+    progress(first.ticket, 71, 72);
+    step();
+    ASSERT_EQ(take_commands<stop_run>().size(), 1U);
+    report(first.ticket, 72, 72, run_end::stopped);
+    const auto next = take_commands<start_run>();
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next[0].upstream, engines[1].id);
+    EXPECT_EQ(next[0].progress.events, 0U);
+}
+
+TEST_F(item_software_test, text_that_can_go_on_elsewhere_runs_until_the_cut) {
+    const start_run first = start_on_first();
+    measure(first, 20ms);
+    engines.push_back(engines[0]);
+    engines[2].id = upstream_id("e2");
+    engines[0].is_draining = true;
+    publish_engines();
+    now += 1'500ms;
+    progress(first.ticket, 70, 72);
+    step();
+    EXPECT_TRUE(take_commands<stop_run>().empty());
+}
