Revert "Start a text anew at once if its last engine won't finish it"

Draining engines often go on longer than the drain, so some of the stopped texts would have been finished.

--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -345,7 +345,7 @@
             own.push_back(entry);
         }
     }
-    engine_settings settings{.drain_time = options_.drain_time};
+    engine_settings settings;
     std::size_t scoring_slots = 0;
     if (fleet_.routes) {
         const service_rule* const rule =
--- a/drivers/batch/engine_driver.hpp
+++ b/drivers/batch/engine_driver.hpp
@@ -29,8 +29,6 @@
     instance_id self;
     double processor_share = 1.0;
     std::chrono::milliseconds lease_time{3'000};
-    /// How long a draining engine goes on with its runs, at least.
-    std::chrono::milliseconds drain_time{2'000};
     /// See `scope_term_options::claim_delay`.
     std::function<std::optional<std::chrono::milliseconds>(const instance_id&)>
         claim_delay =
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -430,7 +430,6 @@
                 .self = settings_.instance,
                 .processor_share = settings_.processor_share,
                 .lease_time = settings_.holder_separation,
-                .drain_time = settings_.change_bound,
                 .claim_delay =
                     [this, scope = term_key(service.name)](
                         const instance_id& last_holder) {
--- a/servers/batch/engine_roster.cpp
+++ b/servers/batch/engine_roster.cpp
@@ -57,11 +57,6 @@
         if (!listed.contains(id)) {
             engine.listed_upstream.is_draining = true;
         }
-        if (!engine.listed_upstream.is_draining) {
-            engine.draining_since.reset();
-        } else if (!engine.draining_since) {
-            engine.draining_since = now;
-        }
     }
     std::erase_if(engines_, [&](const auto& row) {
         return !listed.contains(row.first) && row.second.running == 0;
--- a/servers/batch/engine_roster.hpp
+++ b/servers/batch/engine_roster.hpp
@@ -66,8 +66,6 @@
     /// Gets no new items before this time.
     steady_time not_before{};
     std::uint32_t failures_in_row = 0;
-    /// When the engine was first listed as draining, or no longer listed.
-    std::optional<steady_time> draining_since;
 };
 
 /// Tracks the load and speed of the engines of one service and chooses the
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -736,35 +736,6 @@
     }
 }
 
-void item_planner::stop_doomed(steady_time now, planner_commands& out) {
-    std::size_t stops = 0;
-    for (auto& [ticket, run] : runs_) {
-        const auto owner = jobs_.find(run.job);
-        const roster_entry* const engine = roster_.find(run.upstream);
-        if (owner == jobs_.end() || run.is_stopping || engine == nullptr ||
-            !engine->draining_since ||
-            roster_.has_software(run.progress.origin.software)) {
-            continue;
-        }
-        const item_state& item = owner->second.items[run.item];
-        const std::chrono::duration<double, std::milli> time_left =
-            *engine->draining_since + engine_settings_.drain_time - now;
-        const double time_needed = events_left(run, item) *
-                                   (roster_.is_measured(*engine)
-                                        ? engine->event_milliseconds
-                                        : roster_.typical_event_milliseconds());
-        if (time_needed <= time_left.count() ||
-            choose_engine(owner->second, item, {}, now) == nullptr) {
-            continue;
-        }
-        run.is_stopping = true;
-        out.emplace_back(stop_run{.ticket = ticket});
-        if (++stops >= options_.moves_per_round) {
-            break;
-        }
-    }
-}
-
 void item_planner::on_loading(const upstream_id& upstream,
                               const std::string& model, steady_time now,
                               planner_commands& out) {
@@ -784,18 +755,6 @@
     }
 }
 
-double item_planner::events_left(const run_state& run,
-                                 const item_state& item) const {
-    // Lengths have a long tail: an item that has exceeded its caller's estimate
-    // is assumed to need half as many events again.
-    const auto events_done = static_cast<double>(run.progress.events);
-    return std::max(
-        static_cast<double>(item.expected_tokens) /
-                static_cast<double>(engine_settings_.tokens_per_event) -
-            events_done,
-        events_done / 2);
-}
-
 bool item_planner::is_move_worthwhile(const run_state& run,
                                       const item_state& item,
                                       const roster_entry& current,
@@ -804,8 +763,16 @@
         options_.move_ratio * target.event_milliseconds) {
         return false;
     }
-    const double saved = events_left(run, item) * (current.event_milliseconds -
-                                                   target.event_milliseconds);
+    // Lengths have a long tail: an item that has exceeded its caller's estimate
+    // is assumed to need half as many events again.
+    const auto events_done = static_cast<double>(run.progress.events);
+    const double events_left = std::max(
+        static_cast<double>(item.expected_tokens) /
+                static_cast<double>(engine_settings_.tokens_per_event) -
+            events_done,
+        events_done / 2);
+    const double saved =
+        events_left * (current.event_milliseconds - target.event_milliseconds);
     return saved >= static_cast<double>(options_.min_time_saved.count());
 }
 
@@ -971,7 +938,6 @@
         roster_.update_typical_speed(now);
         drop_old_lost_runs(now);
         stop_stalled(now, out);
-        stop_doomed(now, out);
         move_stragglers(now, out);
     }
     score_items(out);
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -218,8 +218,6 @@
     std::size_t scoring_slots = 1;
     /// Fraction of the request limits of engines that items may use.
     double limit_fraction = 1;
-    /// How long a draining engine goes on with its runs, at least.
-    std::chrono::milliseconds drain_time{2'000};
 };
 
 struct item_planner_options {
@@ -284,8 +282,6 @@
 /// - A text is continued only by an engine of the software that began it. If
 ///   such engines exist but none has room, the item waits for one no longer
 ///   than its text would take to be generated again; then it starts anew.
-///   It does so at once if its engine drains, is the last of its software, and
-///   won't finish the text.
 ///
 /// A result is listed once it is in the job's list in the store, where the
 /// trainer can read it.
@@ -556,12 +552,6 @@
     void retain_texts(const job_state& job);
     void stop_stalled(steady_time now, planner_commands& out);
     [[nodiscard]] bool is_stalled(const run_state& run, steady_time now) const;
-    /// Stops runs on draining engines whose texts can be neither finished nor
-    /// continued, if another engine can start them anew.
-    void stop_doomed(steady_time now, planner_commands& out);
-    /// Estimated number of events that the run's text still needs.
-    [[nodiscard]] double events_left(const run_state& run,
-                                     const item_state& item) const;
     void drop_old_lost_runs(steady_time now);
     /// The ticket of the item's active run, if it has one.
     [[nodiscard]] std::optional<run_ticket>
