End a stream's request when its caller leaves before the answer's header

The wait is raced with the caller's disconnect now, as plain calls do. request_ends_when_its_caller_leaves failed before.

--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -232,8 +232,15 @@
                    " resumes=" + call.resumes.text() +
                    " after_event=" + std::to_string(state.result.last_event) +
                    " begun=" + (state.has_begun ? "1" : "0"));
-    auto opened = co_await client_.open(upstream.address, std::move(forwarded),
-                                        request.deadline, std::move(options));
+    auto answered =
+        co_await (client_.open(upstream.address, std::move(forwarded),
+                               request.deadline, std::move(options)) ||
+                  request.exchange.wait_for_disconnect());
+    if (answered.index() == 1) {
+        state.result.end = stream_end::caller_gone;
+        co_return attempt_end::finished;
+    }
+    auto& opened = std::get<0>(answered);
     if (!opened) {
         request.guard.on_failed(upstream, opened.reason().code);
         const bool may_have_begun =
--- a/tests/drivers/front/stream_forwarding_test.cpp
+++ b/tests/drivers/front/stream_forwarding_test.cpp
@@ -4,7 +4,9 @@
 #include "tests/fakes/fake_users_store.hpp"
 #include "tests/fakes/raw_upstream.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <atomic>
@@ -445,3 +447,30 @@
     EXPECT_EQ(refused->status, 503U);
     EXPECT_EQ(old_engine.starts().size(), 1U);
 }
+
+// The upstream must not work for a caller that has left, also while it only
+// waits for a slot.
+TEST_F(stream_forwarding_test, request_ends_when_its_caller_leaves) {
+    std::promise<void> is_sent;
+    std::promise<void> is_closed;
+    raw_upstream silent([&](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        is_sent.set_value();
+        connection.read_request();
+        is_closed.set_value();
+    });
+    upstream_entry entry = old_engine.entry("a");
+    entry.address = silent.address();
+    set_upstreams({entry});
+    {
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect({asio::ip::make_address(address.address), address.port});
+        asio::write(socket, asio::buffer(std::string(
+                                "GET /stream/a HTTP/1.1\r\nHost: h\r\n"
+                                "Request-Id: 1\r\n\r\n")));
+        is_sent.get_future().wait();
+    }
+    EXPECT_EQ(is_closed.get_future().wait_for(500ms),
+              std::future_status::ready);
+}
