--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -29,6 +29,8 @@
 constexpr std::chrono::milliseconds max_unrecorded_wait{30'000};
 /// Time that the store gets to take the record of a stream.
 constexpr std::chrono::milliseconds max_record_time{1'500};
+/// Time in which nearly all streams end.
+constexpr std::chrono::milliseconds usual_stream_time{5'000};
 /// Crashed upstreams of a version that is being replaced may come back.
 constexpr std::chrono::milliseconds origin_retry_after{1'000};
 
@@ -75,6 +77,11 @@
     progress state;
     state.result.last_event = request.call.last_event.value_or(0);
     state.result.reason = "no upstream took the stream";
+    if (exit_time_ && now() + usual_stream_time > *exit_time_) {
+        state.result.reason = "the instance exits before the stream would end";
+        request.exchange.close_after_answer();
+        co_return std::move(state.result);
+    }
     const bool is_taken_up = state.result.last_event > 0;
     if (request.call.has_invalid_last_event ||
         (is_taken_up && !request.route.is_resumable)) {
--- a/drivers/front/stream_forwarder.hpp
+++ b/drivers/front/stream_forwarder.hpp
@@ -69,6 +69,10 @@
     stream_forwarder(fleet_state& fleet, http_client& client,
                      stream_ledger& ledger, random_source& random, logger& log);
 
+    /// The instance exits at this time. Streams that probably wouldn't end
+    /// before it are refused from now on.
+    void set_exit_time(steady_time time) { exit_time_ = time; }
+
     /// Runs the request. Sends the caller the stream, but neither refusals nor
     /// answers of upstreams without a stream. The references in `request` must
     /// stay valid during the call.
@@ -107,6 +111,7 @@
     stream_ledger& ledger_;
     random_source& random_;
     logger& log_;
+    std::optional<steady_time> exit_time_;
 };
 
 } // namespace savorydock
--- a/tests/drivers/front/stream_forwarding_test.cpp
+++ b/tests/drivers/front/stream_forwarding_test.cpp
@@ -474,3 +474,20 @@
     EXPECT_EQ(is_closed.get_future().wait_for(500ms),
               std::future_status::ready);
 }
+
+// A stream that the exit of the instance would cut is served elsewhere.
+TEST_F(stream_forwarding_test, stream_isnt_begun_shortly_before_the_exit) {
+    set_default("v1");
+    set_upstreams({old_engine.entry("a")});
+    const auto now = std::chrono::steady_clock::now();
+    on_traffic_thread([&] { streams.set_exit_time(now + 7s); });
+    const auto answer = send("1");
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->status, 200U);
+    on_traffic_thread([&] { streams.set_exit_time(now + 4s); });
+    const auto refused = send("2");
+    ASSERT_TRUE(refused) << refused.reason().detail;
+    EXPECT_EQ(refused->status, 503U);
+    EXPECT_EQ(refused->header("Connection"), "close");
+    EXPECT_EQ(old_engine.starts().size(), 1U);
+}
