Add software versions and callers' streams to the fault soak

Engines come back with other software, all instances are killed at once, and callers take broken streams up at any instance; the judge checks that no stream or text is joined from two versions, and that a stream that ends as complete is whole. The soak's store returned binary values in another encoding than it took them in, so keys like c/streams (and the saved texts and marks of crashing requests) never decoded: mended. Two tests of the judge.

--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -119,6 +119,24 @@
         if len(set(ids)) != len(ids):
             self.fail(f"TWICE: an item of {job['id']} stands twice")
 
+    def check_text(self, item, events, count, event_text):
+        """Checks that `events` are the first `count` events of the item, all
+        from one software version."""
+        softwares = {event.rpartition(".")[2] for event in events}
+        if len(softwares) > 1:
+            self.fail(f"ORDER: {item} is joined from {sorted(softwares)}")
+        elif events != [event_text(item, number, software)
+                        for software in softwares
+                        for number in range(1, count + 1)]:
+            self.fail(f"ORDER: text of {item}")
+
+    def on_stream(self, stream, events, is_complete, event_text, events_of):
+        """Checks what a caller has of its stream over all its attempts."""
+        self.counts["streams whole" if is_complete else "streams cut"] += 1
+        self.check_text(
+            stream, events, events_of(stream) if is_complete else len(events),
+            event_text)
+
     def check_row(self, job, row, event_text, events_of):
         item = row["id"]
         self.counts["results"] += 1
@@ -130,8 +148,8 @@
                 self.fail(f"MIXED: {item} is lost without a reason")
             return
         numbers = range(1, events_of(item) + 1)
-        if row["text"] != "\n".join(event_text(item, n) for n in numbers):
-            self.fail(f"ORDER: text of {item}")
+        self.check_text(item, row["text"].split("\n"), len(numbers),
+                        event_text)
         made = [self.versions[item, n] for n in numbers]
         if not set(row["versions"]) <= set().union(*made):
             self.fail(f"VERSION: {item} names {row['versions']}")
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -53,6 +53,21 @@
         self.page({**self.row, "text": self.row["text"].partition("\n")[2]})
         self.assert_violation("ORDER")
 
+    def test_text_joined_from_two_software_versions_is_caught(self):
+        first, _, rest = self.row["text"].partition("\n")
+        self.page({**self.row, "text": first + "\n" +
+                   rest.replace(".v1", ".v2")})
+        self.assert_violation("ORDER")
+
+    def test_stream_is_judged_by_its_events_and_its_end(self):
+        events = [event_text("s", n) for n in range(1, events_of("s") + 1)]
+        self.judge.on_stream("s", events, True, event_text, events_of)
+        self.judge.on_stream("s", events[:3], False, event_text, events_of)
+        self.judge.on_stream("s", [], False, event_text, events_of)
+        self.assertEqual(self.judge.violations, [])
+        self.judge.on_stream("s", events[:3], True, event_text, events_of)
+        self.assert_violation("ORDER")
+
     def test_version_that_made_nothing_is_caught(self):
         self.page({**self.row, "versions": [2, 3]})
         self.assert_violation("VERSION")
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -37,6 +37,9 @@
     {"name": "once", "prefix": "/once/", "route_type": "unsafe",
      "service": "plain", "max_attempts": 1, "timeout_ms": 2000,
      "target_latency_ms": 200, "priority": 2},
+    {"name": "stream", "prefix": "/stream/", "route_type": "streaming",
+     "resumable": True, "service": "engine", "max_attempts": 3,
+     "timeout_ms": 8000, "target_latency_ms": 400, "priority": 1},
     {"name": "job", "prefix": "/job/", "route_type": "rollout",
      "service": "engine", "max_attempts": 3, "timeout_ms": 10000,
      "target_latency_ms": 400, "run_target_ms": 8000, "queue_ttl_s": 120,
@@ -125,6 +128,52 @@
                                  headers.get("Server-Stamp"), answer)
             await asyncio.sleep(self.random.uniform(0.02, 0.2))
 
+    async def call_streams(self):
+        """Takes broken streams up again, at any instance."""
+        while not self.is_over:
+            stream, events, is_complete = uuid.uuid4().hex, [], False
+            for attempt in range(6):
+                headers = {"Request-Id": stream, "Deadline-Ms": "8000"}
+                if events:
+                    headers.update({"Request-Id": uuid.uuid4().hex,
+                                    "Resumes": first,
+                                    "Last-Event-Id": str(len(events))})
+                    self.judge.counts["take-ups"] += 1
+                elif attempt:
+                    headers["Request-Id"] = uuid.uuid4().hex
+                first = first if events else headers["Request-Id"]
+                is_complete, status = await self.read_stream(
+                    stream, headers, events)
+                if is_complete:
+                    break
+                if status == 503 and events:
+                    self.judge.counts["take-ups refused"] += 1
+                await asyncio.sleep(0.2)
+            self.judge.on_stream(stream, events, is_complete, event_text,
+                                 events_of)
+            await asyncio.sleep(self.random.uniform(0.02, 0.3))
+
+    async def read_stream(self, stream, headers, events):
+        """Appends the data of complete events to `events`. Returns whether the
+        stream ended as complete, and the status, which is 0 without one."""
+        status, buffer = 0, b""
+        try:
+            async with self.session.post(
+                    self.url("/stream/x"), data=stream.encode(),
+                    headers={"Host": "h.example", **headers},
+                    timeout=aiohttp.ClientTimeout(total=8)) as answer:
+                status = answer.status
+                if status != 200:
+                    return False, status
+                async for data in answer.content.iter_any():
+                    buffer += data
+                    while b"\n\n" in buffer:
+                        event, _, buffer = buffer.partition(b"\n\n")
+                        events.append(event.rpartition(b"data: ")[2].decode())
+                return True, status
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+            return False, status
+
     def make_job(self):
         job = {"id": uuid.uuid4().hex,
                "min_version": max(1, self.target_version - 1),
@@ -224,6 +273,9 @@
                       lambda: node.proxy.set_mode("pass")),
             "kill": (node.name, lambda: node.send(signal.SIGKILL), nothing),
             "term": (node.name, lambda: node.send(signal.SIGTERM), nothing),
+            "kill_all": ("all instances",
+                         lambda: [one.send(signal.SIGKILL)
+                                  for one in self.nodes], nothing),
             "pause": (node.name, lambda: node.send(signal.SIGSTOP),
                       lambda: node.send(signal.SIGCONT)),
             "reload": (node.name, node.reload, nothing),
@@ -237,6 +289,10 @@
             "crash": (worker.id,
                       lambda: worker.is_down or asyncio.ensure_future(
                           worker.crash(seconds)), nothing),
+            "release": (worker.id,
+                        lambda: worker.is_down or asyncio.ensure_future(
+                            worker.crash(0.1, self.random.choice(
+                                ["v1", "v2"]))), nothing),
         }
 
     async def inject_faults(self):
@@ -313,7 +369,8 @@
         tasks = [asyncio.ensure_future(task) for task in (
             self.inject_faults(), self.run_trainer(), self.run_trainer(),
             self.call_plain_services(), self.call_plain_services(),
-            self.call_plain_services())]
+            self.call_plain_services(), self.call_streams(),
+            self.call_streams(), self.call_streams())]
         await asyncio.sleep(self.options.seconds)
         tasks[0].cancel()
         await asyncio.gather(*self.faults)
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -10,7 +10,7 @@
 
 
 def encode(value):
-    return base64.b64encode(value.encode()).decode()
+    return base64.b64encode(value.encode("latin-1")).decode()
 
 
 class Store:
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -17,8 +17,8 @@
     return 10 + int(hashlib.sha256(item.encode()).hexdigest()[:4], 16) % 50
 
 
-def event_text(item, number):
-    return f"{item}.{number}"
+def event_text(item, number, software="v1"):
+    return f"{item}.{number}.{software}"
 
 
 class Worker:
@@ -31,6 +31,7 @@
         self.running = 0
         self.is_down = False
         self.version = 1
+        self.software = "v1"
         self.orders = 0
         self.busy_until = 0.0
         self.heartbeats = 0
@@ -47,7 +48,7 @@
         self.heartbeats += 1
         return json.dumps({
             "service": self.service, "address": self.address,
-            "zone": self.zone, "version": "v1", "slots": self.slots,
+            "zone": self.zone, "version": self.software, "slots": self.slots,
             "state": "ready", "cold_left_ms": 0, "stage": "both",
             "models": [{"name": "m", "version": self.version, "adapters": []}]
             if self.service == "engine" else [],
@@ -56,14 +57,15 @@
     async def register(self):
         await self.store.put("servers/" + self.id, self.entry())
 
-    async def crash(self, seconds):
+    async def crash(self, seconds, software=None):
         """Closes all streams, becomes unreachable for `seconds`, then
-        registers again under a new ID."""
+        registers again under a new ID, with other software if given."""
         self.is_down = True
         for task in list(self.tasks):
             task.cancel()
         await self.store.put("servers/" + self.id, None)
         await asyncio.sleep(seconds)
+        self.software = software or self.software
         self.reset_identity()
         self.is_down = False
         await self.register()
@@ -131,7 +133,7 @@
         self.tasks.add(task)
         try:
             if self.service == "engine":
-                return await self.stream(request)
+                return await self.stream(request, body)
             return await self.call(request, body)
         except (asyncio.CancelledError, ConnectionResetError):
             # The worker crashed or the caller closed its connection.
@@ -151,12 +153,18 @@
         return web.Response(body=b"answer:" + body, headers={
             "Request-Id": request_id, "Server-Stamp": stamp})
 
-    async def stream(self, request):
-        item = request.headers["Request-Id"]
+    async def stream(self, request, body):
+        request_id = request.headers["Request-Id"]
         number = int(request.headers.get("Last-Event-Id", 0))
-        self.judge.on_item(item, number)
+        if request.path.startswith("/stream/"):
+            # All attempts of a caller's stream have its first id as body.
+            item = body.decode()
+        else:
+            item = request_id
+            self.judge.on_item(item, number)
+        software = self.software
         response = web.StreamResponse(headers={
-            "Request-Id": item, "Server-Stamp": "s-" + uuid.uuid4().hex[:8],
+            "Request-Id": request_id, "Server-Stamp": "s-" + uuid.uuid4().hex[:8],
             "Content-Type": "text/event-stream",
             "Weight-Versions": str(self.version)})
         version = self.version
@@ -172,7 +180,7 @@
                 prefix = f"weight-versions:{version}\n"
             self.judge.on_event(item, number, version)
             await response.write(
-                f"{prefix}id: {number}\ndata: {event_text(item, number)}\n\n"
-                .encode())
+                (f"{prefix}id: {number}\n"
+                 f"data: {event_text(item, number, software)}\n\n").encode())
         await response.write_eof()
         return response
