Tell the planner of a limit that an engine names to a caller's stream

The change of a limit is now reported to the service's planner whoever sees it, and again with the next reports. Ruled out: the division between streams and items, whose worst case stays below what is allowed.

run_host_test.limit_named_to_a_caller_* and plain_caller_test.change_of_a_limit_* cover the two halves; they have no meaning on the old code.

--- a/drivers/batch/run_host.cpp
+++ b/drivers/batch/run_host.cpp
@@ -207,18 +207,33 @@
     if (run == runs_.end() || (!limit && !is_known)) {
         return;
     }
-    const steady_time now = std::chrono::steady_clock::now();
     const bool is_changed = !is_known || known->second.limit != limit;
-    limits_[task.upstream] = {
-        .service = run->second->service, .limit = limit, .answered_at = now};
-    // The planner must know before it places the next items.
+    limits_[task.upstream] = {.service = run->second->service,
+                              .limit = limit,
+                              .answered_at = std::chrono::steady_clock::now()};
     if (is_changed) {
-        runner_update update{.service = run->second->service};
-        update.limits = limits_of(update.service, now);
-        report_(run->second->planner, std::move(update));
+        report_limits(run->second->planner, run->second->service);
     }
 }
 
+void run_host::on_limit_observed(const instance_id& planner,
+                                 const service_name& service,
+                                 const upstream_id& upstream,
+                                 std::optional<double> limit) {
+    limits_[upstream] = {.service = service,
+                         .limit = limit,
+                         .answered_at = std::chrono::steady_clock::now()};
+    report_limits(planner, service);
+}
+
+void run_host::report_limits(const instance_id& planner,
+                             const service_name& service) {
+    // The planner must know before it places the next items.
+    runner_update update{.service = service};
+    update.limits = limits_of(service, std::chrono::steady_clock::now());
+    report_(planner, std::move(update));
+}
+
 std::vector<observed_limit> run_host::limits_of(const service_name& service,
                                                 steady_time now) const {
     std::vector<observed_limit> observed;
--- a/drivers/batch/run_host.hpp
+++ b/drivers/batch/run_host.hpp
@@ -49,6 +49,14 @@
     /// Handles an order from a planner. Ignores orders of older terms.
     void on_order(const instance_id& planner, runner_command order);
 
+    /// An answer to a request that isn't a run says that an upstream limits its
+    /// requests, or that it doesn't. Tells the planner at once, and again with
+    /// the next reports.
+    void on_limit_observed(const instance_id& planner,
+                           const service_name& service,
+                           const upstream_id& upstream,
+                           std::optional<double> limit);
+
     /// Stops all runs and reports the text received so far.
     void stop_all();
 
@@ -79,6 +87,7 @@
         steady_time answered_at;
     };
 
+    void report_limits(const instance_id& planner, const service_name& service);
     void on_leaving(const run_task& task);
     void on_limit(const run_task& task, std::optional<double> limit);
     [[nodiscard]] std::vector<observed_limit>
--- a/drivers/front/request_limit.cpp
+++ b/drivers/front/request_limit.cpp
@@ -27,6 +27,7 @@
                       (answer.request_limit
                            ? std::to_string(*answer.request_limit)
                            : "unlimited"));
+        fleet.on_limit_changed(upstream, answer.request_limit);
     }
 }
 
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -129,6 +129,8 @@
     void notify_planner(const job_record& record);
     /// The planner of the job's service; empty if none is known.
     [[nodiscard]] instance_id planner_of(const job_record& record) const;
+    [[nodiscard]] instance_id
+    planner_of_service(const service_name& service) const;
     /// The term in which this instance plans the job now, or 0.
     [[nodiscard]] store_revision own_term_of(const job_id& job) const;
     /// The instances that leave planning to others, because they feed a zone,
@@ -139,6 +141,8 @@
     [[nodiscard]] limit_part part_of_limit(const upstream_id& upstream,
                                            double requests_per_second,
                                            steady_time now);
+    /// Tells the planner of an engine's service what limit the engine named.
+    void report_limit(const upstream_id& upstream, std::optional<double> limit);
     /// Whether this instance should leave planning to another one.
     [[nodiscard]] bool is_outranked() const;
     /// How long to wait before a free scope is claimed; nothing while the
@@ -320,6 +324,10 @@
     , front_(fleet_, plain_, streams_, jobs_, suspects_, metrics_, log,
              [this](const job_record& record) { notify_planner(record); })
     , signals_(context_, SIGTERM, SIGINT, SIGHUP) {
+    fleet_.on_limit_changed = [this](const upstream_id& upstream,
+                                     std::optional<double> limit) {
+        report_limit(upstream, limit);
+    };
     store_.use_relay(relay_);
     jobs_.use_result_source(results_);
     if (auto text = read_text_file(settings_file_)) {
@@ -471,8 +479,13 @@
 }
 
 instance_id node_instance::impl::planner_of(const job_record& record) const {
+    return planner_of_service(record.service);
+}
+
+instance_id
+node_instance::impl::planner_of_service(const service_name& service) const {
     const auto& keys = control_keys().values();
-    const auto term = keys.find(term_key(record.service));
+    const auto term = keys.find(term_key(service));
     return term == keys.end() ? instance_id() : holder_of(term->second.value);
 }
 
@@ -519,6 +532,20 @@
                                   now);
 }
 
+void node_instance::impl::report_limit(const upstream_id& upstream,
+                                       std::optional<double> limit) {
+    const auto entry = std::find_if(
+        fleet_.upstreams.begin(), fleet_.upstreams.end(),
+        [&](const upstream_entry& listed) { return listed.id == upstream; });
+    if (entry == fleet_.upstreams.end() || !engines_.contains(entry->service)) {
+        return;
+    }
+    const instance_id planner = planner_of_service(entry->service);
+    if (!planner.is_empty()) {
+        host_.on_limit_observed(planner, entry->service, upstream, limit);
+    }
+}
+
 bool node_instance::impl::is_outranked() const {
     const auto unsuited = unsuited_planners();
     return unsuited.contains(settings_.instance) &&
--- a/servers/fleet/fleet_state.hpp
+++ b/servers/fleet/fleet_state.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace savorydock {
@@ -18,6 +19,9 @@
     upstream_pool pool;
     /// Called when an upstream was marked as leaving in `pool`.
     std::function<void()> on_leaving = [] {};
+    /// Called when the request limit that an upstream names has changed.
+    std::function<void(const upstream_id&, std::optional<double> limit)>
+        on_limit_changed = [](const upstream_id&, std::optional<double>) {};
 };
 
 } // namespace savorydock
--- a/tests/drivers/batch/run_host_test.cpp
+++ b/tests/drivers/batch/run_host_test.cpp
@@ -155,6 +155,21 @@
         << "a new planner learns the limit from the periodic reports";
 }
 
+// The limit was named to a caller's stream, and the planner would place a burst
+// of items at the engine.
+TEST_F(run_host_test, limit_named_to_a_caller_is_reported_to_the_planner) {
+    host.on_limit_observed(instance_id("planner"), service_name("e"),
+                           upstream_id("u"), 1.0);
+    ASSERT_EQ(updates.size(), 1U);
+    ASSERT_EQ(updates[0].limits.size(), 1U);
+    EXPECT_EQ(updates[0].limits[0].limit, 1'000U);
+    order(1, "open");
+    context.run_for(200ms);
+    host.on_limit_observed(instance_id("planner"), service_name("e"),
+                           upstream_id("u"), std::nullopt);
+    EXPECT_FALSE(updates.back().limits.at(0).has_limit);
+}
+
 // Otherwise the planner would place the next items there.
 TEST_F(run_host_test, leaving_engine_is_reported_at_once) {
     raw_upstream engine([](raw_connection& connection, std::size_t) {
--- a/tests/drivers/front/plain_caller_test.cpp
+++ b/tests/drivers/front/plain_caller_test.cpp
@@ -238,6 +238,34 @@
 }
 
 // Load: calls arrive faster than the only upstream accepts.
+TEST_F(plain_caller_test, change_of_a_limit_is_announced_once) {
+    std::atomic<const char*> limit = "Server-Limit: 40\r\n";
+    raw_upstream upstream([&](raw_connection& connection, std::size_t) {
+        while (true) {
+            const std::string request = connection.read_request();
+            const std::string id = header_of(request, "Request-Id");
+            if (request.empty() ||
+                !connection.write(answer(
+                    "200 OK", id,
+                    std::string("Server-Stamp: s\r\n") + limit.load(), "x"))) {
+                return;
+            }
+        }
+    });
+    use(upstream);
+    std::vector<std::optional<double>> announced;
+    fleet.on_limit_changed = [&](const upstream_id&,
+                                 std::optional<double> named) {
+        announced.push_back(named);
+    };
+    call("a");
+    call("b");
+    limit = "";
+    call("c");
+    EXPECT_EQ(announced,
+              (std::vector<std::optional<double>>{40.0, std::nullopt}));
+}
+
 TEST_F(plain_caller_test, calls_above_the_named_limit_are_not_sent) {
     constexpr double limit = 4;
     std::atomic<std::size_t> arrived = 0;
