Pass removals that a reread finds on to followers

The zone of the root feeder was cut off; the feeders of the other zones read the store themselves and found that an engine had gone.

Ruled out: the delay after an outage of the store, a stale list on the instance that ran the items only.

--- a/servers/feed/key_copy.cpp
+++ b/servers/feed/key_copy.cpp
@@ -25,6 +25,9 @@
             ++at;
             continue;
         }
+        // The removal happened after the last change of the value. Other copies
+        // ignore changes that are not newer than they are.
+        at->second.modified = revision;
         changes.push_back({.value = std::move(at->second), .is_removed = true});
         at = values_.erase(at);
     }
--- a/tests/servers/feed/feed_test.cpp
+++ b/tests/servers/feed/feed_test.cpp
@@ -175,3 +175,30 @@
     EXPECT_EQ(read->address, entry.address);
     EXPECT_FALSE(decode_node_entry("c/node/n", "[]"));
 }
+
+// A feeder that was cut off finds the removal by reading the prefix again, and
+// passes it on to followers whose copies are newer than the removed value.
+TEST(key_copy_test, removal_found_by_a_reread_reaches_followers) {
+    key_copy feeder;
+    key_copy follower;
+    for (key_copy* const copy : {&feeder, &follower}) {
+        static_cast<void>(copy->replace({value("a", 3), value("b", 8)}, 10));
+    }
+    const auto changes = feeder.replace({value("b", 8), value("c", 12)}, 20);
+    const auto applied = follower.merge(changes, feeder.revision());
+    EXPECT_EQ(applied.size(), 2U);
+    EXPECT_FALSE(follower.values().contains("a"));
+    EXPECT_TRUE(follower.values().contains("c"));
+    EXPECT_EQ(follower.revision(), 20U);
+}
+
+// The follower has heard of the key's return by another way.
+TEST(key_copy_test, removal_found_by_a_reread_is_older_than_a_return) {
+    key_copy feeder;
+    key_copy follower;
+    static_cast<void>(feeder.replace({value("a", 3)}, 10));
+    const auto changes = feeder.replace({}, 20);
+    static_cast<void>(follower.replace({value("a", 21)}, 22));
+    EXPECT_TRUE(follower.merge(changes, feeder.revision()).empty());
+    EXPECT_TRUE(follower.values().contains("a"));
+}
