Split the record of a stream's origin off, and name the store's limit once

From reading the diff: begin_stream did two things, and three files had a constant of their own for the entries of a transaction.

--- a/drivers/front/stream_duty.cpp
+++ b/drivers/front/stream_duty.cpp
@@ -17,9 +17,6 @@
 
 namespace {
 
-/// The store's limit for the keys of one transaction.
-constexpr std::size_t max_keys_per_write = 32;
-
 std::int64_t wall_milliseconds() {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
                std::chrono::system_clock::now().time_since_epoch())
@@ -149,7 +146,8 @@
         if (!record || record->expires_at < oldest) {
             transaction.deletions.push_back(page->values[at].key);
         }
-        const bool is_full = transaction.deletions.size() == max_keys_per_write;
+        const bool is_full =
+            transaction.deletions.size() == max_transaction_entries;
         const bool is_last = at + 1 == page->values.size();
         if ((!is_full && !is_last) || transaction.deletions.empty()) {
             continue;
--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -254,7 +254,7 @@
             classify(opened.reason().code) != result_class::not_run;
         state.may_have_run = state.may_have_run || may_have_begun;
         state.attempts += may_have_begun ? 1 : 0;
-        co_return attempt_end::may_retry;
+        co_return attempt_end::unfinished;
     }
     http_stream& stream = **opened;
     const auto metadata = platform::decode_answer_metadata(stream.headers());
@@ -262,7 +262,7 @@
     record_leaving(fleet_, upstream.id, upstream.address, metadata, client_,
                    log_);
     if (metadata.is_not_run || stream.status() == status_misdirected) {
-        co_return attempt_end::may_retry;
+        co_return attempt_end::unfinished;
     }
     state.may_have_run = true;
     ++state.attempts;
@@ -277,44 +277,51 @@
     co_return co_await pass_on_events(request, upstream, stream, state);
 }
 
+asio::awaitable<stream_forwarder::attempt_end>
+stream_forwarder::record_origin(const stream_request& request,
+                                stream_origin origin, progress& state) {
+    const request_id& id = request.call.id;
+    const steady_time deadline =
+        now() + request.call.max_wait.value_or(default_stream_wait);
+    const stream_origin* const usual = ledger_.default_of(request.route.name);
+    // Without a record the stream is taken for one of the default origin. If
+    // that has no upstream left, it is refused and not continued elsewhere.
+    const bool is_safe_without =
+        usual != nullptr &&
+        !fleet_.pool.has_software(usual->service, usual->software);
+    if (!ledger_.is_store_reachable() && is_safe_without) {
+        ledger_.record_later(id, std::move(origin), deadline);
+        co_return attempt_end::unfinished;
+    }
+    const steady_time write_by =
+        std::min(request.deadline, now() + max_record_time);
+    auto recorded =
+        co_await (ledger_.record(id, std::move(origin), write_by, deadline) ||
+                  request.exchange.wait_for_disconnect());
+    if (recorded.index() == 1) {
+        state.result.end = stream_end::caller_gone;
+        co_return attempt_end::finished;
+    }
+    if (!std::get<0>(recorded)) {
+        // Another origin must not begin it: the write may still take effect.
+        state.result.end = stream_end::unknown;
+        state.result.reason = "the stream's origin was not stored";
+        co_return attempt_end::finished;
+    }
+    co_return attempt_end::unfinished;
+}
+
 asio::awaitable<stream_forwarder::attempt_end>
 stream_forwarder::begin_stream(const stream_request& request,
                                const upstream_entry& upstream,
                                http_stream& stream, progress& state) {
-    const platform::caller_call& call = request.call;
     stream_origin origin{.service = upstream.service,
                          .software = upstream.software};
     const bool is_new = !state.software;
-    if (is_new && needs_record(request, origin)) {
-        const steady_time deadline =
-            now() + call.max_wait.value_or(default_stream_wait);
-        const stream_origin* const usual =
-            ledger_.default_of(request.route.name);
-        // Without a record the stream would be taken for one of the default
-        // origin, which has no upstream that could continue it.
-        const bool is_safe_without =
-            usual != nullptr &&
-            !fleet_.pool.has_software(usual->service, usual->software);
-        if (!ledger_.is_store_reachable() && is_safe_without) {
-            ledger_.record_later(call.id, std::move(origin), deadline);
-        } else {
-            const steady_time write_by =
-                std::min(request.deadline, now() + max_record_time);
-            auto recorded = co_await (ledger_.record(call.id, std::move(origin),
-                                                     write_by, deadline) ||
-                                      request.exchange.wait_for_disconnect());
-            if (recorded.index() == 1) {
-                state.result.end = stream_end::caller_gone;
-                co_return attempt_end::finished;
-            }
-            if (!std::get<0>(recorded)) {
-                // Another origin must not begin it: the write may still take
-                // effect.
-                state.result.end = stream_end::unknown;
-                state.result.reason = "the stream's origin was not stored";
-                co_return attempt_end::finished;
-            }
-        }
+    if (is_new && needs_record(request, origin) &&
+        co_await record_origin(request, std::move(origin), state) ==
+            attempt_end::finished) {
+        co_return attempt_end::finished;
     }
     state.has_begun = true;
     state.software = upstream.software;
@@ -324,7 +331,7 @@
         state.result.end = stream_end::caller_gone;
         co_return attempt_end::finished;
     }
-    co_return attempt_end::may_retry;
+    co_return attempt_end::unfinished;
 }
 
 asio::awaitable<stream_forwarder::attempt_end>
@@ -333,7 +340,7 @@
     // Nothing of it may get into a stream that has begun, and a success without
     // the upstream's signature isn't an answer.
     if (state.has_begun || is_success(stream.status())) {
-        co_return attempt_end::may_retry;
+        co_return attempt_end::unfinished;
     }
     http_response answer{
         .status = stream.status(),
@@ -347,7 +354,7 @@
         }
         auto& bytes = std::get<0>(part);
         if (!bytes || answer.body.size() + bytes->size() > max_failure_bytes) {
-            co_return attempt_end::may_retry;
+            co_return attempt_end::unfinished;
         }
         if (bytes->empty()) {
             break;
@@ -358,7 +365,7 @@
     const bool is_final = answer.status < status_server_error;
     state.result.answer = std::move(answer);
     state.result.end = stream_end::failed;
-    co_return is_final ? attempt_end::finished : attempt_end::may_retry;
+    co_return is_final ? attempt_end::finished : attempt_end::unfinished;
 }
 
 asio::awaitable<stream_forwarder::attempt_end>
@@ -421,7 +428,7 @@
                    " software=" + upstream.software.text() +
                    " last_event=" + std::to_string(result.last_event) +
                    " reason=\"" + result.reason + '"');
-    co_return attempt_end::may_retry;
+    co_return attempt_end::unfinished;
 }
 
 } // namespace savorydock
--- a/drivers/front/stream_forwarder.hpp
+++ b/drivers/front/stream_forwarder.hpp
@@ -80,8 +80,13 @@
 
 private:
     struct progress;
-    /// What follows an attempt.
-    enum class attempt_end : std::uint8_t { finished, may_retry };
+    /// What follows an attempt, or a part of it.
+    enum class attempt_end : std::uint8_t {
+        /// The result is final.
+        finished,
+        /// The attempt goes on, or another one follows if it may.
+        unfinished,
+    };
 
     /// Finds out which upstreams may continue the stream that the caller took
     /// up. Returns false if none can; the result says why.
@@ -92,6 +97,10 @@
     /// Whether the store must have a record of the stream, if it begins here.
     [[nodiscard]] bool needs_record(const stream_request& request,
                                     const stream_origin& origin) const;
+    /// Makes sure that the stream's further attempts find its origin.
+    boost::asio::awaitable<attempt_end>
+    record_origin(const stream_request& request, stream_origin origin,
+                  progress& state);
     boost::asio::awaitable<attempt_end>
     begin_stream(const stream_request& request, const upstream_entry& upstream,
                  http_stream& stream, progress& state);
--- a/drivers/front/stream_ledger.cpp
+++ b/drivers/front/stream_ledger.cpp
@@ -17,8 +17,6 @@
 
 namespace {
 
-/// The store's limit for the writes of one transaction.
-constexpr std::size_t max_keys_per_write = 32;
 /// Pause after a failed write.
 constexpr std::chrono::milliseconds failure_pause{100};
 /// Pause after a failed deletion; nothing waits for it.
@@ -116,7 +114,7 @@
         const std::vector<std::shared_ptr<pending_record>> batch(
             pending_.begin(),
             pending_.begin() + static_cast<std::ptrdiff_t>(std::min(
-                                   pending_.size(), max_keys_per_write)));
+                                   pending_.size(), max_transaction_entries)));
         store_transaction transaction;
         for (const auto& one : batch) {
             transaction.writes.push_back(one->write);
@@ -154,7 +152,8 @@
 
 asio::awaitable<void> stream_ledger::delete_old() {
     while (!written_.empty()) {
-        const std::size_t count = std::min(written_.size(), max_keys_per_write);
+        const std::size_t count =
+            std::min(written_.size(), max_transaction_entries);
         // Waits for the last of a full write, so that few calls are needed.
         asio::steady_timer due(context_, written_[count - 1].delete_at);
         co_await due.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/drivers/front/suspect_publisher.cpp
+++ b/drivers/front/suspect_publisher.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-/// Maximum number of keys in one transaction.
-constexpr std::size_t max_writes = 32;
 /// Pause between two transactions. Bounds the calls of a fleet in which many
 /// upstreams crash at once.
 constexpr std::chrono::milliseconds write_interval{100};
@@ -84,8 +82,8 @@
     }
     const steady_time now = std::chrono::steady_clock::now();
     auto marks = suspects_.take_due(now);
-    if (marks.size() > max_writes) {
-        const auto rest = marks.begin() + max_writes;
+    if (marks.size() > max_transaction_entries) {
+        const auto rest = marks.begin() + max_transaction_entries;
         suspects_.put_back({std::make_move_iterator(rest),
                             std::make_move_iterator(marks.end())},
                            now);
--- a/servers/platform/store_transaction.hpp
+++ b/servers/platform/store_transaction.hpp
@@ -2,6 +2,7 @@
 
 #include "servers/platform/platform_message.hpp"
 
+#include <cstddef>
 #include <string>
 #include <utility>
 #include <variant>
@@ -9,6 +10,9 @@
 
 namespace savorydock {
 
+/// The store's limit for the entries of one transaction.
+inline constexpr std::size_t max_transaction_entries = 32;
+
 /// Requires that a key was last modified at `revision`; 0: that it does not
 /// exist.
 struct store_condition {
