Log and export the age of an instance's view and the queues to its peers

A refused request and a configuration in force now say whether the view was known to be current, its age, the sequence number that the feeder announced beside the one that is held, and for how long an announced change has been missing. The metrics show the same, and the bytes that wait for all peers and for the one with most, with its longest wait.

These tell the three hypotheses on refused requests apart: an instance that follows with a missing change (the first), queues at their limit (the second), refusals with an old view (the third). No decision changes.

--- a/drivers/feed/store_feed.cpp
+++ b/drivers/feed/store_feed.cpp
@@ -276,6 +276,15 @@
     return age && (is_following() || *age < max_data_age);
 }
 
+view_age store_feed::find_view_age() const {
+    const auto gap = source().find_gap(std::chrono::steady_clock::now());
+    return {.is_current = is_data_current(),
+            .age = data_age(),
+            .announced = gap.announced,
+            .held = gap.held,
+            .missing_for = gap.missing_for};
+}
+
 void store_feed::update_mode() {
     const bool has_feeder = is_following();
     if (has_feeder != was_following_) {
--- a/drivers/feed/store_feed.hpp
+++ b/drivers/feed/store_feed.hpp
@@ -8,6 +8,7 @@
 #include "servers/feed/feed_follower.hpp"
 #include "servers/feed/node_directory.hpp"
 #include "servers/feed/root_feeder.hpp"
+#include "servers/fleet/view_age.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -78,6 +79,8 @@
     [[nodiscard]] bool is_following() const;
     /// Whether the copies are current, from a feeder or from own watches.
     [[nodiscard]] bool is_data_current() const;
+    /// How old the copies may be, and which changes are missing.
+    [[nodiscard]] view_age find_view_age() const;
     /// When the last outage of the store ended, as noticed by this instance or
     /// by those whose changes it follows; the epoch if there was none.
     [[nodiscard]] steady_time outage_ended_at() const;
--- a/drivers/front/front_service.cpp
+++ b/drivers/front/front_service.cpp
@@ -148,7 +148,8 @@
                    (fleet_.routes
                         ? std::to_string(fleet_.routes->configuration().version)
                         : "none") +
-                   " reason=\"" + reason + '"');
+                   ' ' + to_text(fleet_.find_view_age()) + " reason=\"" +
+                   reason + '"');
     http_response response =
         platform::make_local_response(status, reason, retry_time);
     co_await exchange.respond(std::move(response));
--- a/drivers/node/fleet_mirror.cpp
+++ b/drivers/node/fleet_mirror.cpp
@@ -59,7 +59,9 @@
     log_.write(log_event::configuration_in_force,
                "version=" + std::to_string(configuration->version) +
                    " revision=" + std::to_string(value.modified) +
-                   " routes=" + std::to_string(configuration->routes.size()));
+                   " routes=" + std::to_string(configuration->routes.size()) +
+                   " bytes=" + std::to_string(value.value.size()) + ' ' +
+                   to_text(fleet_.find_view_age()));
     fleet_.routes = std::make_shared<const route_table>(
         std::make_shared<const fleet_configuration>(std::move(*configuration)));
     events_.on_fleet_update();
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -328,6 +328,7 @@
                                      std::optional<double> limit) {
         report_limit(upstream, limit);
     };
+    fleet_.find_view_age = [this] { return feed_.find_view_age(); };
     store_.use_relay(relay_);
     jobs_.use_result_source(results_);
     if (auto text = read_text_file(settings_file_)) {
@@ -937,6 +938,8 @@
          .active_requests = caller_server_->active_requests(),
          .is_feeder = feed_.is_feeder(),
          .is_following = feed_.is_following(),
+         .view = feed_.find_view_age(),
+         .peers = peers_.counters(),
          .runs = host_.statistics(),
          .engines = engines});
     http_response response =
--- a/drivers/node/node_metrics.cpp
+++ b/drivers/node/node_metrics.cpp
@@ -4,6 +4,14 @@
 
 namespace savorydock {
 
+namespace {
+
+double to_seconds(std::chrono::milliseconds time) {
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
 std::string write_node_metrics(const node_statistics& statistics) {
     std::ostringstream out;
     const auto write = [&](std::string_view name, auto value,
@@ -32,6 +40,17 @@
     write("requests_active", statistics.active_requests);
     write("feeder", statistics.is_feeder ? 1 : 0);
     write("following", statistics.is_following ? 1 : 0);
+    write("view_current", statistics.view.is_current ? 1 : 0);
+    if (statistics.view.age) {
+        write("view_age_seconds", to_seconds(*statistics.view.age));
+    }
+    write("view_missing_seconds", to_seconds(statistics.view.missing_for));
+    write("peer_messages_dropped_total", statistics.peers.dropped);
+    write("peer_messages_lost_total", statistics.peers.lost);
+    write("peer_queued_bytes", statistics.peers.queued_bytes);
+    write("peer_largest_queue_bytes", statistics.peers.largest_queue_bytes);
+    write("peer_longest_wait_seconds",
+          to_seconds(statistics.peers.longest_wait));
     write("runs_active", statistics.runs.active);
     write("runs_started_total", statistics.runs.started);
     write("runs_interrupted_total", statistics.runs.interrupted);
--- a/drivers/node/node_metrics.hpp
+++ b/drivers/node/node_metrics.hpp
@@ -2,7 +2,9 @@
 
 #include "drivers/batch/engine_driver.hpp"
 #include "drivers/front/front_service.hpp"
+#include "drivers/peer/peer_counters.hpp"
 #include "drivers/store/store_client.hpp"
+#include "servers/fleet/view_age.hpp"
 
 #include <map>
 #include <string>
@@ -19,6 +21,8 @@
     std::size_t active_requests = 0;
     bool is_feeder = false;
     bool is_following = false;
+    view_age view;
+    peer_counters peers;
     run_statistics runs;
     std::map<service_name, engine_statistics> engines;
 };
--- a/drivers/peer/http2_session.cpp
+++ b/drivers/peer/http2_session.cpp
@@ -306,4 +306,8 @@
     return state_->streams.size();
 }
 
+std::size_t http2_session::buffered_bytes() const {
+    return state_->buffered;
+}
+
 } // namespace savorydock
--- a/drivers/peer/http2_session.hpp
+++ b/drivers/peer/http2_session.hpp
@@ -58,6 +58,9 @@
 
     [[nodiscard]] std::size_t open_streams() const;
 
+    /// Total size of the bodies of all open streams.
+    [[nodiscard]] std::size_t buffered_bytes() const;
+
 private:
     struct state;
     std::unique_ptr<state> state_;
--- a/drivers/peer/peer_connection.hpp
+++ b/drivers/peer/peer_connection.hpp
@@ -46,6 +46,10 @@
     [[nodiscard]] std::size_t open_streams() const {
         return session_.open_streams();
     }
+    /// Bytes of the messages that the peer hasn't answered.
+    [[nodiscard]] std::size_t queued_bytes() const {
+        return session_.buffered_bytes();
+    }
     /// When bytes were last received, or the connection was established.
     [[nodiscard]] steady_time last_received() const { return last_received_; }
     /// When a message was last queued or bytes were last received.
--- a/drivers/peer/peer_counters.hpp
+++ b/drivers/peer/peer_counters.hpp
@@ -3,6 +3,7 @@
 #include "servers/control_server.hpp"
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 
@@ -36,6 +37,12 @@
     /// Open connections, to peers and from peers.
     std::uint64_t open_out = 0;
     std::uint64_t open_in = 0;
+    /// Bytes of messages that peers haven't answered: of all peers, and of the
+    /// peer with most.
+    std::uint64_t queued_bytes = 0;
+    std::uint64_t largest_queue_bytes = 0;
+    /// Longest time that a peer with unanswered messages has sent nothing.
+    std::chrono::milliseconds longest_wait{0};
 
     [[nodiscard]] const peer_topic_counters& of(peer_topic topic) const {
         return topics.at(static_cast<std::size_t>(topic));
--- a/drivers/peer/peer_link.cpp
+++ b/drivers/peer/peer_link.cpp
@@ -128,7 +128,7 @@
     void remember_zone(const peer_envelope& envelope);
     [[nodiscard]] availability_zone zone_of(const instance_id& instance) const;
     [[nodiscard]] http2_limits limits() const;
-    void publish_open_counts();
+    void publish_gauges();
 
     asio::io_context& context_;
     const peer_link_options options_;
@@ -184,7 +184,7 @@
         self->sweep_timer_.cancel();
         self->accept_timer_.cancel();
         self->close_connections();
-        self->publish_open_counts();
+        self->publish_gauges();
     });
 }
 
@@ -250,13 +250,13 @@
                         record_refusal(reason);
                     }
                     incoming_.erase(weak_connection->lock());
-                    publish_open_counts();
+                    publish_gauges();
                 },
         });
     *weak_connection = connection;
     incoming_.insert(connection);
     connection->start();
-    publish_open_counts();
+    publish_gauges();
 }
 
 void peer_link::impl::sweep_later() {
@@ -304,7 +304,7 @@
         return true;
     });
     backoff_.remove_expired(now);
-    publish_open_counts();
+    publish_gauges();
 }
 
 void peer_link::impl::send(const peer_message& message, const endpoint& to) {
@@ -406,7 +406,7 @@
         });
     outgoing_.emplace(key, connection);
     count([](peer_counters& all) { ++all.connects; });
-    publish_open_counts();
+    publish_gauges();
     connection->connect(*address);
     return connection;
 }
@@ -426,7 +426,7 @@
         all.lost += lost;
         all.connect_failures += was_connected ? 0 : 1;
     });
-    publish_open_counts();
+    publish_gauges();
     backoff_.record_failure(key, std::chrono::steady_clock::now());
 }
 
@@ -491,10 +491,28 @@
             .max_streams = options_.max_queued};
 }
 
-void peer_link::impl::publish_open_counts() {
+void peer_link::impl::publish_gauges() {
+    const auto now = std::chrono::steady_clock::now();
+    std::size_t total = 0;
+    std::size_t largest = 0;
+    std::chrono::milliseconds longest_wait{0};
+    for (const auto& [key, connection] : outgoing_) {
+        const std::size_t queued = connection->queued_bytes();
+        total += queued;
+        largest = std::max(largest, queued);
+        if (connection->open_streams() > 0) {
+            longest_wait =
+                std::max(longest_wait,
+                         std::chrono::duration_cast<std::chrono::milliseconds>(
+                             now - connection->last_received()));
+        }
+    }
     count([&](peer_counters& all) {
         all.open_out = outgoing_.size();
         all.open_in = incoming_.size();
+        all.queued_bytes = total;
+        all.largest_queue_bytes = largest;
+        all.longest_wait = longest_wait;
     });
 }
 
--- a/servers/feed/feed_follower.cpp
+++ b/servers/feed/feed_follower.cpp
@@ -19,6 +19,16 @@
     prefixes_.assign(options_.prefixes.size(), {});
 }
 
+void feed_follower::prefix_state::announce(std::uint64_t newest,
+                                           steady_time now) {
+    announced = std::max(announced, newest);
+    if (!is_behind()) {
+        missing_since.reset();
+    } else if (!missing_since) {
+        missing_since = now;
+    }
+}
+
 std::optional<std::size_t>
 feed_follower::index_of(const std::string& prefix) const {
     const auto found =
@@ -42,9 +52,8 @@
     last_heard_ = now;
     for (std::size_t i = 0; i < prefixes_.size(); ++i) {
         prefix_state& state = prefixes_[i];
-        const bool is_behind =
-            !state.number || *state.number < heartbeat.numbers[i];
-        if (is_behind &&
+        state.announce(heartbeat.numbers[i], now);
+        if (state.is_behind() &&
             now >= state.requested_at + options_.request_interval) {
             state.requested_at = now;
             to_request.push_back(options_.prefixes[i]);
@@ -61,6 +70,7 @@
         return push_action::ignore;
     }
     prefix_state& state = prefixes_[*index];
+    state.announce(push.number, now);
     if (state.number && push.number <= *state.number) {
         return push_action::ignore;
     }
@@ -73,6 +83,7 @@
         return push_action::request_snapshot;
     }
     state.number = push.number;
+    state.announce(push.number, now);
     return push_action::apply;
 }
 
@@ -84,4 +95,22 @@
                        });
 }
 
+feed_follower::gap feed_follower::find_gap(steady_time now) const {
+    gap found;
+    std::optional<steady_time> oldest;
+    for (const prefix_state& state : prefixes_) {
+        if (!state.missing_since ||
+            (oldest && *state.missing_since >= *oldest)) {
+            continue;
+        }
+        oldest = state.missing_since;
+        found = {.announced = state.announced,
+                 .held = state.number.value_or(0),
+                 .missing_for =
+                     std::chrono::duration_cast<std::chrono::milliseconds>(
+                         now - *oldest)};
+    }
+    return found;
+}
+
 } // namespace savorydock
--- a/servers/feed/feed_follower.hpp
+++ b/servers/feed/feed_follower.hpp
@@ -74,11 +74,29 @@
 
     [[nodiscard]] const instance_id& feeder() const { return feeder_; }
 
+    /// Changes that the feeder announced and this instance doesn't have.
+    struct gap {
+        std::uint64_t announced = 0;
+        std::uint64_t held = 0;
+        std::chrono::milliseconds missing_for{0};
+    };
+    /// The gap of the prefix that has lacked a change for longest.
+    [[nodiscard]] gap find_gap(steady_time now) const;
+
 private:
     struct prefix_state {
         /// Number of the last push applied; empty until the first snapshot.
         std::optional<std::uint64_t> number;
         steady_time requested_at{};
+        /// Number of the last push that the feeder announced.
+        std::uint64_t announced = 0;
+        /// Since when an announced push has been missing; empty if none is.
+        std::optional<steady_time> missing_since;
+
+        [[nodiscard]] bool is_behind() const {
+            return !number || *number < announced;
+        }
+        void announce(std::uint64_t newest, steady_time now);
     };
 
     void follow_newer_term(const instance_id& feeder, store_revision term);
--- a/servers/fleet/fleet_state.hpp
+++ b/servers/fleet/fleet_state.hpp
@@ -2,6 +2,7 @@
 
 #include "servers/fleet/route_table.hpp"
 #include "servers/fleet/upstream_pool.hpp"
+#include "servers/fleet/view_age.hpp"
 
 #include <functional>
 #include <memory>
@@ -22,6 +23,8 @@
     /// Called when the request limit that an upstream names has changed.
     std::function<void(const upstream_id&, std::optional<double> limit)>
         on_limit_changed = [](const upstream_id&, std::optional<double>) {};
+    /// Returns how old `routes` and `upstreams` may be.
+    std::function<view_age()> find_view_age = [] { return view_age{}; };
 };
 
 } // namespace savorydock
