--- a/tests/drivers/feed/store_feed_test.cpp
+++ b/tests/drivers/feed/store_feed_test.cpp
@@ -3,11 +3,14 @@
 #include "tests/fakes/fake_users_store.hpp"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 
 using namespace savorydock;
@@ -61,7 +64,9 @@
     store_feed feed;
 };
 
-/// Delivers messages between members, unless their sender is silent.
+/// Delivers messages between members, unless their sender is silent. Each
+/// member may have a link of limited bandwidth: large messages wait for it in
+/// order, small ones go between their parts, as streams of a connection do.
 class fleet_transport final : public peer_transport {
 public:
     explicit fleet_transport(asio::io_context& context)
@@ -71,28 +76,47 @@
         if (silent.contains(message.from) || silent.contains(message.to)) {
             return;
         }
-        asio::post(context_, [this, message] {
-            const auto to = members.find(message.to);
-            if (to != members.end()) {
-                to->second->feed.on_message(message);
-            }
-        });
+        if (bytes_per_second == 0 || message.body.size() < small_bytes) {
+            asio::post(context_, [this, message] { deliver(message); });
+            return;
+        }
+        steady_time& free_at = link_free_at_[message.from];
+        free_at = std::max(free_at, std::chrono::steady_clock::now()) +
+                  message.body.size() * 1'000'000us / bytes_per_second;
+        auto timer = std::make_shared<asio::steady_timer>(context_);
+        timer->expires_at(free_at);
+        timer->async_wait(
+            [this, timer, message](const auto&) { deliver(message); });
     }
     void on_message(message_handler) override {}
 
     std::map<instance_id, member*> members;
     std::set<instance_id> silent;
+    /// 0 for no limit.
+    std::size_t bytes_per_second = 0;
 
 private:
+    static constexpr std::size_t small_bytes = 4'096;
+
+    void deliver(const peer_message& message) {
+        const auto to = members.find(message.to);
+        if (to != members.end()) {
+            to->second->feed.on_message(message);
+        }
+    }
+
     asio::io_context& context_;
+    std::map<instance_id, steady_time> link_free_at_;
 };
 
 class store_feed_test : public ::testing::Test {
 public:
-    store_feed_test() {
-        for (const char* const zone : {"a", "b", "c"}) {
-            for (const char* const number : {"1", "2"}) {
-                const std::string name = std::string(zone) + number;
+    explicit store_feed_test(const std::string& zones = "abc",
+                             int members_per_zone = 2) {
+        for (const char letter : zones) {
+            const std::string zone(1, letter);
+            for (int number = 1; number <= members_per_zone; ++number) {
+                const std::string name = zone + std::to_string(number);
                 directory[instance_id(name)] = {.instance = instance_id(name),
                                                 .zone =
                                                     availability_zone(zone)};
@@ -162,6 +186,32 @@
     std::vector<std::unique_ptr<member>> members;
 };
 
+/// One zone with eight followers of a feeder.
+class store_feed_load_test : public store_feed_test {
+public:
+    store_feed_load_test()
+        : store_feed_test("a", 9) {}
+
+    /// A configuration that neither compresses well nor shares text with
+    /// other versions.
+    static std::string make_configuration(int version) {
+        std::mt19937 random(static_cast<unsigned>(version));
+        std::uniform_int_distribution<int> letters('!', '~');
+        std::string text = std::to_string(version) + ' ';
+        while (text.size() < 40'000) {
+            text += static_cast<char>(letters(random));
+        }
+        return text;
+    }
+
+    static int version_of(const member& one) {
+        const auto found = one.data.values.find("op/config");
+        return found == one.data.values.end()
+                   ? 0
+                   : std::atoi(found->second.c_str());
+    }
+};
+
 } // namespace
 
 // Load pattern: with a watch per zone and prefix, the calls to the store grow
@@ -239,3 +289,26 @@
         EXPECT_NE(one->feed.outage_ended_at(), steady_time{});
     }
 }
+
+// Guards against 404 for routes that exist. Load pattern: the configuration has
+// 1,450 routes and changes three times a second, and the feeder's link carries
+// a quarter of what one whole copy for each follower and change needs.
+TEST_F(store_feed_load_test,
+       changes_faster_than_the_link_are_in_force_within_their_bound) {
+    ASSERT_TRUE(wait([&] { return watchers() == 1; }, 5s));
+    transport.bytes_per_second = 250'000;
+    std::map<int, steady_time> written_at;
+    for (int version = 2; version <= 20; ++version) {
+        fake.put("op/config", make_configuration(version));
+        written_at[version] = std::chrono::steady_clock::now();
+        run_for(330ms);
+        for (const auto& one : members) {
+            const auto next = written_at.upper_bound(version_of(*one));
+            if (next == written_at.end()) {
+                continue;
+            }
+            ASSERT_LT(std::chrono::steady_clock::now() - next->second, 3'000ms)
+                << "version " << next->first << " isn't in force";
+        }
+    }
+}
--- a/tests/drivers/front/front_service_test.cpp
+++ b/tests/drivers/front/front_service_test.cpp
@@ -110,3 +110,19 @@
 
 INSTANTIATE_TEST_SUITE_P(kinds, front_service_kinds_test,
                          ::testing::Values("/plain/a", "/stream/a"));
+
+// Guards against 404 for routes that exist: callers don't repeat a request
+// after 404, but a route may be missing only from an old view.
+TEST_F(front_service_test,
+       unknown_route_is_not_refused_for_good_by_an_old_view) {
+    std::atomic<bool> is_current = true;
+    fleet.find_view_age = [&] { return view_age{.is_current = is_current}; };
+    EXPECT_EQ(send("/other/a", "a").status, 404U);
+    is_current = false;
+    const http_response refused = send("/other/a", "b");
+    EXPECT_EQ(refused.status, 503U);
+    EXPECT_FALSE(refused.header("Retry-After").empty());
+    replace_upstream();
+    EXPECT_EQ(send("/plain/a", "c").status, 502U)
+        << "routes of the old view are still served";
+}
--- a/tests/servers/feed/feed_test.cpp
+++ b/tests/servers/feed/feed_test.cpp
@@ -63,6 +63,35 @@
     EXPECT_FALSE(follower.is_following(now));
 }
 
+// Guards against 404 for routes that exist: heartbeats kept followers that
+// lacked changes from reading the store themselves.
+TEST_F(feed_follower_test, feeder_whose_pushes_do_not_arrive_is_not_followed) {
+    follow();
+    for (int beat = 0; beat < 5; ++beat) {
+        now += 350ms;
+        static_cast<void>(
+            follower.on_heartbeat(feeder, {.term = 5, .numbers = {2, 1}}, now));
+    }
+    EXPECT_FALSE(follower.is_following(now));
+    EXPECT_EQ(follower.on_push(feeder, push("a/", 2, false), now),
+              push_action::apply);
+    EXPECT_TRUE(follower.is_following(now));
+}
+
+TEST_F(feed_follower_test, data_is_as_old_as_the_announcement_it_completes) {
+    follow();
+    const steady_time announced_at = now + 350ms;
+    static_cast<void>(follower.on_heartbeat(
+        feeder, {.term = 5, .age = 50ms, .numbers = {2, 1}}, announced_at));
+    now = announced_at + 350ms;
+    static_cast<void>(
+        follower.on_heartbeat(feeder, {.term = 5, .numbers = {3, 1}}, now));
+    static_cast<void>(follower.on_push(feeder, push("a/", 2, false), now));
+    EXPECT_EQ(follower.last_contact(), announced_at - 50ms);
+    static_cast<void>(follower.on_push(feeder, push("a/", 3, false), now));
+    EXPECT_EQ(follower.last_contact(), now);
+}
+
 TEST_F(feed_follower_test, missing_push_is_requested_not_skipped) {
     follow();
     now += 300ms;
