Follow a feeder by the age of the data held, not of its last heartbeat

`on_heartbeat` renewed the time of contact whatever the numbers in the heartbeat said.

A heartbeat now counts once all pushes that it announces have been applied, with the contact that it stated; until then the data ages on, and past the bound the instance watches the store itself.

--- a/servers/feed/feed_follower.cpp
+++ b/servers/feed/feed_follower.cpp
@@ -4,6 +4,14 @@
 
 namespace savorydock {
 
+namespace {
+
+/// Limit on the announcements that wait for pushes. They are only of use while
+/// they are recent.
+constexpr std::size_t max_announcements = 32;
+
+} // namespace
+
 feed_follower::feed_follower(feed_follower_options options)
     : options_(std::move(options))
     , prefixes_(options_.prefixes.size()) {}
@@ -16,6 +24,7 @@
     feeder_ = feeder;
     term_ = term;
     last_contact_ = {};
+    announcements_.clear();
     prefixes_.assign(options_.prefixes.size(), {});
 }
 
@@ -48,8 +57,12 @@
         heartbeat.numbers.size() != prefixes_.size()) {
         return to_request;
     }
-    last_contact_ = std::max(last_contact_, now - heartbeat.age);
     last_heard_ = now;
+    announcements_.push_back(
+        {.numbers = heartbeat.numbers, .contact = now - heartbeat.age});
+    if (announcements_.size() > max_announcements) {
+        announcements_.pop_front();
+    }
     for (std::size_t i = 0; i < prefixes_.size(); ++i) {
         prefix_state& state = prefixes_[i];
         state.announce(heartbeat.numbers[i], now);
@@ -59,9 +72,26 @@
             to_request.push_back(options_.prefixes[i]);
         }
     }
+    confirm_announcements();
     return to_request;
 }
 
+void feed_follower::confirm_announcements() {
+    const auto is_complete = [this](const announcement& waiting) {
+        for (std::size_t i = 0; i < prefixes_.size(); ++i) {
+            if (!prefixes_[i].number ||
+                *prefixes_[i].number < waiting.numbers[i]) {
+                return false;
+            }
+        }
+        return true;
+    };
+    while (!announcements_.empty() && is_complete(announcements_.front())) {
+        last_contact_ = std::max(last_contact_, announcements_.front().contact);
+        announcements_.pop_front();
+    }
+}
+
 push_action feed_follower::on_push(const instance_id& feeder,
                                    const feed_push& push, steady_time now) {
     follow_newer_term(feeder, push.term);
@@ -84,6 +114,7 @@
     }
     state.number = push.number;
     state.announce(push.number, now);
+    confirm_announcements();
     return push_action::apply;
 }
 
--- a/servers/feed/feed_follower.hpp
+++ b/servers/feed/feed_follower.hpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
@@ -41,9 +42,10 @@
 /// Load pattern: if each of dozens of instances watched the store, every change
 /// of an engine's entry would cost a store call per instance. Therefore one
 /// instance per zone, the feeder, watches the store and forwards the changes.
-/// The others rely on it only while its last contact with the store is recent,
-/// so that a feeder that is partitioned, hung or dead delays them by little
-/// more than a second.
+/// The others rely on it only while what they have is recent: the feeder's
+/// contact with the store, and the pushes that it had sent by then. So a feeder
+/// that is partitioned, hung or dead, or whose pushes don't arrive while its
+/// heartbeats do, delays them by little more than a second.
 ///
 /// Not thread safe; deterministic.
 class feed_follower {
@@ -69,7 +71,9 @@
                         last_heard_ + options_.max_silence);
     }
 
-    /// When the feeder last reached the store.
+    /// The time up to which the data is known to be complete: a contact of the
+    /// feeder with the store after which all pushes announced by then have
+    /// been applied.
     [[nodiscard]] steady_time last_contact() const { return last_contact_; }
 
     [[nodiscard]] const instance_id& feeder() const { return feeder_; }
@@ -99,7 +103,16 @@
         void announce(std::uint64_t newest, steady_time now);
     };
 
+    /// A heartbeat whose pushes have not all been applied yet.
+    struct announcement {
+        std::vector<std::uint64_t> numbers;
+        /// When the feeder had last reached the store.
+        steady_time contact{};
+    };
+
     void follow_newer_term(const instance_id& feeder, store_revision term);
+    /// Advances `last_contact_` by the announcements that are complete now.
+    void confirm_announcements();
     [[nodiscard]] std::optional<std::size_t>
     index_of(const std::string& prefix) const;
 
@@ -109,6 +122,8 @@
     steady_time last_contact_{};
     steady_time last_heard_{};
     std::vector<prefix_state> prefixes_;
+    /// In the order of arrival.
+    std::deque<announcement> announcements_;
 };
 
 } // namespace savorydock
