Let followers request the newest state instead of queueing each version

Callers of a zone got 404 for routes that exist while its feeder's link was congested: each change of the configuration queued the whole value, some hundred kB, for every follower, and each follower that missed a push queued a whole copy every 200 ms.

Only small changes are pushed now, to followers whose queue is short. Others learn from the heartbeat, sent at once for a large change, that they lack something, and request the changes since the revision of their copy. A follower has one request a prefix unanswered; the reply holds the newest value of each key. A new feeder's followers get what they lack instead of whole copies.

Ruled out as the remedy: a limit on the queue alone, which drops the newest version as readily as an old one.

--- a/drivers/feed/store_feed.cpp
+++ b/drivers/feed/store_feed.cpp
@@ -50,6 +50,17 @@
 constexpr std::chrono::milliseconds max_root_age{1'400};
 constexpr std::chrono::milliseconds max_feeder_age_with_root{2'000};
 
+/// Larger changes are announced instead of pushed. Below this size a message
+/// isn't interleaved with others on its connection, so a heartbeat doesn't
+/// overtake it.
+constexpr std::size_t max_push_bytes = 12'000;
+/// A follower with more unanswered bytes gets no pushes and no large replies;
+/// it repeats its request.
+constexpr std::size_t max_queued_bytes = 64'000;
+/// How long a reply may be sent to others that lack the same changes. It tells
+/// the time since an outage.
+constexpr std::chrono::milliseconds reply_lifetime{200};
+
 std::vector<std::string>
 prefixes_of(const std::vector<feed_subscription>& subscriptions) {
     std::vector<std::string> prefixes;
@@ -98,6 +109,7 @@
 
 void store_feed::subscription::on_changes(
     const std::vector<store_change>& changes, bool is_reread) {
+    history.record(changes, mirror.copy());
     if (owner.is_feeder() && !changes.empty()) {
         ++pushes;
         owner.push(*this, changes);
@@ -137,7 +149,7 @@
               for (const auto& source : subscriptions_) {
                   // A term may resume after a suspension, during which
                   // changes were not forwarded. Skipping a number makes each
-                  // follower request the complete prefix.
+                  // follower request them.
                   ++source->pushes;
               }
               update_mode();
@@ -196,7 +208,7 @@
     }
     has_requested_copies_ = true;
     for (const auto& source : subscriptions_) {
-        request_snapshot(feeder->instance, source->mirror.prefix(), false);
+        request_changes(feeder->instance, source->mirror.prefix(), false);
     }
     wait_for_first_copies(first_copy_time);
 }
@@ -367,13 +379,24 @@
                 address);
 }
 
-void store_feed::request_snapshot(const instance_id& feeder,
-                                  const std::string& prefix,
-                                  bool is_between_zones) {
+void store_feed::request_changes(const instance_id& feeder,
+                                 const std::string& prefix,
+                                 bool is_between_zones) {
+    const key_copy& copy = copy_of(prefix);
     send(feeder, peer_topic::feed_request,
-         wire::encode(feed_request{.prefix = prefix,
-                                   .is_between_zones = is_between_zones,
-                                   .address = to_text(options_.address)}));
+         wire::encode(feed_request{
+             .prefix = prefix,
+             .is_between_zones = is_between_zones,
+             .address = to_text(options_.address),
+             .revision = copy.has_snapshot() ? copy.revision() : 0}));
+}
+
+void store_feed::request_changes(const feed_follower& follower,
+                                 const std::vector<std::string>& prefixes,
+                                 bool is_between_zones) {
+    for (const std::string& prefix : prefixes) {
+        request_changes(follower.feeder(), prefix, is_between_zones);
+    }
 }
 
 void store_feed::send_heartbeats() {
@@ -383,17 +406,8 @@
     }
     is_sending_heartbeats_ = true;
     update_mode();
-    auto heartbeat = make_heartbeat();
-    if (heartbeat) {
-        const recipients to = find_recipients();
-        send_to_all(to.in_zone, peer_topic::feed_heartbeat,
-                    wire::encode(*heartbeat));
-        heartbeat->is_between_zones = true;
-        send_to_all(to.in_other_zones, peer_topic::feed_heartbeat,
-                    wire::encode(*heartbeat));
-    }
-    heartbeat_timer_.expires_after(heartbeat ? heartbeat_period
-                                             : incomplete_copy_period);
+    heartbeat_timer_.expires_after(announce() ? heartbeat_period
+                                              : incomplete_copy_period);
     heartbeat_timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
             send_heartbeats();
@@ -401,6 +415,20 @@
     });
 }
 
+bool store_feed::announce() {
+    auto heartbeat = make_heartbeat();
+    if (!heartbeat) {
+        return false;
+    }
+    const recipients to = find_recipients();
+    send_to_all(to.in_zone, peer_topic::feed_heartbeat,
+                wire::encode(*heartbeat));
+    heartbeat->is_between_zones = true;
+    send_to_all(to.in_other_zones, peer_topic::feed_heartbeat,
+                wire::encode(*heartbeat));
+    return true;
+}
+
 std::chrono::milliseconds store_feed::since_outage() const {
     const steady_time end = outage_ended_at();
     return end == steady_time{}
@@ -426,11 +454,27 @@
     for (const store_change& change : changes) {
         message.changes.push_back(to_feed(change.value, change.is_removed));
     }
+    const std::string body = wire::encode(message);
+    if (body.size() > max_push_bytes) {
+        static_cast<void>(announce());
+        return;
+    }
     const recipients to = find_recipients();
-    send_to_all(to.in_zone, peer_topic::feed_push, wire::encode(message));
+    push_to(to.in_zone, body);
     message.is_between_zones = true;
-    send_to_all(to.in_other_zones, peer_topic::feed_push,
-                wire::encode(message));
+    push_to(to.in_other_zones, wire::encode(message));
+}
+
+void store_feed::push_to(const std::vector<instance_id>& receivers,
+                         const std::string& body) {
+    for (const instance_id& receiver : receivers) {
+        const auto entry = directory_.find(receiver);
+        if (entry != directory_.end() &&
+            peers_.queued_bytes(entry->second.address) <= max_queued_bytes) {
+            send_to(entry->second.address, receiver, peer_topic::feed_push,
+                    body);
+        }
+    }
 }
 
 std::optional<feed_heartbeat> store_feed::make_heartbeat() const {
@@ -445,25 +489,56 @@
     return heartbeat;
 }
 
-void store_feed::send_snapshot(const subscription& source,
-                               const feed_request& request,
-                               const instance_id& to) {
+const std::string& store_feed::make_reply(subscription& source,
+                                          const feed_request& request) {
+    const key_copy& copy = source.mirror.copy();
+    auto changes = request.revision == 0
+                       ? std::nullopt
+                       : source.history.changes_since(request.revision, copy);
+    feed_push reply{.prefix = source.mirror.prefix(),
+                    .term = term_.term()->revision,
+                    .number = source.pushes,
+                    .is_snapshot = !changes,
+                    .revision = copy.revision(),
+                    .is_between_zones = request.is_between_zones,
+                    .since_outage = since_outage(),
+                    .since = changes ? request.revision : 0};
+    const auto& last = source.reply;
+    const steady_time now = std::chrono::steady_clock::now();
+    if (last && now < source.reply_made_at + reply_lifetime &&
+        last->term == reply.term && last->number == reply.number &&
+        last->revision == reply.revision && last->since == reply.since &&
+        last->is_between_zones == reply.is_between_zones) {
+        return source.encoded_reply;
+    }
+    source.reply = reply;
+    source.reply_made_at = now;
+    if (changes) {
+        for (const store_change& change : *changes) {
+            reply.changes.push_back(to_feed(change.value, change.is_removed));
+        }
+    } else {
+        for (const auto& [key, value] : copy.values()) {
+            reply.changes.push_back(to_feed(value, false));
+        }
+    }
+    source.encoded_reply = wire::encode(reply);
+    return source.encoded_reply;
+}
+
+void store_feed::send_reply(subscription& source, const feed_request& request,
+                            const instance_id& to) {
     const auto address = parse_endpoint(request.address);
     auto heartbeat = make_heartbeat();
     if (!address || !heartbeat) {
         return;
     }
-    feed_push message{.prefix = source.mirror.prefix(),
-                      .term = term_.term()->revision,
-                      .number = source.pushes,
-                      .is_snapshot = true,
-                      .revision = source.mirror.copy().revision(),
-                      .is_between_zones = request.is_between_zones,
-                      .since_outage = since_outage()};
-    for (const auto& [key, value] : source.mirror.copy().values()) {
-        message.changes.push_back(to_feed(value, false));
+    const std::string& reply = make_reply(source, request);
+    if (reply.size() > max_queued_bytes &&
+        peers_.queued_bytes(*address) > max_queued_bytes) {
+        return;
     }
-    send_to(*address, to, peer_topic::feed_push, wire::encode(message));
+    send_to(*address, to, peer_topic::feed_push, reply);
     // The regular heartbeats reach the receiver only once it is known here.
     heartbeat->is_between_zones = request.is_between_zones;
     send_to(*address, to, peer_topic::feed_heartbeat, wire::encode(*heartbeat));
@@ -479,52 +554,67 @@
         for (const auto& source : subscriptions_) {
             if (request && source->mirror.prefix() == request->prefix &&
                 source->mirror.copy().has_snapshot()) {
-                send_snapshot(*source, *request, message.from);
+                send_reply(*source, *request, message.from);
             }
         }
     }
 }
 
+bool store_feed::is_applicable(const feed_push& push) const {
+    const key_copy& copy = copy_of(push.prefix);
+    return push.since == 0 ||
+           (copy.has_snapshot() && copy.revision() >= push.since);
+}
+
 void store_feed::handle_push(const peer_message& message) {
     auto push = wire::decode<feed_push>(message.body);
-    if (!push || !is_from_source(push->is_between_zones)) {
+    if (!push || !is_from_source(push->is_between_zones) ||
+        !is_applicable(*push)) {
         return;
     }
+    const bool is_between_zones = push->is_between_zones;
     feed_follower& follower =
-        push->is_between_zones ? root_follower_ : zone_follower_;
-    const auto action =
-        follower.on_push(message.from, *push, std::chrono::steady_clock::now());
-    if (action == push_action::request_snapshot) {
-        request_snapshot(message.from, push->prefix, push->is_between_zones);
-    }
-    if (action != push_action::apply) {
+        is_between_zones ? root_follower_ : zone_follower_;
+    const steady_time now = std::chrono::steady_clock::now();
+    switch (follower.on_push(message.from, *push, now)) {
+    case push_action::ignore:
         return;
+    case push_action::request_changes:
+        request_changes(message.from, push->prefix, is_between_zones);
+        return;
+    case push_action::apply:
+        break;
     }
-    if (push->since_outage < no_outage) {
+    apply_push(std::move(*push));
+    request_changes(follower, follower.take_requests(now), is_between_zones);
+    update_mode();
+}
+
+void store_feed::apply_push(feed_push push) {
+    if (push.since_outage < no_outage) {
         reported_outage_end_ =
             std::max(reported_outage_end_,
-                     std::chrono::steady_clock::now() - push->since_outage);
+                     std::chrono::steady_clock::now() - push.since_outage);
     }
     for (const auto& source : subscriptions_) {
-        if (source->mirror.prefix() != push->prefix) {
+        if (source->mirror.prefix() != push.prefix) {
             continue;
         }
-        if (push->is_snapshot) {
+        if (push.is_snapshot) {
             std::vector<stored_value> values;
-            for (feed_change& change : push->changes) {
+            for (feed_change& change : push.changes) {
                 values.push_back(to_value(std::move(change)));
             }
-            source->mirror.apply_snapshot(std::move(values), push->revision);
+            source->mirror.apply_snapshot(std::move(values), push.revision);
             continue;
         }
         std::vector<store_change> changes;
-        for (feed_change& change : push->changes) {
+        for (feed_change& change : push.changes) {
             const bool is_removed = change.is_removed;
             changes.push_back({to_value(std::move(change)), is_removed});
         }
-        source->mirror.apply_changes(std::move(changes), push->revision);
+        source->mirror.apply_changes(std::move(changes), push.revision);
     }
-    update_mode();
 }
 
 void store_feed::handle_heartbeat(const peer_message& message) {
@@ -536,9 +626,7 @@
         heartbeat->is_between_zones ? root_follower_ : zone_follower_;
     const auto stale_prefixes = follower.on_heartbeat(
         message.from, *heartbeat, std::chrono::steady_clock::now());
-    for (const std::string& prefix : stale_prefixes) {
-        request_snapshot(message.from, prefix, heartbeat->is_between_zones);
-    }
+    request_changes(follower, stale_prefixes, heartbeat->is_between_zones);
     update_mode();
 }
 
--- a/drivers/feed/store_feed.hpp
+++ b/drivers/feed/store_feed.hpp
@@ -5,6 +5,7 @@
 #include "drivers/store/scope_term.hpp"
 #include "drivers/store/store_client.hpp"
 #include "drivers/store/store_mirror.hpp"
+#include "servers/feed/change_history.hpp"
 #include "servers/feed/feed_follower.hpp"
 #include "servers/feed/node_directory.hpp"
 #include "servers/feed/root_feeder.hpp"
@@ -42,10 +43,14 @@
 };
 
 /// Keeps copies of the store's keys on an instance. One instance per zone is
-/// the feeder and forwards the changes to the others, its followers. If
-/// `change_bound` leaves time for two hops, one of the feeders is the root: it
-/// watches the store and forwards the changes to the feeders of the other
-/// zones. Otherwise each feeder watches the store.
+/// the feeder and forwards the changes to the others, its followers. Small
+/// changes are pushed; large ones, and those for followers whose link is
+/// congested, are announced, and each follower requests the newest state of
+/// what it lacks, one request at a time. So the feeder's queues are bounded,
+/// and no value is sent that was replaced meanwhile. If `change_bound` leaves
+/// time for two hops, one of the feeders is the root: it watches the store and
+/// forwards the changes to the feeders of the other zones. Otherwise each
+/// feeder watches the store.
 ///
 /// An instance whose source of changes is not current watches the store itself.
 /// A feeder gives up the root sooner than its followers give up the feeder, so
@@ -98,8 +103,14 @@
         store_feed& owner;
         store_mirror_listener& listener;
         store_mirror mirror;
+        change_history history;
         /// Number of the last push as the feeder.
         std::uint64_t pushes = 0;
+        /// The last reply, without its changes, and its encoded form: followers
+        /// usually request the same changes at once.
+        std::optional<feed_push> reply;
+        steady_time reply_made_at{};
+        std::string encoded_reply;
     };
 
     [[nodiscard]] bool has_current_copies() const;
@@ -136,10 +147,23 @@
               const std::vector<store_change>& changes);
     /// Returns nothing if the copies are not current.
     [[nodiscard]] std::optional<feed_heartbeat> make_heartbeat() const;
-    void send_snapshot(const subscription& source, const feed_request& request,
-                       const instance_id& to);
-    void request_snapshot(const instance_id& feeder, const std::string& prefix,
-                          bool is_between_zones);
+    /// Sends a heartbeat to all that follow this instance. Returns false if the
+    /// copies are not current.
+    bool announce();
+    void send_reply(subscription& source, const feed_request& request,
+                    const instance_id& to);
+    /// Returns the encoded reply to a request.
+    [[nodiscard]] const std::string& make_reply(subscription& source,
+                                                const feed_request& request);
+    void request_changes(const instance_id& feeder, const std::string& prefix,
+                         bool is_between_zones);
+    void request_changes(const feed_follower& follower,
+                         const std::vector<std::string>& prefixes,
+                         bool is_between_zones);
+    /// Applies a push that the follower accepted.
+    void apply_push(feed_push push);
+    /// Whether the copy that a reply builds on is the one held.
+    [[nodiscard]] bool is_applicable(const feed_push& push) const;
     void handle_push(const peer_message& message);
     void handle_heartbeat(const peer_message& message);
     [[nodiscard]] std::chrono::milliseconds since_outage() const;
@@ -148,6 +172,9 @@
                  peer_topic topic, std::string body);
     void send_to_all(const std::vector<instance_id>& receivers,
                      peer_topic topic, const std::string& body);
+    /// Sends a push to those receivers whose links are not congested.
+    void push_to(const std::vector<instance_id>& receivers,
+                 const std::string& body);
 
     store_client& store_;
     peer_transport& peers_;
--- a/drivers/peer/peer_link.cpp
+++ b/drivers/peer/peer_link.cpp
@@ -93,6 +93,10 @@
     outcome<endpoint> start();
     void stop();
     void send(const peer_message& message, const endpoint& to);
+    [[nodiscard]] std::size_t queued_bytes(const endpoint& to) const {
+        const auto found = outgoing_.find(to_text(to));
+        return found == outgoing_.end() ? 0 : found->second->queued_bytes();
+    }
 
     void set_handler(message_handler handler) { handler_ = std::move(handler); }
     [[nodiscard]] peer_counters counters() const {
@@ -540,6 +544,10 @@
     impl_->send(message, to);
 }
 
+std::size_t peer_link::queued_bytes(const endpoint& to) const {
+    return impl_->queued_bytes(to);
+}
+
 peer_counters peer_link::counters() const {
     return impl_->counters();
 }
--- a/drivers/peer/peer_link.hpp
+++ b/drivers/peer/peer_link.hpp
@@ -75,6 +75,8 @@
 
     void send(const peer_message& message, const endpoint& to) override;
 
+    [[nodiscard]] std::size_t queued_bytes(const endpoint& to) const override;
+
     [[nodiscard]] peer_counters counters() const;
 
     /// Lets tests simulate a partition between this instance and others.
--- a/drivers/peer/peer_transport.hpp
+++ b/drivers/peer/peer_transport.hpp
@@ -3,6 +3,7 @@
 #include "core/endpoint.hpp"
 #include "servers/control_server.hpp"
 
+#include <cstddef>
 #include <functional>
 
 namespace savorydock {
@@ -19,6 +20,13 @@
     /// is dropped and counted. Thread safe; never blocks.
     virtual void send(const peer_message& message, const endpoint& to) = 0;
 
+    /// Bytes of messages to a peer that it has not answered; 0 if unknown. Call
+    /// it on the transport's thread.
+    [[nodiscard]] virtual std::size_t queued_bytes(const endpoint& to) const {
+        static_cast<void>(to);
+        return 0;
+    }
+
     /// Sets the handler of received messages. Precondition: called once, before
     /// the transport starts. The handler runs on the transport's thread and
     /// must not block.
--- a/servers/feed/feed_follower.cpp
+++ b/servers/feed/feed_follower.cpp
@@ -52,10 +52,9 @@
 feed_follower::on_heartbeat(const instance_id& feeder,
                             const feed_heartbeat& heartbeat, steady_time now) {
     follow_newer_term(feeder, heartbeat.term);
-    std::vector<std::string> to_request;
     if (heartbeat.term != term_ ||
         heartbeat.numbers.size() != prefixes_.size()) {
-        return to_request;
+        return {};
     }
     last_heard_ = now;
     announcements_.push_back(
@@ -64,15 +63,28 @@
         announcements_.pop_front();
     }
     for (std::size_t i = 0; i < prefixes_.size(); ++i) {
-        prefix_state& state = prefixes_[i];
-        state.announce(heartbeat.numbers[i], now);
-        if (state.is_behind() &&
-            now >= state.requested_at + options_.request_interval) {
-            state.requested_at = now;
+        prefixes_[i].announce(heartbeat.numbers[i], now);
+    }
+    confirm_announcements();
+    return take_requests(now);
+}
+
+bool feed_follower::take_request(prefix_state& state, steady_time now) const {
+    if (state.requested_at &&
+        now < *state.requested_at + options_.request_timeout) {
+        return false;
+    }
+    state.requested_at = now;
+    return true;
+}
+
+std::vector<std::string> feed_follower::take_requests(steady_time now) {
+    std::vector<std::string> to_request;
+    for (std::size_t i = 0; i < prefixes_.size(); ++i) {
+        if (prefixes_[i].is_behind() && take_request(prefixes_[i], now)) {
             to_request.push_back(options_.prefixes[i]);
         }
     }
-    confirm_announcements();
     return to_request;
 }
 
@@ -101,16 +113,16 @@
     }
     prefix_state& state = prefixes_[*index];
     state.announce(push.number, now);
+    if (push.is_reply()) {
+        state.requested_at.reset();
+    }
     if (state.number && push.number <= *state.number) {
         return push_action::ignore;
     }
-    if (!push.is_snapshot &&
+    if (!push.is_reply() &&
         (!state.number || push.number != *state.number + 1)) {
-        if (now < state.requested_at + options_.request_interval) {
-            return push_action::ignore;
-        }
-        state.requested_at = now;
-        return push_action::request_snapshot;
+        return take_request(state, now) ? push_action::request_changes
+                                        : push_action::ignore;
     }
     state.number = push.number;
     state.announce(push.number, now);
--- a/servers/feed/feed_follower.hpp
+++ b/servers/feed/feed_follower.hpp
@@ -24,16 +24,16 @@
     std::chrono::milliseconds max_age{1'400};
     /// A feeder that sent no heartbeat for this long is not followed.
     std::chrono::milliseconds max_silence{1'400};
-    /// Minimum time between two requests for the same prefix.
-    std::chrono::milliseconds request_interval{200};
+    /// A request that wasn't replied to within this time is repeated.
+    std::chrono::milliseconds request_timeout{700};
 };
 
 /// What the caller must do with a push.
 enum class push_action : std::uint8_t {
     apply,
     ignore,
-    /// An earlier push is missing: request a snapshot of the prefix.
-    request_snapshot,
+    /// An earlier push is missing: request the changes of the prefix.
+    request_changes,
 };
 
 /// Decides whether an instance follows the feeder of its zone or reads the
@@ -52,7 +52,7 @@
 public:
     explicit feed_follower(feed_follower_options options);
 
-    /// Processes a heartbeat. Returns the prefixes whose snapshots the caller
+    /// Processes a heartbeat. Returns the prefixes whose changes the caller
     /// must request.
     [[nodiscard]] std::vector<std::string>
     on_heartbeat(const instance_id& feeder, const feed_heartbeat& heartbeat,
@@ -61,6 +61,10 @@
     [[nodiscard]] push_action on_push(const instance_id& feeder,
                                       const feed_push& push, steady_time now);
 
+    /// Returns the prefixes that lack announced changes and for which no
+    /// request is unanswered; the caller must request their changes now.
+    [[nodiscard]] std::vector<std::string> take_requests(steady_time now);
+
     /// Whether the data from the feeder is recent, and complete for all
     /// prefixes.
     [[nodiscard]] bool is_following(steady_time now) const;
@@ -91,7 +95,8 @@
     struct prefix_state {
         /// Number of the last push applied; empty until the first snapshot.
         std::optional<std::uint64_t> number;
-        steady_time requested_at{};
+        /// When the request that is not replied to yet was made.
+        std::optional<steady_time> requested_at;
         /// Number of the last push that the feeder announced.
         std::uint64_t announced = 0;
         /// Since when an announced push has been missing; empty if none is.
@@ -103,6 +108,9 @@
         void announce(std::uint64_t newest, steady_time now);
     };
 
+    /// Whether a request may be made for the prefix; if so, it counts as made.
+    [[nodiscard]] bool take_request(prefix_state& state, steady_time now) const;
+
     /// A heartbeat whose pushes have not all been applied yet.
     struct announcement {
         std::vector<std::uint64_t> numbers;
--- a/servers/feed/feed_message.hpp
+++ b/servers/feed/feed_message.hpp
@@ -25,7 +25,8 @@
 /// Stands for an outage so long ago that it has no effect any more.
 inline constexpr std::chrono::milliseconds no_outage{60'000};
 
-/// Changes under one key prefix, sent by the feeder of a zone to its followers.
+/// Changes under one key prefix, sent by the feeder of a zone to its followers:
+/// all that the feeder noticed at once, or the reply to a request.
 struct feed_push {
     std::string prefix;
     /// The feeder's term; numbers of different terms can't be compared.
@@ -42,10 +43,16 @@
     /// Time since the last outage of the store ended for the feeder; at least
     /// `no_outage` if it knows of none.
     std::chrono::milliseconds since_outage = no_outage;
+    /// In the reply to a request that names a revision: `changes` holds all
+    /// changes since that revision of the store. Otherwise 0.
+    store_revision since = 0;
+
+    /// Whether the receiver needs no earlier push to apply this one.
+    [[nodiscard]] bool is_reply() const { return is_snapshot || since != 0; }
 };
 BOOST_DESCRIBE_STRUCT(feed_push, (),
                       (prefix, term, number, is_snapshot, revision, changes,
-                       is_between_zones, since_outage))
+                       is_between_zones, since_outage, since))
 
 /// Reports that the feeder is running, and when it last reached the store.
 struct feed_heartbeat {
@@ -60,14 +67,18 @@
 BOOST_DESCRIBE_STRUCT(feed_heartbeat, (),
                       (term, age, numbers, is_between_zones))
 
-/// Requests a snapshot of a prefix; sent by a follower that missed a push.
+/// Requests the changes that the sender lacks under a prefix.
 struct feed_request {
     std::string prefix;
     /// Sent by a zone's feeder to the root feeder.
     bool is_between_zones = false;
     /// Address of the sender as text: the feeder may not know it yet.
     std::string address;
+    /// The sender's copy includes all changes up to this revision; 0 if it has
+    /// no copy and needs a snapshot.
+    store_revision revision = 0;
 };
-BOOST_DESCRIBE_STRUCT(feed_request, (), (prefix, is_between_zones, address))
+BOOST_DESCRIBE_STRUCT(feed_request, (),
+                      (prefix, is_between_zones, address, revision))
 
 } // namespace savorydock
--- a/tests/drivers/feed/store_feed_test.cpp
+++ b/tests/drivers/feed/store_feed_test.cpp
@@ -37,12 +37,12 @@
 struct member final : public store_mirror_listener {
     member(asio::io_context& context, const endpoint& store,
            peer_transport& transport, const node_directory& directory,
-           const std::string& name, const std::string& zone, logger& log)
+           const std::string& name, const node_entry& entry, logger& log)
         : client(context, {.address = store}, log)
         , feed(context, client, transport, directory,
                {.self = instance_id(name),
-                .zone = availability_zone(zone),
-                .address = {.address = "127.0.0.1", .port = 1},
+                .zone = entry.zone,
+                .address = entry.address,
                 .change_bound = 3'000ms,
                 .seed = std::hash<std::string>()(name)},
                {{"op/", &data}, {std::string(control_prefix), this}}, log) {}
@@ -72,7 +72,7 @@
     explicit fleet_transport(asio::io_context& context)
         : context_(context) {}
 
-    void send(const peer_message& message, const endpoint&) override {
+    void send(const peer_message& message, const endpoint& to) override {
         if (silent.contains(message.from) || silent.contains(message.to)) {
             return;
         }
@@ -85,8 +85,18 @@
                   message.body.size() * 1'000'000us / bytes_per_second;
         auto timer = std::make_shared<asio::steady_timer>(context_);
         timer->expires_at(free_at);
-        timer->async_wait(
-            [this, timer, message](const auto&) { deliver(message); });
+        queued_[to_text(to)] += message.body.size();
+        queued_in_all += message.body.size();
+        longest_queue = std::max(longest_queue, queued_in_all);
+        timer->async_wait([this, timer, message, to](const auto&) {
+            queued_[to_text(to)] -= message.body.size();
+            queued_in_all -= message.body.size();
+            deliver(message);
+        });
+    }
+    std::size_t queued_bytes(const endpoint& to) const override {
+        const auto found = queued_.find(to_text(to));
+        return found == queued_.end() ? 0 : found->second;
     }
     void on_message(message_handler) override {}
 
@@ -94,6 +104,9 @@
     std::set<instance_id> silent;
     /// 0 for no limit.
     std::size_t bytes_per_second = 0;
+    /// Bytes that wait for links.
+    std::size_t queued_in_all = 0;
+    std::size_t longest_queue = 0;
 
 private:
     static constexpr std::size_t small_bytes = 4'096;
@@ -107,6 +120,7 @@
 
     asio::io_context& context_;
     std::map<instance_id, steady_time> link_free_at_;
+    std::map<std::string, std::size_t> queued_;
 };
 
 class store_feed_test : public ::testing::Test {
@@ -117,12 +131,10 @@
             const std::string zone(1, letter);
             for (int number = 1; number <= members_per_zone; ++number) {
                 const std::string name = zone + std::to_string(number);
-                directory[instance_id(name)] = {.instance = instance_id(name),
-                                                .zone =
-                                                    availability_zone(zone)};
-                members.push_back(
-                    std::make_unique<member>(context, fake.address(), transport,
-                                             directory, name, zone, log));
+                directory[instance_id(name)] = make_entry(name, zone);
+                members.push_back(std::make_unique<member>(
+                    context, fake.address(), transport, directory, name,
+                    directory[instance_id(name)], log));
                 transport.members[instance_id(name)] = members.back().get();
             }
         }
@@ -132,6 +144,12 @@
         }
     }
 
+    node_entry make_entry(const std::string& name, const std::string& zone) {
+        return {.instance = instance_id(name),
+                .zone = availability_zone(zone),
+                .address = {.address = "127.0.0.1", .port = ++last_port}};
+    }
+
     template <class Test>
     bool wait(Test is_done, std::chrono::milliseconds limit) {
         const auto end = std::chrono::steady_clock::now() + limit;
@@ -181,6 +199,7 @@
     fake_users_store fake;
     null_logger log;
     asio::io_context context;
+    std::uint16_t last_port = 0;
     node_directory directory;
     fleet_transport transport{context};
     std::vector<std::unique_ptr<member>> members;
@@ -192,13 +211,16 @@
     store_feed_load_test()
         : store_feed_test("a", 9) {}
 
+    static constexpr std::size_t configuration_bytes = 80'000;
+    static constexpr std::size_t followers = 8;
+
     /// A configuration that neither compresses well nor shares text with
     /// other versions.
     static std::string make_configuration(int version) {
         std::mt19937 random(static_cast<unsigned>(version));
         std::uniform_int_distribution<int> letters('!', '~');
         std::string text = std::to_string(version) + ' ';
-        while (text.size() < 40'000) {
+        while (text.size() < configuration_bytes) {
             text += static_cast<char>(letters(random));
         }
         return text;
@@ -266,7 +288,8 @@
 TEST_F(store_feed_test, new_instance_takes_its_first_copies_from_the_feeder) {
     ASSERT_TRUE(wait([&] { return watchers() == 1; }, 5s));
     // Not in the others' directory yet.
-    member late(context, fake.address(), transport, directory, "a3", "a", log);
+    member late(context, fake.address(), transport, directory, "a3",
+                make_entry("a3", "a"), log);
     transport.members[instance_id("a3")] = &late;
     late.feed.start();
     ASSERT_TRUE(
@@ -296,7 +319,7 @@
 TEST_F(store_feed_load_test,
        changes_faster_than_the_link_are_in_force_within_their_bound) {
     ASSERT_TRUE(wait([&] { return watchers() == 1; }, 5s));
-    transport.bytes_per_second = 250'000;
+    transport.bytes_per_second = 500'000;
     std::map<int, steady_time> written_at;
     for (int version = 2; version <= 20; ++version) {
         fake.put("op/config", make_configuration(version));
@@ -312,3 +335,18 @@
         }
     }
 }
+
+// Guards against queues of versions that were replaced while they waited: they
+// delayed the newest one, and used up the memory of small instances.
+TEST_F(store_feed_load_test, congested_link_queues_one_version_per_follower) {
+    ASSERT_TRUE(wait([&] { return watchers() == 1; }, 5s));
+    transport.bytes_per_second = 500'000;
+    for (int version = 2; version <= 20; ++version) {
+        fake.put("op/config", make_configuration(version));
+        run_for(330ms);
+    }
+    EXPECT_LT(transport.longest_queue,
+              (followers + 1) * (configuration_bytes + 4'096));
+    transport.bytes_per_second = 0;
+    EXPECT_TRUE(wait([&] { return all_have(make_configuration(20)); }, 2s));
+}
--- a/tests/servers/feed/feed_test.cpp
+++ b/tests/servers/feed/feed_test.cpp
@@ -1,3 +1,4 @@
+#include "servers/feed/change_history.hpp"
 #include "servers/feed/feed_follower.hpp"
 #include "servers/feed/key_copy.hpp"
 #include "servers/feed/node_directory.hpp"
@@ -96,7 +97,7 @@
     follow();
     now += 300ms;
     EXPECT_EQ(follower.on_push(feeder, push("a/", 3, false), now),
-              push_action::request_snapshot);
+              push_action::request_changes);
     EXPECT_EQ(follower.on_push(feeder, push("a/", 2, false), now),
               push_action::apply);
     EXPECT_EQ(follower.on_push(feeder, push("a/", 2, false), now),
@@ -132,6 +133,88 @@
     EXPECT_FALSE(follower.is_following(now)) << "no snapshot of b/ yet";
 }
 
+TEST_F(feed_follower_test, unanswered_request_is_repeated_only_after_a_time) {
+    follow();
+    EXPECT_EQ(follower.on_push(feeder, push("a/", 3, false), now),
+              push_action::request_changes);
+    now += 350ms;
+    EXPECT_TRUE(
+        follower.on_heartbeat(feeder, {.term = 5, .numbers = {4, 1}}, now)
+            .empty());
+    now += 350ms;
+    EXPECT_EQ(
+        follower.on_heartbeat(feeder, {.term = 5, .numbers = {4, 1}}, now),
+        (std::vector<std::string>{"a/"}));
+}
+
+// A reply that was made before further changes doesn't end the gap.
+TEST_F(feed_follower_test,
+       reply_older_than_an_announcement_is_followed_by_a_request) {
+    follow();
+    EXPECT_EQ(
+        follower.on_heartbeat(feeder, {.term = 5, .numbers = {3, 1}}, now),
+        (std::vector<std::string>{"a/"}));
+    EXPECT_EQ(follower.on_push(feeder, push("a/", 4, false), now),
+              push_action::ignore);
+    feed_push reply = push("a/", 3, false);
+    reply.since = 7;
+    EXPECT_EQ(follower.on_push(feeder, reply, now), push_action::apply);
+    EXPECT_EQ(follower.take_requests(now), (std::vector<std::string>{"a/"}));
+    EXPECT_TRUE(follower.take_requests(now).empty());
+}
+
+class change_history_test : public ::testing::Test {
+public:
+    change_history_test() {
+        history.record(copy.replace({value("a", 3), value("b", 5)}, 10), copy);
+    }
+
+    void merge(store_change change, store_revision revision) {
+        history.record(copy.merge({std::move(change)}, revision), copy);
+    }
+
+    std::vector<std::string> keys_since(store_revision revision) {
+        std::vector<std::string> keys;
+        const auto changes = history.changes_since(revision, copy);
+        EXPECT_TRUE(changes);
+        for (const store_change& change : *changes) {
+            keys.push_back((change.is_removed ? "-" : "+") + change.value.key);
+        }
+        return keys;
+    }
+
+    key_copy copy;
+    change_history history{2};
+};
+
+TEST_F(change_history_test, replaced_values_are_told_once_in_the_stores_order) {
+    merge({.value = value("a", 11)}, 11);
+    merge({.value = value("b", 12)}, 12);
+    merge({.value = value("a", 13)}, 13);
+    EXPECT_EQ(keys_since(10), (std::vector<std::string>{"+b", "+a"}));
+    EXPECT_EQ(keys_since(12), (std::vector<std::string>{"+a"}));
+    EXPECT_TRUE(keys_since(13).empty());
+}
+
+TEST_F(change_history_test, removal_is_told_unless_the_key_is_back) {
+    merge({.value = value("a", 11), .is_removed = true}, 11);
+    merge({.value = value("b", 12), .is_removed = true}, 12);
+    merge({.value = value("a", 13)}, 13);
+    EXPECT_EQ(keys_since(10), (std::vector<std::string>{"-b", "+a"}));
+}
+
+TEST_F(change_history_test, changes_since_an_unknown_revision_are_not_told) {
+    EXPECT_FALSE(history.changes_since(9, copy));
+    for (store_revision revision = 11; revision < 17; revision += 2) {
+        const std::string key = "k" + std::to_string(revision);
+        merge({.value = value(key, revision)}, revision);
+        merge({.value = value(key, revision + 1), .is_removed = true},
+              revision + 1);
+    }
+    EXPECT_FALSE(history.changes_since(11, copy)) << "a removal was forgotten";
+    EXPECT_EQ(keys_since(12), (std::vector<std::string>{"-k13", "-k15"}));
+}
+
 TEST(key_copy_test, snapshot_older_than_a_change_reverts_nothing) {
     key_copy copy;
     static_cast<void>(copy.replace({value("k", 3)}, 3));
