Answer 503 for an unknown route while the view may be old

Callers got 404, after which they don't retry, from instances that lacked recent changes of the configuration; some of these knew that their data was not current.

Routes that its view has are still served, because nothing else can be done while the store is away.

--- a/drivers/front/front_service.cpp
+++ b/drivers/front/front_service.cpp
@@ -172,7 +172,7 @@
     }
     const route_rule* const route = routes->find(call.host, request.target);
     if (route == nullptr) {
-        co_await refuse(exchange, call.id.text(), status_not_found, "no route");
+        co_await refuse_unknown_route(exchange, call.id.text());
         co_return;
     }
     switch (route->kind) {
@@ -190,6 +190,16 @@
     }
 }
 
+asio::awaitable<void>
+front_service::refuse_unknown_route(http_exchange& exchange,
+                                    const std::string& request) {
+    // Callers don't retry after 404, and a route may be missing only here.
+    const bool is_final = fleet_.find_view_age().is_current;
+    co_await refuse(
+        exchange, request, is_final ? status_not_found : status_unavailable,
+        is_final ? "no route" : "no route, but the routes may be out of date");
+}
+
 asio::awaitable<void>
 front_service::forward(http_exchange& exchange, const route_rule& route,
                        const platform::caller_call& call) {
--- a/drivers/front/front_service.hpp
+++ b/drivers/front/front_service.hpp
@@ -75,6 +75,8 @@
                                         const std::string& request,
                                         unsigned status,
                                         const std::string& reason);
+    boost::asio::awaitable<void>
+    refuse_unknown_route(http_exchange& exchange, const std::string& request);
     /// Refuses a request that is blocked because it crashes upstreams.
     boost::asio::awaitable<void> refuse_suspect(http_exchange& exchange,
                                                 const std::string& request);
