Apply the limits in force to requests on open connections

The cause of the refused requests, elsewhere: a proper request could get 413, after which callers don't retry, from limits that were no longer in force. An idle connection kept the limits from the end of the request before, and an instance with an old view applied old limits as surely as current ones.

The limits are now taken when the first bytes of a request arrive. A request over limits that may be out of date gets 503 with Retry-After and Connection: close.

Found by reading; seen by no caller. Evidence: both new tests of http_test got 413 with the two changes taken out (one run) and pass with them.

--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -25,6 +25,9 @@
 constexpr auto await = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view bad_request_body =
     R"({"code":104,"name":"not_run_bad_request","detail":"malformed HTTP"})";
+constexpr std::size_t first_read_bytes = 4'096;
+/// When to retry a request that was refused by limits that may be out of date.
+constexpr std::string_view limits_retry_after = "0.250";
 constexpr std::string_view too_large_body =
     R"({"code":113,"name":"not_run_too_large","detail":"over the limit"})";
 
@@ -176,12 +179,17 @@
                                         beast::flat_buffer& buffer,
                                         std::size_t worker);
     asio::awaitable<void> handle(connection_exchange& exchange);
+    /// Waits for the first bytes of a request. The limits in force when these
+    /// arrive apply to it, not those at the end of the request before.
+    asio::awaitable<bool> await_request(beast::tcp_stream& stream,
+                                        beast::flat_buffer& buffer);
     asio::awaitable<void> answer_parse_error(beast::tcp_stream& stream,
                                              beast::error_code error);
 
     traffic_pool& pool;
     caller_limits limits;
     http_handler handler;
+    std::function<bool()> are_limits_current = [] { return true; };
     tcp::acceptor acceptor;
     std::atomic<bool> is_stopping{false};
     std::atomic<bool> is_closing{false};
@@ -222,8 +230,24 @@
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
+asio::awaitable<bool>
+http_server::state::await_request(beast::tcp_stream& stream,
+                                  beast::flat_buffer& buffer) {
+    if (buffer.size() > 0) {
+        co_return true;
+    }
+    stream.expires_after(limits.io_timeout);
+    const auto [error, size] = co_await stream.async_read_some(
+        buffer.prepare(first_read_bytes), await);
+    buffer.commit(size);
+    co_return !error;
+}
+
 asio::awaitable<bool> http_server::state::serve_request(
     beast::tcp_stream& stream, beast::flat_buffer& buffer, std::size_t worker) {
+    if (!co_await await_request(stream, buffer)) {
+        co_return false;
+    }
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits.max_header_bytes);
     parser.body_limit(limits.max_body_bytes);
@@ -277,10 +301,15 @@
         co_return;
     }
     const bool is_too_large = is_over_limit(error);
+    const bool is_final = !is_too_large || are_limits_current();
     http::response<http::string_body> message(
-        is_too_large ? http::status::payload_too_large
-                     : http::status::bad_request,
+        !is_final      ? http::status::service_unavailable
+        : is_too_large ? http::status::payload_too_large
+                       : http::status::bad_request,
         11);
+    if (!is_final) {
+        message.set(http::field::retry_after, limits_retry_after);
+    }
     message.set(http::field::content_type, "application/json");
     message.set("Savorydock-Result", is_too_large ? "113" : "104");
     message.keep_alive(false);
@@ -331,6 +360,13 @@
                [self = state_, limits] { self->limits = limits; });
 }
 
+void http_server::set_limits_check(std::function<bool()> are_current) {
+    asio::post(state_->pool.context(0),
+               [self = state_, are_current = std::move(are_current)]() mutable {
+                   self->are_limits_current = std::move(are_current);
+               });
+}
+
 void http_server::announce_close() {
     state_->is_closing = true;
 }
--- a/drivers/http/http_server.hpp
+++ b/drivers/http/http_server.hpp
@@ -69,6 +69,12 @@
     /// Sets the limits for new connections and requests. Thread safe.
     void set_limits(const caller_limits& limits);
 
+    /// Sets a test of whether the limits are known to be in force. A request
+    /// over limits that may be out of date is refused with 503, not for good.
+    /// The test runs on the traffic thread. Precondition: the pool has one
+    /// thread.
+    void set_limits_check(std::function<bool()> are_current);
+
     /// Keeps serving, but closes each connection after its next response and
     /// announces it there. Thread safe, idempotent.
     void announce_close();
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -364,6 +364,8 @@
     auto result = open(
         caller_server_, *settings_.caller_listen,
         [this](http_exchange& exchange) { return front_.handle(exchange); });
+    caller_server_->set_limits_check(
+        [this] { return feed_.find_view_age().is_current; });
     if (result && settings_.ready_listen) {
         result = open(readiness_server_, *settings_.ready_listen,
                       [this](http_exchange& exchange) {
--- a/tests/drivers/http/http_test.cpp
+++ b/tests/drivers/http/http_test.cpp
@@ -1,10 +1,15 @@
 #include "drivers/http/http_client.hpp"
 #include "drivers/http/http_server.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <gtest/gtest.h>
 
+#include <thread>
+#include <vector>
+
 namespace savorydock {
 
 using namespace std::chrono_literals;
@@ -94,4 +99,58 @@
     EXPECT_EQ(answer->status, 413U);
 }
 
+// Guards against 413 for requests that the configuration allows: an idle
+// connection kept the limits from before a change.
+TEST_F(http_test, raised_limits_apply_to_open_connections) {
+    const auto address = serve(
+        [](http_exchange& exchange) -> asio::awaitable<void> {
+            http_response response;
+            co_await exchange.respond(std::move(response));
+        },
+        {.max_body_bytes = 1'000});
+    asio::io_context context(1);
+    http_client client(context);
+    std::vector<unsigned> statuses;
+    const auto send = [&](std::size_t bytes) {
+        asio::co_spawn(
+            context,
+            [&, bytes]() -> asio::awaitable<void> {
+                http_request request{.method = "POST",
+                                     .target = "/x",
+                                     .body = std::string(bytes, 'a')};
+                auto answer =
+                    co_await client.call(address, std::move(request),
+                                         std::chrono::steady_clock::now() + 2s);
+                statuses.push_back(answer ? answer->status : 0);
+            },
+            asio::detached);
+        context.restart();
+        context.run();
+    };
+    send(10);
+    server_->set_limits({.max_body_bytes = 4'000});
+    std::this_thread::sleep_for(50ms);
+    send(2'000);
+    EXPECT_EQ(statuses, (std::vector<unsigned>{200, 200}));
+    EXPECT_EQ(server_->open_connections(), 1U);
+}
+
+TEST_F(http_test, limits_that_may_be_old_refuse_nothing_for_good) {
+    const auto address = serve(
+        [](http_exchange& exchange) -> asio::awaitable<void> {
+            http_response response;
+            co_await exchange.respond(std::move(response));
+        },
+        {.max_body_bytes = 1'000});
+    server_->set_limits_check([] { return false; });
+    const auto answer = call_blocking(
+        address,
+        {.method = "POST", .target = "/x", .body = std::string(2'000, 'a')},
+        5s);
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->status, 503U);
+    EXPECT_FALSE(answer->header("Retry-After").empty());
+    EXPECT_EQ(answer->header("Connection"), "close");
+}
+
 } // namespace savorydock
