Send long values to followers as differences to a version they have

The second cause of the refused requests: what is sent. Whole copies of a configuration with 1,450 routes exceed a feeder's link from some dozen followers on, however well they are queued; at 1,900 instances a round of 380 copies a zone takes many seconds.

A change is sent compressed by zstd with the receiver's version as its prefix, so that it mostly fits into a push; a receiver that lacks the version asks for a whole, compressed copy.

Weighed: a text patch with one replaced stretch (servers/configuration): the version stands in front of the routes, so nearly the whole value is one stretch.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -130,6 +130,9 @@
                     "a call to the store was relayed by another instance"},
     log_event_entry{term_handed_over, info, "term_handed_over",
                     "a planner released its term to a better-suited instance"},
+    log_event_entry{
+        feed_push_undecodable, warning, "feed_push_undecodable",
+        "changes from the feeder build on a version that is missing here"},
     log_event_entry{peer_suspected, warning, "peer_suspected",
                     "an instance does not respond"},
     log_event_entry{peer_alive, info, "peer_alive", "an instance responds"},
--- a/drivers/feed/store_feed.cpp
+++ b/drivers/feed/store_feed.cpp
@@ -81,19 +81,36 @@
     return options;
 }
 
-feed_change to_feed(const stored_value& value, bool is_removed) {
-    return {.key = value.key,
-            .value = value.value,
-            .created = value.created,
-            .modified = value.modified,
-            .is_removed = is_removed};
+/// Leaves out long values that a later change of the list replaces.
+std::vector<store_change>
+without_replaced(const std::vector<store_change>& changes) {
+    std::map<std::string, store_revision> newest;
+    for (const store_change& change : changes) {
+        newest[change.value.key] = change.value.modified;
+    }
+    std::vector<store_change> left;
+    for (const store_change& change : changes) {
+        if (change.value.value.size() < value_history_options().min_bytes ||
+            newest[change.value.key] == change.value.modified) {
+            left.push_back(change);
+        }
+    }
+    return left;
 }
 
-stored_value to_value(feed_change change) {
-    return {.key = std::move(change.key),
-            .value = std::move(change.value),
-            .created = change.created,
-            .modified = change.modified};
+/// Restores the changes of a push; nothing if one of them can't be.
+std::optional<std::vector<store_change>>
+decode_changes(std::vector<feed_change> encoded, const value_history& values) {
+    std::vector<store_change> changes;
+    changes.reserve(encoded.size());
+    for (feed_change& change : encoded) {
+        auto decoded = values.decode(std::move(change));
+        if (!decoded) {
+            return std::nullopt;
+        }
+        changes.push_back(std::move(*decoded));
+    }
+    return changes;
 }
 
 } // namespace
@@ -110,6 +127,7 @@
 void store_feed::subscription::on_changes(
     const std::vector<store_change>& changes, bool is_reread) {
     history.record(changes, mirror.copy());
+    values.record(changes);
     if (owner.is_feeder() && !changes.empty()) {
         ++pushes;
         owner.push(*this, changes);
@@ -383,12 +401,15 @@
                                  const std::string& prefix,
                                  bool is_between_zones) {
     const key_copy& copy = copy_of(prefix);
-    send(feeder, peer_topic::feed_request,
-         wire::encode(feed_request{
-             .prefix = prefix,
-             .is_between_zones = is_between_zones,
-             .address = to_text(options_.address),
-             .revision = copy.has_snapshot() ? copy.revision() : 0}));
+    const subscription* const source = find_subscription(prefix);
+    const bool has_base =
+        copy.has_snapshot() && source != nullptr && !source->needs_snapshot;
+    send(
+        feeder, peer_topic::feed_request,
+        wire::encode(feed_request{.prefix = prefix,
+                                  .is_between_zones = is_between_zones,
+                                  .address = to_text(options_.address),
+                                  .revision = has_base ? copy.revision() : 0}));
 }
 
 void store_feed::request_changes(const feed_follower& follower,
@@ -451,8 +472,17 @@
                       .number = source.pushes,
                       .revision = source.mirror.copy().revision(),
                       .since_outage = since_outage()};
-    for (const store_change& change : changes) {
-        message.changes.push_back(to_feed(change.value, change.is_removed));
+    // Receivers have all that came before the first of these changes.
+    const store_revision held =
+        std::min_element(
+            changes.begin(), changes.end(),
+            [](const store_change& left, const store_change& right) {
+                return left.value.modified < right.value.modified;
+            })
+            ->value.modified -
+        1;
+    for (const store_change& change : without_replaced(changes)) {
+        message.changes.push_back(source.values.encode(change, held));
     }
     const std::string body = wire::encode(message);
     if (body.size() > max_push_bytes) {
@@ -515,11 +545,12 @@
     source.reply_made_at = now;
     if (changes) {
         for (const store_change& change : *changes) {
-            reply.changes.push_back(to_feed(change.value, change.is_removed));
+            reply.changes.push_back(
+                source.values.encode(change, request.revision));
         }
     } else {
         for (const auto& [key, value] : copy.values()) {
-            reply.changes.push_back(to_feed(value, false));
+            reply.changes.push_back(source.values.encode({.value = value}, 0));
         }
     }
     source.encoded_reply = wire::encode(reply);
@@ -566,15 +597,37 @@
            (copy.has_snapshot() && copy.revision() >= push.since);
 }
 
+store_feed::subscription*
+store_feed::find_subscription(const std::string& prefix) {
+    const auto found = std::find_if(
+        subscriptions_.begin(), subscriptions_.end(),
+        [&](const auto& source) { return source->mirror.prefix() == prefix; });
+    return found == subscriptions_.end() ? nullptr : found->get();
+}
+
 void store_feed::handle_push(const peer_message& message) {
     auto push = wire::decode<feed_push>(message.body);
-    if (!push || !is_from_source(push->is_between_zones) ||
+    subscription* const source =
+        push ? find_subscription(push->prefix) : nullptr;
+    if (source == nullptr || !is_from_source(push->is_between_zones) ||
         !is_applicable(*push)) {
         return;
     }
     const bool is_between_zones = push->is_between_zones;
     feed_follower& follower =
         is_between_zones ? root_follower_ : zone_follower_;
+    auto changes = decode_changes(std::move(push->changes), source->values);
+    if (!changes) {
+        log_.write(log_event::feed_push_undecodable,
+                   "prefix=" + push->prefix +
+                       " number=" + std::to_string(push->number) +
+                       " since=" + std::to_string(push->since));
+        if (push->is_reply() && !source->needs_snapshot) {
+            source->needs_snapshot = true;
+            request_changes(message.from, push->prefix, is_between_zones);
+        }
+        return;
+    }
     const steady_time now = std::chrono::steady_clock::now();
     switch (follower.on_push(message.from, *push, now)) {
     case push_action::ignore:
@@ -585,36 +638,29 @@
     case push_action::apply:
         break;
     }
-    apply_push(std::move(*push));
+    apply_push(*source, *push, std::move(*changes));
     request_changes(follower, follower.take_requests(now), is_between_zones);
     update_mode();
 }
 
-void store_feed::apply_push(feed_push push) {
+void store_feed::apply_push(subscription& source, const feed_push& push,
+                            std::vector<store_change> changes) {
     if (push.since_outage < no_outage) {
         reported_outage_end_ =
             std::max(reported_outage_end_,
                      std::chrono::steady_clock::now() - push.since_outage);
     }
-    for (const auto& source : subscriptions_) {
-        if (source->mirror.prefix() != push.prefix) {
-            continue;
-        }
-        if (push.is_snapshot) {
-            std::vector<stored_value> values;
-            for (feed_change& change : push.changes) {
-                values.push_back(to_value(std::move(change)));
-            }
-            source->mirror.apply_snapshot(std::move(values), push.revision);
-            continue;
-        }
-        std::vector<store_change> changes;
-        for (feed_change& change : push.changes) {
-            const bool is_removed = change.is_removed;
-            changes.push_back({to_value(std::move(change)), is_removed});
-        }
-        source->mirror.apply_changes(std::move(changes), push.revision);
+    if (!push.is_snapshot) {
+        source.mirror.apply_changes(std::move(changes), push.revision);
+        return;
+    }
+    source.needs_snapshot = false;
+    std::vector<stored_value> values;
+    values.reserve(changes.size());
+    for (store_change& change : changes) {
+        values.push_back(std::move(change.value));
     }
+    source.mirror.apply_snapshot(std::move(values), push.revision);
 }
 
 void store_feed::handle_heartbeat(const peer_message& message) {
--- a/drivers/feed/store_feed.hpp
+++ b/drivers/feed/store_feed.hpp
@@ -9,6 +9,7 @@
 #include "servers/feed/feed_follower.hpp"
 #include "servers/feed/node_directory.hpp"
 #include "servers/feed/root_feeder.hpp"
+#include "servers/feed/value_history.hpp"
 #include "servers/fleet/view_age.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -104,6 +105,10 @@
         store_mirror_listener& listener;
         store_mirror mirror;
         change_history history;
+        value_history values;
+        /// A reply built on versions that are missing here, so the next request
+        /// is for a snapshot.
+        bool needs_snapshot = false;
         /// Number of the last push as the feeder.
         std::uint64_t pushes = 0;
         /// The last reply, without its changes, and its encoded form: followers
@@ -161,9 +166,11 @@
                          const std::vector<std::string>& prefixes,
                          bool is_between_zones);
     /// Applies a push that the follower accepted.
-    void apply_push(feed_push push);
+    void apply_push(subscription& source, const feed_push& push,
+                    std::vector<store_change> changes);
     /// Whether the copy that a reply builds on is the one held.
     [[nodiscard]] bool is_applicable(const feed_push& push) const;
+    [[nodiscard]] subscription* find_subscription(const std::string& prefix);
     void handle_push(const peer_message& message);
     void handle_heartbeat(const peer_message& message);
     [[nodiscard]] std::chrono::milliseconds since_outage() const;
--- a/servers/feed/feed_message.hpp
+++ b/servers/feed/feed_message.hpp
@@ -11,6 +11,15 @@
 
 namespace savorydock {
 
+/// How a feed message carries a value.
+enum class value_encoding : std::uint8_t {
+    plain,
+    /// By `encode_delta` without a base.
+    compressed,
+    /// By `encode_delta` with an earlier version of the key's value.
+    delta,
+};
+
 /// One changed key of the store in a feed message.
 struct feed_change {
     std::string key;
@@ -18,9 +27,13 @@
     store_revision created = 0;
     store_revision modified = 0;
     bool is_removed = false;
+    value_encoding encoding = value_encoding::plain;
+    /// The revision of the version that a delta builds on.
+    store_revision base = 0;
 };
 BOOST_DESCRIBE_STRUCT(feed_change, (),
-                      (key, value, created, modified, is_removed))
+                      (key, value, created, modified, is_removed, encoding,
+                       base))
 
 /// Stands for an outage so long ago that it has no effect any more.
 inline constexpr std::chrono::milliseconds no_outage{60'000};
--- a/tests/drivers/feed/store_feed_test.cpp
+++ b/tests/drivers/feed/store_feed_test.cpp
@@ -73,6 +73,7 @@
         : context_(context) {}
 
     void send(const peer_message& message, const endpoint& to) override {
+        sent_bytes += message.body.size();
         if (silent.contains(message.from) || silent.contains(message.to)) {
             return;
         }
@@ -104,6 +105,7 @@
     std::set<instance_id> silent;
     /// 0 for no limit.
     std::size_t bytes_per_second = 0;
+    std::size_t sent_bytes = 0;
     /// Bytes that wait for links.
     std::size_t queued_in_all = 0;
     std::size_t longest_queue = 0;
@@ -350,3 +352,44 @@
     transport.bytes_per_second = 0;
     EXPECT_TRUE(wait([&] { return all_have(make_configuration(20)); }, 2s));
 }
+
+// Load pattern: whole copies of a large configuration for hundreds of
+// followers exceed any link, although only one route changes at a time.
+TEST_F(store_feed_load_test, small_part_of_a_large_value_is_sent_alone) {
+    ASSERT_TRUE(wait([&] { return watchers() == 1; }, 5s));
+    const std::string routes = make_configuration(1);
+    fake.put("op/config", routes + "0");
+    ASSERT_TRUE(wait([&] { return all_have(routes + "0"); }, 2s));
+    const std::size_t before = transport.sent_bytes;
+    for (int change = 1; change <= 6; ++change) {
+        const std::string value = routes + std::to_string(change);
+        fake.put("op/config", value);
+        ASSERT_TRUE(wait([&] { return all_have(value); }, 2s));
+    }
+    EXPECT_LT(transport.sent_bytes - before, 6 * followers * 2'000);
+}
+
+// A follower that read the store itself has other versions than its feeder.
+TEST_F(store_feed_load_test, change_of_an_unknown_version_is_requested_whole) {
+    ASSERT_TRUE(wait([&] { return watchers() == 1; }, 5s));
+    const auto follower =
+        std::find_if(members.begin(), members.end(),
+                     [](const auto& one) { return one->feed.is_following(); });
+    fake.put("op/config", make_configuration(2));
+    run_for(5ms);
+    const auto& own = (*follower)->feed;
+    for (const auto& [instance, one] : transport.members) {
+        if (one == follower->get()) {
+            transport.silent.insert(instance);
+        }
+    }
+    for (int version = 3; version < 9; ++version) {
+        fake.put("op/config", make_configuration(version));
+        run_for(400ms);
+    }
+    ASSERT_FALSE(own.is_following());
+    transport.silent.clear();
+    fake.put("op/config", make_configuration(9));
+    EXPECT_TRUE(wait([&] { return all_have(make_configuration(9)); }, 3s));
+    EXPECT_TRUE(wait([&] { return own.is_following(); }, 2s));
+}
--- a/tests/servers/feed/feed_test.cpp
+++ b/tests/servers/feed/feed_test.cpp
@@ -2,6 +2,7 @@
 #include "servers/feed/feed_follower.hpp"
 #include "servers/feed/key_copy.hpp"
 #include "servers/feed/node_directory.hpp"
+#include "servers/feed/value_history.hpp"
 
 #include <gtest/gtest.h>
 
@@ -215,6 +216,55 @@
     EXPECT_EQ(keys_since(12), (std::vector<std::string>{"-k13", "-k15"}));
 }
 
+class value_history_test : public ::testing::Test {
+public:
+    static store_change change(store_revision modified, char letter) {
+        return {.value = {.key = "k",
+                          .value = std::string(200, 'a') + letter,
+                          .modified = modified}};
+    }
+
+    value_history sender{{.min_bytes = 100, .max_versions = 2}};
+    value_history receiver{{.min_bytes = 100, .max_versions = 2}};
+};
+
+TEST_F(value_history_test, delta_builds_on_the_version_that_the_receiver_has) {
+    sender.record({change(3, 'x'), change(5, 'y')});
+    receiver.record({change(3, 'x')});
+    const feed_change sent = sender.encode(change(9, 'z'), 4);
+    EXPECT_EQ(sent.encoding, value_encoding::delta);
+    EXPECT_EQ(sent.base, 3U);
+    const auto decoded = receiver.decode(sent);
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->value.value, change(9, 'z').value.value);
+    EXPECT_EQ(decoded->value.modified, 9U);
+}
+
+TEST_F(value_history_test, delta_on_a_missing_version_is_not_decoded) {
+    sender.record({change(3, 'x'), change(5, 'y')});
+    receiver.record({change(3, 'x')});
+    EXPECT_FALSE(receiver.decode(sender.encode(change(9, 'z'), 5)));
+}
+
+TEST_F(value_history_test, receiver_of_a_forgotten_version_gets_no_delta) {
+    sender.record({change(3, 'x'), change(5, 'y'), change(7, 'z')});
+    const feed_change sent = sender.encode(change(9, 'z'), 4);
+    EXPECT_EQ(sent.encoding, value_encoding::compressed);
+    EXPECT_TRUE(receiver.decode(sent));
+}
+
+TEST_F(value_history_test, short_value_and_removal_are_sent_plain) {
+    const feed_change sent =
+        sender.encode({.value = {.key = "k", .value = "v", .modified = 3}}, 0);
+    EXPECT_EQ(sent.encoding, value_encoding::plain);
+    EXPECT_EQ(receiver.decode(sent)->value.value, "v");
+    EXPECT_TRUE(
+        receiver
+            .decode(sender.encode(
+                {.value = {.key = "k", .modified = 4}, .is_removed = true}, 0))
+            ->is_removed);
+}
+
 TEST(key_copy_test, snapshot_older_than_a_change_reverts_nothing) {
     key_copy copy;
     static_cast<void>(copy.replace({value("k", 3)}, 3));
