--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -47,6 +47,9 @@
     log_event_entry{stream_default_changed, info, "stream_default_changed",
                     "streams of a route without a record are taken to be of "
                     "another software version"},
+    log_event_entry{attempt_failed, info, "attempt_failed",
+                    "an upstream didn't answer an attempt; the detail says how "
+                    "far it came and on which connection"},
     log_event_entry{step_started, info, "step_started",
                     "a session for a trainer's step began"},
     log_event_entry{step_finished, info, "step_finished",
@@ -92,6 +95,8 @@
     log_event_entry{item_text_discarded, info, "item_text_discarded",
                     "an item starts from its first event again, because no "
                     "engine can continue its text"},
+    log_event_entry{item_stalled, info, "item_stalled",
+                    "a run made no progress for too long and is stopped"},
     log_event_entry{configuration_in_force, info, "configuration_in_force",
                     "a revision of a service's configuration took effect"},
     log_event_entry{configuration_refused, error, "configuration_refused",
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -27,6 +27,7 @@
     stream_sent = 2007,
     stream_ended = 2008,
     stream_default_changed = 2009,
+    attempt_failed = 2010,
 
     step_started = 2100,
     step_finished = 2101,
@@ -50,6 +51,7 @@
     result_read_unanswered = 2219,
     runner_found = 2220,
     item_text_discarded = 2221,
+    item_stalled = 2222,
 
     configuration_in_force = 3000,
     configuration_refused = 3001,
--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -1,6 +1,7 @@
 #include "drivers/batch/engine_driver.hpp"
 
 #include "core/wire_codec.hpp"
+#include "drivers/front/attempt_log.hpp"
 #include "platform/order_codec.hpp"
 #include "servers/batch/job_keys.hpp"
 #include "servers/fleet/limit_sharing.hpp"
@@ -492,6 +493,11 @@
 
 void engine_driver::execute_one(stop_run& command) {
     const instance_id runner = runners_.runner_of(command.ticket);
+    if (command.is_stalled) {
+        log_.write(log_event::item_stalled,
+                   "service=" + options_.service.text() + " runner=" +
+                       runner.text() + " upstream=" + command.upstream.text());
+    }
     if (!runner.is_empty()) {
         orders_[runner].stopped.push_back(command.ticket);
     }
@@ -741,7 +747,8 @@
     order_answer answer = order_answer::unknown;
     if (upstream != nullptr && is_held()) {
         ++statistics_.orders_sent;
-        call_options options{.may_write = is_held};
+        attempt_log attempt(fleet_, log_, "order", order.model, order.upstream);
+        call_options options{.may_write = is_held, .trace = attempt.trace()};
         http_request request = platform::make_version_order(order);
         const steady_time deadline =
             std::chrono::steady_clock::now() + order_timeout;
@@ -749,7 +756,10 @@
             co_await engines_.call(upstream->address, std::move(request),
                                    deadline, std::move(options));
         if (response) {
+            attempt.on_answered();
             answer = platform::decode_order_answer(*response);
+        } else {
+            attempt.on_failed(response.reason());
         }
     }
     const bool is_done = answer == order_answer::accepted ||
@@ -773,13 +783,19 @@
     const upstream_entry* const upstream = find_upstream(id);
     std::optional<upstream_load_report> load;
     if (upstream != nullptr) {
+        attempt_log attempt(fleet_, log_, "load_report", id.text(), id);
+        call_options options{.trace = attempt.trace()};
         http_request request = platform::make_load_request();
         const steady_time deadline =
             std::chrono::steady_clock::now() + order_timeout;
-        const auto response = co_await engines_.call(
-            upstream->address, std::move(request), deadline);
+        const auto response =
+            co_await engines_.call(upstream->address, std::move(request),
+                                   deadline, std::move(options));
         if (response) {
+            attempt.on_answered();
             load = platform::decode_load(*response);
+        } else {
+            attempt.on_failed(response.reason());
         }
     }
     post_step(
--- a/drivers/batch/item_runner.cpp
+++ b/drivers/batch/item_runner.cpp
@@ -1,5 +1,6 @@
 #include "drivers/batch/item_runner.hpp"
 
+#include "drivers/front/attempt_log.hpp"
 #include "drivers/front/leaving_notice.hpp"
 #include "drivers/front/request_limit.hpp"
 #include "drivers/http/event_splitter.hpp"
@@ -143,18 +144,22 @@
         on_leaving_(*task);
         co_return run_end::not_run;
     }
+    attempt_log attempt(fleet_, log_, "run", task->id, task->upstream);
     call_options options{
         .may_write = [&is_leaving] { return !is_leaving(); },
         .is_own_answer =
             [&](const http_headers& received) {
                 return platform::may_answer(
                     task->id, platform::decode_answer_metadata(received));
-            }};
+            },
+        .trace = attempt.trace()};
     auto opened = co_await client_.open(*address, std::move(request),
                                         open_deadline, std::move(options));
     if (!opened) {
+        attempt.on_failed(opened.reason());
         co_return run_end::interrupted;
     }
+    attempt.on_answered();
     http_stream& stream = **opened;
     const auto answer = platform::decode_answer_metadata(stream.headers());
     record_request_limit(fleet_, task->upstream, answer, log_);
@@ -179,6 +184,7 @@
         const std::uint64_t events = record->progress.events;
         const auto bytes = co_await stream.read_some(next_event_by);
         if (!bytes) {
+            attempt.on_failed(bytes.reason());
             co_return run_end::interrupted;
         }
         if (bytes->empty()) {
--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -1,5 +1,6 @@
 #include "drivers/front/plain_caller.hpp"
 
+#include "drivers/front/attempt_log.hpp"
 #include "drivers/front/leaving_notice.hpp"
 #include "drivers/front/request_limit.hpp"
 #include "platform/request_codec.hpp"
@@ -123,6 +124,7 @@
                 call.deadline - std::chrono::steady_clock::now());
     }
     call_guard guard(fleet_.pool, upstream.id);
+    attempt_log attempt(fleet_, log_, "call", call.id, upstream.id);
     http_request request = platform::forward_request(call.request, metadata);
     call_options options{
         .use = call.route.kind == request_kind::idempotent
@@ -134,15 +136,18 @@
             [&call](const http_headers& headers) {
                 return platform::may_answer(
                     call.id, platform::decode_answer_metadata(headers));
-            }};
+            },
+        .trace = attempt.trace()};
     auto answer = co_await client_.call(upstream.address, std::move(request),
                                         deadline, std::move(options));
     if (!answer) {
         guard.end(call_outcome::failed);
+        attempt.on_failed(answer.reason());
         const bool may_have_begun =
             classify(answer.reason().code) != result_class::not_run;
         co_return make_failed(may_have_begun, answer.reason());
     }
+    attempt.on_answered();
     const auto answer_metadata =
         platform::decode_answer_metadata(answer->headers);
     record_request_limit(fleet_, upstream.id, answer_metadata, log_);
--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -1,5 +1,6 @@
 #include "drivers/front/stream_forwarder.hpp"
 
+#include "drivers/front/attempt_log.hpp"
 #include "drivers/front/leaving_notice.hpp"
 #include "drivers/front/request_limit.hpp"
 #include "drivers/http/event_splitter.hpp"
@@ -223,6 +224,7 @@
     }
     http_request forwarded =
         platform::forward_request(request.exchange.request(), marks);
+    attempt_log attempt(fleet_, log_, "stream", call.id.text(), upstream.id);
     call_options options{
         .use = connection_use::fresh,
         .may_write =
@@ -231,7 +233,8 @@
             [&call](const http_headers& headers) {
                 return platform::may_answer(
                     call.id.text(), platform::decode_answer_metadata(headers));
-            }};
+            },
+        .trace = attempt.trace()};
     log_.write(log_event::stream_sent,
                "request=" + call.id.text() + " route=" + request.route.name +
                    " upstream=" + upstream.id.text() +
@@ -249,6 +252,7 @@
     }
     auto& opened = std::get<0>(answered);
     if (!opened) {
+        attempt.on_failed(opened.reason());
         request.guard.on_failed(upstream, opened.reason().code);
         const bool may_have_begun =
             classify(opened.reason().code) != result_class::not_run;
@@ -256,6 +260,7 @@
         state.attempts += may_have_begun ? 1 : 0;
         co_return attempt_end::unfinished;
     }
+    attempt.on_answered();
     http_stream& stream = **opened;
     const auto metadata = platform::decode_answer_metadata(stream.headers());
     record_request_limit(fleet_, upstream.id, metadata, log_);
--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -58,6 +58,7 @@
     beast::flat_buffer buffer;
     /// When the peer may close the connection if it stays idle.
     steady_time idle_until = steady_time::max();
+    steady_time opened_at = std::chrono::steady_clock::now();
 };
 
 /// Makes closing the connection send a reset: bytes that a network partition
@@ -357,6 +358,9 @@
     }
     const auto message = convert(address, std::move(request));
     used->stream.expires_at(deadline);
+    if (options.trace != nullptr) {
+        options.trace->opened_at = used->opened_at;
+    }
     if (std::chrono::steady_clock::now() >= last_write) {
         co_return failure{result_code::not_run_deadline, "no time is left"};
     }
@@ -364,8 +368,14 @@
         co_return failure{result_code::not_run_deadline,
                           "the permission to send has ended"};
     }
+    if (options.trace != nullptr) {
+        options.trace->stage = call_stage::writing;
+    }
     const auto [error, size] =
         co_await http::async_write(used->stream, message, await);
+    if (!error && options.trace != nullptr) {
+        options.trace->stage = call_stage::waiting;
+    }
     if (error) {
         co_return failed_after_write(error);
     }
@@ -374,6 +384,9 @@
     if (!header) {
         co_return header.reason();
     }
+    if (options.trace != nullptr) {
+        options.trace->stage = call_stage::reading;
+    }
     if (options.is_own_answer && !options.is_own_answer(answer->headers())) {
         co_return failure{result_code::unknown_upstream_lost,
                           "an answer to another request"};
--- a/drivers/http/http_client.hpp
+++ b/drivers/http/http_client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/call_trace.hpp"
 #include "core/clock.hpp"
 #include "core/endpoint.hpp"
 #include "core/http_message.hpp"
@@ -64,6 +65,9 @@
     /// request, all further answers on the connection would be assigned to the
     /// wrong requests. Accepts all answers if empty.
     answer_check is_own_answer;
+    /// Written while the call runs, for the log. Must outlive the call; not
+    /// written if null.
+    call_trace* trace = nullptr;
 };
 
 /// Limits on what a peer may send. They bound the memory of this process when
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -941,6 +941,7 @@
          .view = feed_.find_view_age(),
          .peers = peers_.counters(),
          .runs = host_.statistics(),
+         .attempts = fleet_.attempts,
          .engines = engines});
     http_response response =
         make_text_answer(std::move(text) + metrics_.write_text());
--- a/drivers/node/node_metrics.cpp
+++ b/drivers/node/node_metrics.cpp
@@ -51,6 +51,20 @@
     write("peer_largest_queue_bytes", statistics.peers.largest_queue_bytes);
     write("peer_longest_wait_seconds",
           to_seconds(statistics.peers.longest_wait));
+    for (const bool is_kept : {false, true}) {
+        const std::string connection =
+            std::string("connection=\"") + (is_kept ? "kept" : "new") + '"';
+        write("attempts_answered_total", statistics.attempts.answered(is_kept),
+              '{' + connection + '}');
+        for (const call_stage stage :
+             {call_stage::connecting, call_stage::writing, call_stage::waiting,
+              call_stage::reading}) {
+            write("attempts_failed_total",
+                  statistics.attempts.failed(stage, is_kept),
+                  '{' + connection + ",stage=\"" + std::string(name_of(stage)) +
+                      "\"}");
+        }
+    }
     write("runs_active", statistics.runs.active);
     write("runs_started_total", statistics.runs.started);
     write("runs_interrupted_total", statistics.runs.interrupted);
--- a/drivers/node/node_metrics.hpp
+++ b/drivers/node/node_metrics.hpp
@@ -4,6 +4,7 @@
 #include "drivers/front/front_service.hpp"
 #include "drivers/peer/peer_counters.hpp"
 #include "drivers/store/store_client.hpp"
+#include "servers/fleet/attempt_counts.hpp"
 #include "servers/fleet/view_age.hpp"
 
 #include <map>
@@ -24,6 +25,7 @@
     view_age view;
     peer_counters peers;
     run_statistics runs;
+    attempt_counts attempts;
     std::map<service_name, engine_statistics> engines;
 };
 
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -732,7 +732,8 @@
         }
         run.is_stopping = true;
         roster_.pause_engine(run.upstream, now);
-        out.emplace_back(stop_run{.ticket = ticket});
+        out.emplace_back(stop_run{
+            .ticket = ticket, .is_stalled = true, .upstream = run.upstream});
     }
 }
 
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -142,6 +142,9 @@
 
 struct stop_run {
     run_ticket ticket = 0;
+    /// The run made no progress for too long.
+    bool is_stalled = false;
+    upstream_id upstream;
 };
 
 /// The result is listed, so the instance that buffers it may drop it.
--- a/servers/fleet/fleet_state.hpp
+++ b/servers/fleet/fleet_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "servers/fleet/attempt_counts.hpp"
 #include "servers/fleet/route_table.hpp"
 #include "servers/fleet/upstream_pool.hpp"
 #include "servers/fleet/view_age.hpp"
@@ -18,6 +19,7 @@
     std::shared_ptr<const route_table> routes;
     std::vector<upstream_entry> upstreams;
     upstream_pool pool;
+    attempt_counts attempts;
     /// Called when an upstream was marked as leaving in `pool`.
     std::function<void()> on_leaving = [] {};
     /// Called when the request limit that an upstream names has changed.
