Open an http_client's connections through a connector

A connector opens connections, says whether idle ones may be reused and hears of answers and silence. The default connects to the address itself, as before. The existing tests of http_client are the check: http_client_*, http_test.

--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -3,7 +3,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -12,7 +11,6 @@
 #include <array>
 #include <charconv>
 #include <map>
-#include <netinet/tcp.h>
 #include <optional>
 #include <sys/socket.h>
 #include <vector>
@@ -22,7 +20,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
-using tcp = asio::ip::tcp;
 
 namespace {
 
@@ -37,46 +34,24 @@
 constexpr int max_interim_answers = 4;
 constexpr unsigned first_final_status = 200;
 
-/// TCP keepalive detects connections whose peer no longer responds: the first
-/// probe is sent after the idle time, then one per interval.
-constexpr int probe_idle_seconds = 1;
-constexpr int probe_interval_seconds = 1;
-constexpr int probe_count = 2;
-/// A connection is closed if sent bytes stay unacknowledged for this long.
-constexpr int unacknowledged_milliseconds = 3'000;
 /// Idle connections are discarded this long before their peer would close
 /// them, so that no request is sent on a connection that is being closed.
 constexpr std::chrono::milliseconds idle_close_margin{500};
 
 /// One connection to an address, with the bytes read ahead from it.
 struct connection {
-    explicit connection(asio::io_context& context)
-        : stream(context)
+    explicit connection(opened_connection opened)
+        : stream(std::move(opened.socket))
+        , path(opened.path)
         , buffer(max_buffered_bytes) {}
 
     beast::tcp_stream stream;
+    connection_path path;
     beast::flat_buffer buffer;
     /// When the peer may close the connection if it stays idle.
     steady_time idle_until = steady_time::max();
 };
 
-/// Makes closing the connection send a reset: bytes that a network partition
-/// delays must not reach their receiver once the call has failed.
-void prepare_socket(tcp::socket& socket) {
-    boost::system::error_code ignored;
-    socket.set_option(asio::socket_base::linger(true, 0), ignored);
-    const auto set = [&](int level, int option, int value) {
-        // Without the option an unreachable peer is only detected later.
-        ::setsockopt(socket.native_handle(), level, option, &value,
-                     sizeof value);
-    };
-    set(SOL_SOCKET, SO_KEEPALIVE, 1);
-    set(IPPROTO_TCP, TCP_KEEPIDLE, probe_idle_seconds);
-    set(IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_seconds);
-    set(IPPROTO_TCP, TCP_KEEPCNT, probe_count);
-    set(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_milliseconds);
-}
-
 /// The idle time granted by the response header "Keep-Alive: timeout=N".
 std::optional<std::chrono::seconds> idle_time_of(std::string_view keep_alive) {
     constexpr std::string_view name = "timeout=";
@@ -107,14 +82,9 @@
     return {result_code::cancelled_by_caller, error.message()};
 }
 
-failure failed_before_write(const beast::error_code& error) {
-    if (error == asio::error::operation_aborted) {
-        return cancelled(error);
-    }
-    const bool is_timeout = error == beast::error::timeout;
-    return {is_timeout ? result_code::not_run_deadline
-                       : result_code::not_run_no_upstream,
-            error.message()};
+/// Whether the peer sent nothing, not even an end of the connection.
+bool is_silence(const beast::error_code& error) {
+    return error == beast::error::timeout || error == asio::error::timed_out;
 }
 
 failure failed_after_write(const beast::error_code& error) {
@@ -147,18 +117,24 @@
 } // namespace
 
 struct http_client::pool {
-    pool(asio::io_context& used_context, unframed_answer used_unframed,
-         answer_limits used_limits)
-        : context(used_context)
+    pool(std::shared_ptr<connector> used_connector,
+         unframed_answer used_unframed, answer_limits used_limits)
+        : paths(std::move(used_connector))
         , unframed(used_unframed)
         , limits(used_limits) {}
 
-    connection_pointer take_idle(const std::string& key) {
-        auto& list = idle[key];
+    connection_pointer take_idle(const endpoint& address,
+                                 const std::string& key) {
+        const auto found = idle.find(key);
+        if (found == idle.end()) {
+            return nullptr;
+        }
+        auto& list = found->second;
         while (!list.empty()) {
             connection_pointer candidate = std::move(list.back());
             list.pop_back();
             if (candidate->idle_until > std::chrono::steady_clock::now() &&
+                paths->may_reuse(address, candidate->path) &&
                 is_still_idle(*candidate)) {
                 return candidate;
             }
@@ -174,26 +150,7 @@
         }
     }
 
-    asio::awaitable<outcome<connection_pointer>> connect(endpoint address,
-                                                         steady_time deadline) {
-        auto fresh = std::make_unique<connection>(context);
-        beast::error_code error;
-        const auto ip = asio::ip::make_address(address.address, error);
-        if (error) {
-            co_return failed_before_write(error);
-        }
-        fresh->stream.expires_at(deadline);
-        const tcp::endpoint remote(ip, address.port);
-        std::tie(error) = co_await fresh->stream.async_connect(remote, await);
-        if (error) {
-            co_return failed_before_write(error);
-        }
-        fresh->stream.socket().set_option(tcp::no_delay(true), error);
-        prepare_socket(fresh->stream.socket());
-        co_return std::move(fresh);
-    }
-
-    asio::io_context& context;
+    std::shared_ptr<connector> paths;
     unframed_answer unframed;
     answer_limits limits;
     /// Body bytes held by the calls in progress.
@@ -226,10 +183,10 @@
 
 class http_client::stream final : public http_stream {
 public:
-    stream(std::shared_ptr<pool> owner, std::string key,
+    stream(std::shared_ptr<pool> owner, endpoint address,
            connection_pointer used)
         : pool_(std::move(owner))
-        , key_(std::move(key))
+        , address_(std::move(address))
         , connection_(std::move(used)) {
         reset_parser();
     }
@@ -242,9 +199,13 @@
         for (int interim = 0; interim <= max_interim_answers; ++interim) {
             const auto [error, size] = co_await http::async_read_header(
                 connection_->stream, connection_->buffer, *parser_, await);
+            if (is_silence(error)) {
+                pool_->paths->on_unanswered(address_, connection_->path);
+            }
             if (error) {
                 co_return failed_after_write(error);
             }
+            pool_->paths->on_answered(address_, connection_->path);
             if (status() >= first_final_status) {
                 break;
             }
@@ -318,11 +279,11 @@
         connection_->idle_until = idle_time ? std::chrono::steady_clock::now() +
                                                   *idle_time - idle_close_margin
                                             : steady_time::max();
-        pool_->return_idle(key_, std::move(connection_));
+        pool_->return_idle(to_text(address_), std::move(connection_));
     }
 
     std::shared_ptr<pool> pool_;
-    std::string key_;
+    endpoint address_;
     connection_pointer connection_;
     std::optional<http::response_parser<http::buffer_body>> parser_;
     http_headers headers_;
@@ -330,8 +291,12 @@
 };
 
 http_client::http_client(asio::io_context& context, unframed_answer unframed,
-                         answer_limits limits)
-    : pool_(std::make_shared<pool>(context, unframed, limits)) {}
+                         answer_limits limits,
+                         std::shared_ptr<connector> used_connector)
+    : pool_(std::make_shared<pool>(
+          used_connector ? std::move(used_connector)
+                         : std::make_shared<direct_connector>(context),
+          unframed, limits)) {}
 
 http_client::~http_client() = default;
 
@@ -339,21 +304,29 @@
     pool_->idle.erase(to_text(address));
 }
 
+void http_client::drop_unusable() {
+    for (auto& [key, list] : pool_->idle) {
+        const auto address = parse_endpoint(key);
+        std::erase_if(list, [&](const connection_pointer& used) {
+            return address && !pool_->paths->may_reuse(*address, used->path);
+        });
+    }
+}
+
 asio::awaitable<outcome<std::unique_ptr<http_stream>>>
 http_client::open(endpoint address, http_request request, steady_time deadline,
                   call_options options) {
-    const std::string key = to_text(address);
     const steady_time last_write = std::min(deadline, options.write_by);
     connection_pointer used;
     if (options.use == connection_use::reuse) {
-        used = pool_->take_idle(key);
+        used = pool_->take_idle(address, to_text(address));
     }
     if (!used) {
-        auto fresh = co_await pool_->connect(address, last_write);
-        if (!fresh) {
-            co_return fresh.reason();
+        auto opened = co_await pool_->paths->connect(address, last_write);
+        if (!opened) {
+            co_return opened.reason();
         }
-        used = std::move(*fresh);
+        used = std::make_unique<connection>(std::move(*opened));
     }
     const auto message = convert(address, std::move(request));
     used->stream.expires_at(deadline);
@@ -369,7 +342,7 @@
     if (error) {
         co_return failed_after_write(error);
     }
-    auto answer = std::make_unique<stream>(pool_, key, std::move(used));
+    auto answer = std::make_unique<stream>(pool_, address, std::move(used));
     const auto header = co_await answer->read_header(deadline);
     if (!header) {
         co_return header.reason();
--- a/drivers/http/http_client.hpp
+++ b/drivers/http/http_client.hpp
@@ -4,6 +4,7 @@
 #include "core/endpoint.hpp"
 #include "core/http_message.hpp"
 #include "core/outcome.hpp"
+#include "drivers/http/connector.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -87,9 +88,12 @@
 /// that some bytes may have been.
 class http_client {
 public:
+    /// `used_connector` opens the connections; if null, they are opened to the
+    /// upstreams themselves.
     explicit http_client(boost::asio::io_context& context,
                          unframed_answer unframed = unframed_answer::refuse,
-                         answer_limits limits = {});
+                         answer_limits limits = {},
+                         std::shared_ptr<connector> used_connector = nullptr);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
@@ -111,6 +115,9 @@
     /// failed without a reset.
     void drop_idle(const endpoint& address);
 
+    /// Closes the idle connections that the connector no longer trusts.
+    void drop_unusable();
+
 private:
     struct pool;
     class stream;
