--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -158,6 +158,17 @@
     log_event_entry{upstream_limit_changed, info, "upstream_limit_changed",
                     "an upstream named, changed or lifted the request rate "
                     "that it accepts"},
+    log_event_entry{upstream_isolation_began, warning,
+                    "upstream_isolation_began",
+                    "the instance reaches no upstream itself, but others do; "
+                    "it connects through them"},
+    log_event_entry{upstream_isolation_ended, info, "upstream_isolation_ended",
+                    "the instance reaches upstreams itself again"},
+    log_event_entry{tunnel_opened, info, "tunnel_opened",
+                    "a connection to an upstream leads through another "
+                    "instance"},
+    log_event_entry{tunnel_refused, info, "tunnel_refused",
+                    "another instance's request for a tunnel was refused"},
     log_event_entry{order_sent, info, "order_sent",
                     "an order was sent to an upstream"},
     log_event_entry{order_done, info, "order_done",
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -84,6 +84,10 @@
     upstream_gone = 3305,
     upstream_entry_ignored = 3306,
     upstream_limit_changed = 3307,
+    upstream_isolation_began = 3310,
+    upstream_isolation_ended = 3311,
+    tunnel_opened = 3312,
+    tunnel_refused = 3313,
 
     order_sent = 3400,
     order_done = 3401,
