Reach upstreams through peers while an instance is cut off from them

Callers' plain requests and streams, runs of items and scoring calls now use path_connector: a direct connection that isn't established in a short time goes on through a peer before any byte of the request is written. An isolated instance connects through peers at once, drops idle direct connections, refuses to open tunnels for others and probes for the end of the cut. Orders to engines have a client of their own and stay direct, the store's connections too. A stopping instance opens no new tunnels and waits for those in use within its grace. Without the tunnel port the instance serves as before.

--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -21,6 +21,8 @@
 #include "drivers/peer/peer_link.hpp"
 #include "drivers/store/scope_term.hpp"
 #include "drivers/store/store_mirror.hpp"
+#include "drivers/tunnel/path_connector.hpp"
+#include "drivers/tunnel/tunnel_server.hpp"
 #include "platform/configuration_codec.hpp"
 #include "platform/settings_file.hpp"
 #include "servers/batch/job_keys.hpp"
@@ -92,6 +94,11 @@
     return "savorydock/" + std::to_string(settings.internal_port);
 }
 
+/// The port of tunnels, derived from the port for messages on all instances.
+std::uint16_t tunnel_port_of(std::uint16_t internal_port) {
+    return static_cast<std::uint16_t>(internal_port + 1);
+}
+
 std::uint64_t random_seed() {
     std::random_device device;
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
@@ -120,6 +127,9 @@
     void on_peer_message(const peer_message& message);
     void report_runs(const instance_id& planner, runner_update update);
     void apply_node_change(const store_change& change);
+    void update_path_peers();
+    [[nodiscard]] std::optional<endpoint>
+    tunnel_address_of(const instance_id& peer) const;
     outcome<done> listen();
     void start();
     void on_fleet_update();
@@ -181,6 +191,11 @@
     store_client store_;
     limit_sharing limit_sharing_;
     fleet_state fleet_;
+    upstream_paths paths_;
+    std::shared_ptr<path_connector> connector_;
+    /// For orders, which must come from this machine and are never sent through
+    /// another instance.
+    http_client order_client_;
     /// An engine's stream must end by its framing. A plain service's answer
     /// without a length ends when its connection closes.
     http_client engine_client_;
@@ -191,6 +206,7 @@
     job_store jobs_;
     node_directory directory_;
     peer_link peers_;
+    tunnel_server tunnels_;
     peer_store_relay relay_;
     result_exchange results_;
     item_runner runner_;
@@ -230,8 +246,19 @@
                                             return part_of_limit(upstream,
                                                                  limit, now);
                                         }})}
-    , engine_client_(context_)
-    , plain_client_(context_, unframed_answer::accept)
+    , paths_({.self = settings_.instance, .zone = settings_.zone}, random_)
+    , connector_(std::make_shared<path_connector>(
+          context_, paths_,
+          path_connector_options{.self = settings_.instance,
+                                 .key = peer_key_of(settings_),
+                                 .tunnel_of =
+                                     [this](const instance_id& peer) {
+                                         return tunnel_address_of(peer);
+                                     }},
+          log))
+    , order_client_(context_)
+    , engine_client_(context_, unframed_answer::refuse, {}, connector_)
+    , plain_client_(context_, unframed_answer::accept, {}, connector_)
     , plain_(plain_client_, fleet_, random_, log)
     , suspects_(
           {.self = settings_.instance, .boot = std::to_string(random_seed())})
@@ -248,6 +275,11 @@
               .answer_timeout = peer_timeout,
               .seed = random_seed()},
              log)
+    , tunnels_(context_,
+               {.listen = {.address = settings_.address,
+                           .port = tunnel_port_of(settings_.internal_port)},
+                .key = peer_key_of(settings_)},
+               *connector_, log)
     , relay_(
           context_, store_, peers_, directory_, settings_.instance,
           [this] { return relay_candidates(); }, log)
@@ -324,6 +356,10 @@
     , front_(fleet_, plain_, streams_, jobs_, suspects_, metrics_, log,
              [this](const job_record& record) { notify_planner(record); })
     , signals_(context_, SIGTERM, SIGINT, SIGHUP) {
+    connector_->on_change([this] {
+        engine_client_.drop_unusable();
+        plain_client_.drop_unusable();
+    });
     fleet_.on_limit_changed = [this](const upstream_id& upstream,
                                      std::optional<double> limit) {
         report_limit(upstream, limit);
@@ -378,6 +414,12 @@
             log_.write(log_event::listener_failed, bound.reason().detail);
             return bound.reason();
         }
+        // Without its port the instance serves callers but helps no others.
+        const auto tunnels_bound = tunnels_.start();
+        if (!tunnels_bound) {
+            log_.write(log_event::listener_failed,
+                       tunnels_bound.reason().detail);
+        }
     }
     if (result) {
         result = open(metrics_server_,
@@ -421,6 +463,11 @@
     if (!fleet_.routes) {
         return;
     }
+    std::vector<endpoint> addresses;
+    for (const upstream_entry& upstream : fleet_.upstreams) {
+        addresses.push_back(upstream.address);
+    }
+    paths_.set_upstreams(addresses);
     const fleet_configuration& configuration = fleet_.routes->configuration();
     caller_server_->set_limits(
         {.max_header_bytes = configuration.bounds.max_header_bytes,
@@ -431,7 +478,7 @@
             continue;
         }
         auto driver = std::make_unique<engine_driver>(
-            context_, control_, store_, jobs_, engine_client_, host_, peers_,
+            context_, control_, store_, jobs_, order_client_, host_, peers_,
             directory_, fleet_, [this] { return feed_.is_data_current(); },
             log_,
             engine_driver_options{
@@ -642,11 +689,13 @@
 void node_instance::impl::on_changes(const std::vector<store_change>& changes,
                                      bool is_reread) {
     bool has_jobs = false;
+    bool has_nodes = false;
     std::set<std::string> changed_keys;
     for (const store_change& change : changes) {
         const std::string& key = change.value.key;
         if (key.starts_with(node_prefix)) {
             apply_node_change(change);
+            has_nodes = true;
             continue;
         }
         if (key.starts_with(suspect_prefix)) {
@@ -676,6 +725,9 @@
         }
         jobs_.on_record(id, std::move(*record));
     }
+    if (has_nodes) {
+        update_path_peers();
+    }
     const auto update_term = [&](const std::string& key, auto& term) {
         if (!is_reread && !changed_keys.contains(key)) {
             return;
@@ -720,6 +772,27 @@
     limit_sharing_.on_instance_added(instance);
 }
 
+void node_instance::impl::update_path_peers() {
+    std::vector<path_peer> peers;
+    for (const auto& [instance, entry] : directory_) {
+        if (!entry.is_leaving) {
+            peers.push_back({.instance = instance, .zone = entry.zone});
+        }
+    }
+    paths_.set_peers(peers);
+}
+
+std::optional<endpoint>
+node_instance::impl::tunnel_address_of(const instance_id& peer) const {
+    const auto entry = directory_.find(peer);
+    if (entry == directory_.end()) {
+        return std::nullopt;
+    }
+    endpoint address = entry->second.address;
+    address.port = tunnel_port_of(address.port);
+    return address;
+}
+
 void node_instance::impl::on_peer_message(const peer_message& message) {
     switch (message.topic) {
     case peer_topic::feed_push:
@@ -833,6 +906,7 @@
 asio::awaitable<void> node_instance::impl::drain() {
     const steady_time begin = std::chrono::steady_clock::now();
     caller_server_->announce_close();
+    connector_->stop_helping();
     for (const auto& [name, engine] : engines_) {
         asio::co_spawn(context_, engine->drain(commit_drain_time),
                        asio::detached);
@@ -858,7 +932,8 @@
             asio::co_spawn(context_, registration_.retire(), asio::detached);
             reported_at = now + report_delivery_time;
         }
-        const bool may_exit = is_idle && now >= begin + rotation_exit_time;
+        const bool may_exit = is_idle && tunnels_.active_tunnels() == 0 &&
+                              now >= begin + rotation_exit_time;
         if (reported_at && now >= *reported_at && (may_exit || now >= last)) {
             // Must not suspend after this point: a request that arrived on an
             // open connection meanwhile would be cut off.
@@ -940,6 +1015,9 @@
          .is_following = feed_.is_following(),
          .view = feed_.find_view_age(),
          .peers = peers_.counters(),
+         .is_isolated = paths_.is_isolated(),
+         .tunnels = tunnels_.counters(),
+         .tunnels_used = connector_->tunnels_used(),
          .runs = host_.statistics(),
          .engines = engines});
     http_response response =
--- a/drivers/node/node_metrics.cpp
+++ b/drivers/node/node_metrics.cpp
@@ -51,6 +51,11 @@
     write("peer_largest_queue_bytes", statistics.peers.largest_queue_bytes);
     write("peer_longest_wait_seconds",
           to_seconds(statistics.peers.longest_wait));
+    write("upstreams_isolated", statistics.is_isolated ? 1 : 0);
+    write("tunnels_open", statistics.tunnels.open);
+    write("tunnels_opened_total", statistics.tunnels.opened);
+    write("tunnels_refused_total", statistics.tunnels.refused);
+    write("tunnels_used_total", statistics.tunnels_used);
     write("runs_active", statistics.runs.active);
     write("runs_started_total", statistics.runs.started);
     write("runs_interrupted_total", statistics.runs.interrupted);
--- a/drivers/node/node_metrics.hpp
+++ b/drivers/node/node_metrics.hpp
@@ -4,6 +4,7 @@
 #include "drivers/front/front_service.hpp"
 #include "drivers/peer/peer_counters.hpp"
 #include "drivers/store/store_client.hpp"
+#include "drivers/tunnel/tunnel_server.hpp"
 #include "servers/fleet/view_age.hpp"
 
 #include <map>
@@ -23,6 +24,9 @@
     bool is_following = false;
     view_age view;
     peer_counters peers;
+    bool is_isolated = false;
+    tunnel_counters tunnels;
+    std::uint64_t tunnels_used = 0;
     run_statistics runs;
     std::map<service_name, engine_statistics> engines;
 };
