--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -84,6 +84,102 @@
         writer.close()
 
 
+class Network:
+    """Forwards TCP connections to one upstream. For the nodes in `cut`, which
+    is shared by all upstreams, by how they are cut off: hang (new connections
+    and bytes stay unanswered), reset, or refuse (new connections are closed at
+    once and open ones live on). Connections belong to the node whose process
+    opened them, so that other nodes' tunnels still pass."""
+
+    def __init__(self, target, nodes, cut):
+        self.target, self.nodes, self.cut = target, nodes, cut
+        self.open = set()
+
+    async def start(self, ip):
+        server = await asyncio.start_server(self.serve, ip, 0)
+        self.address = "%s:%d" % server.sockets[0].getsockname()[:2]
+
+    async def find_owner(self, writer):
+        """The node that opened a connection; None if it isn't known. Looks
+        several times: /proc/net/tcp isn't read atomically."""
+        for _ in range(20):
+            if node := self.owner(writer):
+                return node
+            await asyncio.sleep(0.01)
+        return None
+
+    def owner(self, writer):
+        def encode(address):
+            ip, port = address[:2]
+            return "%08X:%04X" % (int.from_bytes(
+                bytes(int(part) for part in ip.split(".")), "little"), port)
+
+        # A local port alone may belong to connections of several processes.
+        ends = [encode(writer.get_extra_info(name))
+                for name in ("peername", "sockname")]
+        with open("/proc/net/tcp") as table:
+            inodes = {row[9] for row in (line.split() for line in table)
+                      if row[1:3] == ends}
+        for node in self.nodes:
+            folder = f"/proc/{node.process.pid}/fd"
+            try:
+                links = [os.readlink(f"{folder}/{fd}")
+                         for fd in os.listdir(folder)]
+            except OSError:
+                continue
+            if any(link == f"socket:[{inode}]"
+                   for link in links for inode in inodes):
+                return node
+        return None
+
+    def how(self, node):
+        return self.cut.get(node.name) if node else None
+
+    def apply(self):
+        """Makes a change of `cut` effective for open connections."""
+        for connection in list(self.open):
+            if self.how(connection[0]) == "reset":
+                for writer in connection[1:]:
+                    writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        node = await self.find_owner(writer)
+        while self.how(node) == "hang":
+            await asyncio.sleep(0.05)
+        if self.how(node) in ("reset", "refuse"):
+            writer.transport.abort()
+            return
+        host, port = self.target.split(":")
+        try:
+            target_reader, target_writer = await asyncio.open_connection(
+                host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        connection = (node, writer, target_writer)
+        self.open.add(connection)
+        await asyncio.gather(
+            self.pump(node, reader, writer, target_writer),
+            self.pump(node, target_reader, target_writer, writer))
+        self.open.discard(connection)
+
+    async def pump(self, node, reader, source, sink):
+        try:
+            while data := await reader.read(65536):
+                while self.how(node) == "hang":
+                    await asyncio.sleep(0.05)
+                if self.how(node) == "reset":
+                    # Opened while the cut began.
+                    source.transport.abort()
+                    raise ConnectionResetError
+                sink.write(data)
+                await sink.drain()
+            sink.close()
+        except (ConnectionError, OSError):
+            # An answer that was reset must not look complete.
+            sink.transport.abort()
+
+
 class Node:
     """Runs one instance as a process; `supervise` restarts it if it exits."""
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -7,6 +7,12 @@
 # a job none of its items may start, and a fault has effects for up to CONTACT_S.
 CANCEL_S = 3.0
 CONTACT_S = 3.0
+# First tries at instances that are cut off from all upstreams must be served at
+# least this share as often as those at the others.
+CUT_OFF_SHARE = 2 / 3
+# Fewer tries than this, at either group, judge nothing and are a failure of the
+# soak itself.
+MIN_TRIES = 10
 
 
 class Judge:
@@ -106,6 +112,20 @@
         if runs > 1 and not is_idempotent:
             self.fail(f"TWICE: {request} ran {runs} times")
 
+    def on_cut_off(self, how, cut, others):
+        """Compares first tries at instances that were cut off from all
+        upstreams with those at the others; each list says which were
+        served."""
+        self.counts["tries at cut instances"] += len(cut)
+        self.counts["of them served"] += sum(cut)
+        if min(len(cut), len(others)) < MIN_TRIES:
+            self.fail(f"SOAK: {len(cut)} and {len(others)} tries in a cut")
+        elif (sum(cut) / len(cut) <
+              CUT_OFF_SHARE * sum(others) / len(others)):
+            self.fail(f"RECOVER: cut off ({how}), {sum(cut)} of {len(cut)} "
+                      f"tries served, elsewhere {sum(others)} of "
+                      f"{len(others)}")
+
     def on_page(self, job, first, page, event_text, events_of):
         if page["total"] != len(job["items"]):
             self.fail(f"MIXED: total {page['total']} of {job['id']}")
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -141,6 +141,18 @@
         self.judge.on_item(ITEM, 0)
         self.assertEqual(self.judge.violations, [])
 
+    def test_worse_service_at_cut_instances_is_caught(self):
+        self.judge.on_cut_off("hang", [True] * 13 + [False] * 7, [True] * 20)
+        self.assert_violation("RECOVER")
+
+    def test_two_thirds_of_the_service_at_cut_instances_is_allowed(self):
+        self.judge.on_cut_off("hang", [True] * 14 + [False] * 6, [True] * 20)
+        self.assertEqual(self.judge.violations, [])
+
+    def test_too_few_tries_in_a_cut_are_caught(self):
+        self.judge.on_cut_off("hang", [True] * 9, [True] * 20)
+        self.assert_violation("SOAK")
+
     def test_two_holders_of_one_term_are_caught(self):
         worker = type("worker", (), {"id": "w"})
         self.judge.on_order(worker, {"fence": 7, "holder": "a"})
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,8 +19,8 @@
 import aiohttp
 from aiohttp import web
 
-from faults import Node, Proxy
-from judge import Judge
+from faults import Network, Node, Proxy
+from judge import CONTACT_S, Judge
 from store import Store
 from workers import Worker, event_text, events_of
 
@@ -57,6 +57,8 @@
         # Each concurrent run gets its own loopback network.
         self.net = f"127.{30 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
         self.nodes, self.workers, self.runners = [], [], []
+        # How each node is cut off from all upstreams; see Network.
+        self.cut, self.networks = {}, []
         self.target_version = 1
         self.is_over = False
 
@@ -74,7 +76,11 @@
         for at in range(engines + plains):
             service = "engine" if at < engines else "plain"
             worker = Worker(service, self.judge, self.store, f"z{at % 3}", 6)
-            worker.address = await self.serve(worker.app(), self.net + ".3")
+            address_behind = await self.serve(worker.app(), self.net + ".3")
+            network = Network(address_behind, self.nodes, self.cut)
+            await network.start(self.net + ".5")
+            self.networks.append(network)
+            worker.address = network.address
             self.workers.append(worker)
             await worker.register()
         await self.configure()
@@ -279,6 +285,10 @@
             "pause": (node.name, lambda: node.send(signal.SIGSTOP),
                       lambda: node.send(signal.SIGCONT)),
             "reload": (node.name, node.reload, nothing),
+            "cut_off": (node.name,
+                        lambda: self.set_cut([node], self.random.choice(
+                            ["hang", "reset", "refuse"])),
+                        lambda: self.set_cut([node], None)),
             "store": ("store",
                       lambda: setattr(self.store, "mode", self.random.choice(
                           ["refuse", "lose"])),
@@ -295,6 +305,63 @@
                                 ["v1", "v2"]))), nothing),
         }
 
+    def set_cut(self, nodes, how):
+        for node in nodes:
+            if how:
+                self.cut[node.name] = how
+            else:
+                self.cut.pop(node.name, None)
+        for network in self.networks:
+            network.apply()
+
+    async def try_instances(self, nodes, tries):
+        """Sends first tries to random instances and notes in `tries` the
+        instance, the time at which each was sent, and whether it was
+        served."""
+        while True:
+            node = self.random.choice(nodes)
+            kind = self.random.choice(["safe", "once"])
+            request = uuid.uuid4().hex
+            body = request.encode()
+            self.judge.sent[request] = body
+            sent_at = time.monotonic()
+            status, headers, answer = await self.send(
+                "POST", f"http://{node.ip}:8161/{kind}/x",
+                {"Request-Id": request, "Deadline-Ms": "2000"}, body)
+            self.judge.on_answer(request, kind == "safe", status,
+                                 headers.get("Server-Stamp"), answer)
+            tries.append((node, sent_at, status == 200))
+            await asyncio.sleep(0.05)
+
+    async def cut_off(self, how):
+        """Cuts half of the instances off from all upstreams, in calm, and has
+        the judge compare them with the others from CONTACT_S on."""
+        await asyncio.sleep(CONTACT_S)
+        cut = self.random.sample(self.nodes, len(self.nodes) // 2)
+        others = [node for node in self.nodes if node not in cut]
+        tries = []
+        # Each group has callers of its own: tries at the cut instances may take
+        # their whole time.
+        callers = [asyncio.ensure_future(self.try_instances(group, tries))
+                   for group in (cut, others) for _ in range(6)]
+        await asyncio.sleep(1)
+        print(f"{time.monotonic() - self.begin:7.2f} cut off, {how}: "
+              f"{[node.name for node in cut]}", file=self.events)
+        self.judge.record_fault(1)
+        self.set_cut(cut, how)
+        began = time.monotonic()
+        await asyncio.sleep(CONTACT_S + 6)
+        for caller in callers:
+            caller.cancel()
+        await asyncio.gather(*callers, return_exceptions=True)
+        self.set_cut(cut, None)
+        self.judge.record_fault(-1)
+        judged = [(node in cut, is_served) for node, sent_at, is_served in
+                  tries if sent_at >= began + CONTACT_S]
+        self.judge.on_cut_off(
+            how, [is_served for is_cut, is_served in judged if is_cut],
+            [is_served for is_cut, is_served in judged if not is_cut])
+
     async def inject_faults(self):
         """Starts random faults, which may overlap."""
         while not self.is_over:
@@ -374,6 +441,8 @@
         await asyncio.sleep(self.options.seconds)
         tasks[0].cancel()
         await asyncio.gather(*self.faults)
+        if self.options.cut_off:
+            await self.cut_off(self.options.cut_off)
         await asyncio.sleep(3)
         for task in tasks:
             task.cancel()
@@ -411,6 +480,9 @@
     parser.add_argument("--seeds", type=int, default=1,
                         help="number of runs; seeds count up from --seed")
     parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--cut-off", choices=["hang", "reset", "refuse"],
+                        help="after the faults, cut half of the instances off "
+                        "from all upstreams in this way")
     parser.add_argument("--size", choices=SIZES, default="usual")
     options = parser.parse_args()
     # Instances close streams during faults; aiohttp would log each of them.
