Refuse nested CBOR before it is decoded recursively

The processes that read a value under the marks of suspected requests or the defaults of streams, or a frame of a peer, ended with a segmentation fault when it was nested very deeply, and again after each restart, because the value stays in the store.

`wire::decode` bounded the depth only after nlohmann::json::from_cbor had built the value with one call per level; texts and bytes of indefinite length recurse as well, without a level that a SAX handler could count. The bytes are now checked first with constant stack: at most the known depth, no tags and no indefinite lengths, which the encoder never writes.

Evidence: wire_codec_test.deeply_nested_bytes_are_refused (1 MiB of one level) and suspect_publisher_test.deeply_nested_mark_among_others_is_ignored (0.5 MiB under a key among sound marks) both ended the test process with signal 11 before (one run each) and pass now. Ruled out: JSON, whose parser stops at a depth of 32.

--- a/core/wire_codec.hpp
+++ b/core/wire_codec.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/cbor_shape.hpp"
 #include "core/ids.hpp"
 #include "core/outcome.hpp"
 
@@ -149,6 +150,10 @@
 /// Thread safe.
 template <class T>
 outcome<T> decode(const std::string& bytes) {
+    if (!is_bounded_cbor(bytes, max_depth + 1)) {
+        return failure{result_code::bad_frame,
+                       "not a CBOR value of bounded depth"};
+    }
     try {
         T value{};
         from_node(node::from_cbor(bytes), value);
--- a/tests/core/wire_codec_test.cpp
+++ b/tests/core/wire_codec_test.cpp
@@ -42,4 +42,39 @@
     RC_ASSERT(got.has_value() || got.reason().code == result_code::bad_frame);
 }
 
+// Another writer may put such a value under a key whose values are decoded. It
+// must not overflow the stack.
+TEST(wire_codec_test, deeply_nested_bytes_are_refused) {
+    // A list and a map of one element; a list, a map, bytes and a text of
+    // indefinite length; a tag.
+    for (const std::string& level :
+         {std::string("\x81"), std::string("\xa1\x60"), std::string("\x9f"),
+          std::string("\xbf\x60"), std::string("\x5f"), std::string("\x7f"),
+          std::string("\xc1")}) {
+        std::string bytes;
+        while (bytes.size() < (1U << 20U)) {
+            bytes += level;
+        }
+        const auto got = wire::decode<outer_message>(bytes);
+        ASSERT_FALSE(got);
+        EXPECT_EQ(got.reason().code, result_code::bad_frame);
+    }
+}
+
+TEST(wire_codec_test, unknown_members_up_to_the_depth_are_ignored) {
+    wire::node deep = wire::node::array();
+    for (int depth = 2; depth <= wire::max_depth; ++depth) {
+        deep = wire::node::array({deep});
+    }
+    wire::node sent = wire::to_node(outer_message{});
+    sent.push_back(deep);
+    std::string bytes;
+    wire::node::to_cbor(sent, bytes);
+    EXPECT_TRUE(wire::decode<outer_message>(bytes));
+    sent.back() = wire::node::array({deep});
+    bytes.clear();
+    wire::node::to_cbor(sent, bytes);
+    EXPECT_FALSE(wire::decode<outer_message>(bytes));
+}
+
 } // namespace savorydock
--- a/tests/drivers/front/suspect_publisher_test.cpp
+++ b/tests/drivers/front/suspect_publisher_test.cpp
@@ -138,3 +138,14 @@
         "bad", std::chrono::steady_clock::now()));
     EXPECT_TRUE(wait([&] { return first->suspects.is_empty(); }));
 }
+
+TEST_F(suspect_publisher_test, deeply_nested_mark_among_others_is_ignored) {
+    store.put(std::string(suspect_prefix) + "odd",
+              std::string(1U << 19U, '\x81'));
+    const auto first = start("a");
+    const auto second = start("b");
+    for (const char* const upstream : {"u1", "u2", "u3"}) {
+        first->lose(upstream);
+    }
+    EXPECT_TRUE(wait([&] { return second->is_blocked(); }));
+}
