Refuse CBOR numbers that their type can't hold

Whole numbers, enums and durations are now read only from whole numbers in range; otherwise the value is refused as a bad frame. Peers write such members as whole numbers already, so no message of an older or newer version is affected.

Evidence: wire_codec_test.numbers_outside_the_range_of_their_type_are_refused failed in seven expectations before (one run) and passes now.

--- a/core/wire_codec.hpp
+++ b/core/wire_codec.hpp
@@ -12,8 +12,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <type_traits>
+#include <utility>
 #include <vector>
 
 /// Encodes described structs (BOOST_DESCRIBE_STRUCT) as CBOR arrays, with one
@@ -89,6 +91,21 @@
     }
 }
 
+/// Throws std::out_of_range if the node is not a whole number in the range of
+/// the type.
+template <class T>
+T to_whole_number(const node& source) {
+    const bool is_in_range =
+        source.is_number_unsigned()
+            ? std::in_range<T>(source.get<std::uint64_t>())
+            : source.is_number_integer() &&
+                  std::in_range<T>(source.get<std::int64_t>());
+    if (!is_in_range) {
+        throw std::out_of_range("expected a whole number in range");
+    }
+    return source.get<T>();
+}
+
 /// Throws nlohmann::json::exception or std::out_of_range if the node does not
 /// match the type.
 template <class T>
@@ -99,9 +116,10 @@
     if constexpr (is_text_id<T>::value) {
         value = T(source.get<std::string>());
     } else if constexpr (std::is_enum_v<T>) {
-        value = static_cast<T>(source.get<std::underlying_type_t<T>>());
+        value =
+            static_cast<T>(to_whole_number<std::underlying_type_t<T>>(source));
     } else if constexpr (is_duration<T>::value) {
-        value = T(source.get<typename T::rep>());
+        value = T(to_whole_number<typename T::rep>(source));
     } else if constexpr (is_optional<T>::value) {
         value.reset();
         if (!source.is_null()) {
@@ -133,6 +151,8 @@
                 }
                 ++position;
             });
+    } else if constexpr (std::is_integral_v<T> && !std::is_same_v<T, bool>) {
+        value = to_whole_number<T>(source);
     } else {
         value = source.get<T>();
     }
--- a/tests/core/wire_codec_test.cpp
+++ b/tests/core/wire_codec_test.cpp
@@ -61,6 +61,28 @@
     }
 }
 
+TEST(wire_codec_test, numbers_outside_the_range_of_their_type_are_refused) {
+    const auto decode = [](const wire::node& number, const wire::node& age) {
+        const wire::node sent = wire::node::array(
+            {0, wire::node::array({wire::node::array({"a", number})}),
+             wire::node::array(), age});
+        std::string bytes;
+        wire::node::to_cbor(sent, bytes);
+        return wire::decode<outer_message>(bytes);
+    };
+    EXPECT_TRUE(decode(UINT64_MAX, INT64_MIN));
+    EXPECT_FALSE(decode(-1, 0));
+    EXPECT_FALSE(decode(1.5, 0));
+    EXPECT_FALSE(decode(1e300, 0));
+    EXPECT_FALSE(decode(0, UINT64_MAX));
+    EXPECT_FALSE(decode(0, -1e300));
+    EXPECT_FALSE(decode(0, std::numeric_limits<double>::quiet_NaN()));
+    const std::uint64_t beyond_code = 1ULL << 32U;
+    std::string bytes;
+    wire::node::to_cbor(wire::node::array({beyond_code}), bytes);
+    EXPECT_FALSE(wire::decode<outer_message>(bytes));
+}
+
 TEST(wire_codec_test, unknown_members_up_to_the_depth_are_ignored) {
     wire::node deep = wire::node::array();
     for (int depth = 2; depth <= wire::max_depth; ++depth) {
