Keep numbers of the platform's documents in the range of their type

An upstream entry with slots was taken for one with 0 slots, a divisor in the pool's cost; a configuration with such a weight or size limit got 0; durations beyond 64 bits, or negative ones, became arbitrary, also negative, times; a caller that waits for ms got a negative time, so its request timed out at once.

The decoders checked counts as 64 bits and then cut them, and cast doubles and unsigned numbers to durations unchecked.

Ruled out: 1e400, nesting, texts and fractions in `slots`, refused before as well.

--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -309,3 +309,76 @@
     EXPECT_EQ(order.header("Expect-Instance"), "i");
     EXPECT_NE(order.body.find(R"("expected":3)"), std::string::npos);
 }
+
+// A number of slots divides: it must not become 0 when it is stored.
+TEST_F(codec_test, upstream_entry_with_slots_out_of_range_is_refused) {
+    const auto decode = [](const std::string& slots) {
+        return decode_upstream(
+            "servers/i",
+            R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":)" +
+                slots + R"(,"version":"v","state":"ready","born":5})");
+    };
+    for (const char* const slots :
+         {"0", "-1", "1.5", "4294967296", "18446744073709551615",
+          "18446744073709551616", "1e19", "1e400", "-1e400", "\"8\"", "null",
+          "true", "[8]", "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[8]", "NaN"}) {
+        EXPECT_FALSE(decode(slots)) << slots;
+    }
+    for (const char* const slots : {"8", "8.0", "8e0"}) {
+        const auto entry = decode(slots);
+        ASSERT_TRUE(entry) << slots;
+        EXPECT_EQ(entry->slots, 8U);
+    }
+    EXPECT_EQ(decode("4294967295")->slots, UINT32_MAX);
+}
+
+TEST_F(codec_test, configured_numbers_out_of_range_are_capped) {
+    const auto decode = [](const std::string& number) {
+        return decode_configuration(
+            R"({"version":1,"routes":[{"host":"h","prefix":"/",)"
+            R"("route_type":"safe","timeout_ms":)" +
+                number + R"(,"queue_ttl_s":)" + number +
+                R"(,"backends":[{"service":"s","weight":)" + number +
+                R"(}]}],"limits":{"max_body_bytes":)" + number + "}}",
+            1);
+    };
+    const route_rule defaults;
+    const caller_bounds bounds;
+    for (const char* const number : {"4294967296", "18446744073709551615"}) {
+        const auto large = decode(number);
+        ASSERT_TRUE(large);
+        EXPECT_EQ(large->routes[0].services[0].weight, UINT32_MAX);
+        EXPECT_EQ(large->bounds.max_body_bytes, UINT32_MAX);
+        EXPECT_GE(large->routes[0].timeout, 4'294'967'296ms);
+        EXPECT_LE(large->routes[0].timeout, std::chrono::hours(24 * 365));
+        EXPECT_EQ(large->routes[0].batch_time_to_live,
+                  std::chrono::hours(24 * 365));
+    }
+    const auto longest = decode("1e300");
+    ASSERT_TRUE(longest);
+    EXPECT_EQ(longest->routes[0].timeout, std::chrono::hours(24 * 365));
+    const auto negative = decode("-1e300");
+    ASSERT_TRUE(negative);
+    EXPECT_EQ(negative->routes[0].timeout, defaults.timeout);
+    EXPECT_EQ(negative->routes[0].batch_time_to_live,
+              defaults.batch_time_to_live);
+    EXPECT_EQ(negative->routes[0].services[0].weight, 1U);
+    EXPECT_EQ(negative->bounds.max_body_bytes, bounds.max_body_bytes);
+}
+
+// A caller that waits for any length of time must not get a timeout at once.
+TEST_F(codec_test, longest_wait_of_a_caller_is_not_negative) {
+    for (const char* const wait :
+         {"9223372036854775807", "9223372036854775808", "18446744073709551615",
+          "9223372036854775"}) {
+        const auto call = decode_call({.headers = {{"Deadline-Ms", wait}}});
+        ASSERT_TRUE(call.max_wait);
+        EXPECT_EQ(*call.max_wait, std::chrono::hours(24 * 365)) << wait;
+        const auto read = decode_job_call({.method = "GET",
+                                           .target = "/savorydock/lots/j",
+                                           .headers = {{"Wait-Ms", wait}}});
+        ASSERT_TRUE(read);
+        EXPECT_EQ(std::get<read_results_call>(*read).wait,
+                  std::chrono::hours(24 * 365));
+    }
+}
