Refuse upstream entries that name nothing to connect to

An entry of another writer with port 0, the address 0.0.0.0 or an address with a zero byte, without an id after the prefix, with an empty service, with control characters in a name, or with `born` or `sequence` of another type was taken for an upstream. Requests were sent there, its id went into a header and into log lines with its line breaks, and `born` counted as 0.

A missing `born` or `sequence` is still accepted.

Ports beyond 65535, -1 and others were refused before as well.

--- a/core/endpoint.cpp
+++ b/core/endpoint.cpp
@@ -9,6 +9,10 @@
 
 bool is_ip_address(const std::string& text) {
     in6_addr storage{};
+    // The conversion ends at the first zero byte.
+    if (text.find('\0') != std::string::npos) {
+        return false;
+    }
     return inet_pton(AF_INET, text.c_str(), &storage) == 1 ||
            inet_pton(AF_INET6, text.c_str(), &storage) == 1;
 }
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -382,3 +382,43 @@
                   std::chrono::hours(24 * 365));
     }
 }
+
+// No other entry depends on such a one, and nobody connects to it.
+TEST_F(codec_test, upstream_entry_of_another_writer_is_refused) {
+    const std::string good =
+        R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":8,)"
+        R"("version":"v1","state":"ready","born":5,"sequence":4,)"
+        R"("cold_left_ms":1.5})";
+    ASSERT_TRUE(decode_upstream("servers/i", good));
+    for (const auto& [from, to] :
+         std::vector<std::pair<std::string, std::string>>{
+             {":80", ":0"},
+             {":80", ":65536"},
+             {":80", ":-1"},
+             {":80", ":4294967376"},
+             {":80", ":80 "},
+             {":80", ""},
+             {"10.0.0.9", R"(10.0.0.9\u0000)"},
+             {"10.0.0.9", "0.0.0.0"},
+             {"\"s\"", "\"\""},
+             {"\"s\"", R"("s\n")"},
+             {"\"v1\"", R"("v\r\nX: 1")"},
+             {"\"a\"", R"("a\u0000")"},
+             {":5,", ":5.5,"},
+             {":5,", ":-5,"},
+             {":5,", ":\"5\","},
+             {":5,", ":18446744073709551616,"},
+             {":4,", ":\"4\","},
+             {":1.5", ":[]"}}) {
+        std::string bad = good;
+        bad.replace(bad.find(from), from.size(), to);
+        ASSERT_NE(bad, good);
+        EXPECT_FALSE(decode_upstream("servers/i", bad)) << bad;
+    }
+    for (const std::string& key :
+         {std::string("servers/"), std::string("servers/a\r\nX: 1"),
+          std::string("servers/a\0b", 11), std::string("server"),
+          std::string()}) {
+        EXPECT_FALSE(decode_upstream(key, good)) << key;
+    }
+}
