Read a list of the store although one item can't be read

An instance that got one item without a key or with a value that isn't base64 refused the whole response. It read the list again with growing pauses and never followed it again while the item was there.

The other items are now used. One with a key but an unreadable value is kept with an empty value, which replaces an earlier one and which the decoders of entries refuse; one without a key is left out. Parts of submissions, results and conflicts of transactions must still be complete: there the call fails as before.

The protocol promises base64, so this needs a faulty store and isn't known to have happened.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -130,6 +130,9 @@
                     "a call to the store was relayed by another instance"},
     log_event_entry{term_handed_over, info, "term_handed_over",
                     "a planner released its term to a better-suited instance"},
+    log_event_entry{store_items_unreadable, warning, "store_items_unreadable",
+                    "items in a response of the store could not be read; "
+                    "the others are used"},
     log_event_entry{peer_suspected, warning, "peer_suspected",
                     "an instance does not respond"},
     log_event_entry{peer_alive, info, "peer_alive", "an instance responds"},
--- a/drivers/batch/job_store.cpp
+++ b/drivers/batch/job_store.cpp
@@ -197,6 +197,9 @@
     if (!page) {
         co_return page.reason();
     }
+    if (page->unreadable > 0) {
+        co_return failure{result_code::bad_frame, "results can't be read"};
+    }
     for (const stored_value& value : page->values) {
         append_stored_rows(job, value);
     }
@@ -321,7 +324,7 @@
     if (!page) {
         co_return page.reason();
     }
-    if (page->values.size() != record.parts) {
+    if (page->values.size() != record.parts || page->unreadable > 0) {
         co_return failure{result_code::bad_frame,
                           "parts of the submission are missing"};
     }
--- a/drivers/store/store_client.cpp
+++ b/drivers/store/store_client.cpp
@@ -190,6 +190,16 @@
     return result;
 }
 
+void store_client::log_unreadable(std::string_view call,
+                                  const std::string& prefix,
+                                  std::size_t count) {
+    if (count > 0) {
+        log_.write(log_event::store_items_unreadable,
+                   "call=" + std::string(call) + " prefix=" + prefix +
+                       " count=" + std::to_string(count));
+    }
+}
+
 asio::awaitable<outcome<std::optional<stored_value>>>
 store_client::read_key(std::string key) {
     http_request request = platform::make_read_key(key);
@@ -224,6 +234,8 @@
         if (!page) {
             co_return page.reason();
         }
+        log_unreadable("range", prefix, page->unreadable);
+        all.unreadable += page->unreadable;
         all.revision = all.revision == 0 ? page->revision : all.revision;
         has_more = page->has_more && !page->values.empty();
         if (has_more) {
@@ -244,7 +256,11 @@
     if (!response) {
         co_return response.reason();
     }
-    co_return record_refusal(platform::decode_watch(*response));
+    auto changes = record_refusal(platform::decode_watch(*response));
+    if (changes) {
+        log_unreadable("watch", prefix, changes->unreadable);
+    }
+    co_return changes;
 }
 
 asio::awaitable<outcome<transaction_result>>
--- a/drivers/store/store_client.hpp
+++ b/drivers/store/store_client.hpp
@@ -135,6 +135,8 @@
     /// Like `send`, but uses the relay if this instance can't reach the store.
     boost::asio::awaitable<outcome<http_response>>
     send_or_relay(http_request request, store_call_kind kind);
+    void log_unreadable(std::string_view call, const std::string& prefix,
+                        std::size_t count);
     void record_call_result(bool is_answered, const std::string& target,
                             const std::string& detail);
 
--- a/servers/platform/store_transaction.hpp
+++ b/servers/platform/store_transaction.hpp
@@ -62,6 +62,9 @@
     std::vector<stored_value> values;
     bool has_more = false;
     store_revision revision = 0;
+    /// Items that could not be read. Those with a key are in `values`, with an
+    /// empty value.
+    std::size_t unreadable = 0;
 };
 
 /// One change of a key.
@@ -74,6 +77,9 @@
 struct store_changes {
     std::vector<store_change> changes;
     store_revision revision = 0;
+    /// Items that could not be read. Those with a key are in `changes`, with an
+    /// empty value.
+    std::size_t unreadable = 0;
 };
 
 struct store_lease {
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -422,3 +422,29 @@
         EXPECT_FALSE(decode_upstream(key, good)) << key;
     }
 }
+
+TEST_F(codec_test, unreadable_item_of_a_list_does_not_hide_the_others) {
+    const std::string rows = R"([{"key":"a","value":"YWJj","revision":1},)"
+                             R"({"key":"b","value":"?","revision":2},)"
+                             R"({"key":"c","value":"abc","revision":3},)"
+                             R"({"value":"YWJj","revision":4},7,{"key":5},)"
+                             R"({"key":"d","value":"YWJj","revision":5}])";
+    const auto page = decode_range(
+        {.status = 200,
+         .body = R"({"has_more":true,"current_rev":9,"items":)" + rows + '}'});
+    ASSERT_TRUE(page) << page.reason().detail;
+    ASSERT_EQ(page->values.size(), 4U);
+    EXPECT_EQ(page->values[0].value, "abc");
+    EXPECT_EQ(page->values[1].value, "");
+    EXPECT_EQ(page->values[1].modified, 2U);
+    EXPECT_EQ(page->values[3].value, "abc");
+    EXPECT_EQ(page->unreadable, 5U);
+    EXPECT_TRUE(page->has_more);
+    const auto watch = decode_watch(
+        {.status = 200, .body = R"({"current_rev":9,"events":)" + rows + '}'});
+    ASSERT_TRUE(watch) << watch.reason().detail;
+    ASSERT_EQ(watch->changes.size(), 4U);
+    EXPECT_EQ(watch->changes[3].value.value, "abc");
+    EXPECT_EQ(watch->unreadable, 5U);
+    EXPECT_EQ(watch->revision, 9U);
+}
