--- a/tests/drivers/store/store_test.cpp
+++ b/tests/drivers/store/store_test.cpp
@@ -280,6 +280,19 @@
     context.stop();
 }
 
+TEST_F(store_test, key_that_is_not_unicode_does_not_hide_the_others) {
+    recording_listener listener;
+    fake.put("p/a", "1");
+    fake.put("p/odd\xff\xc0", "1");
+    store_mirror mirror(context, client, "p/", listener, log);
+    asio::co_spawn(context, mirror.run(), asio::detached);
+    EXPECT_TRUE(wait([&] { return listener.values["p/a"] == "1"; }));
+    fake.put("p/odd\xed\xa0\x80", "2");
+    fake.put("p/b", "3");
+    EXPECT_TRUE(wait([&] { return listener.values["p/b"] == "3"; }));
+    context.stop();
+}
+
 // The store may lose a watch silently, and a configuration must still take
 // effect within 2 s. Without the bound on a watch, a new route was answered
 // with 404 for 3.4 s after its acknowledgement.
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -448,3 +448,26 @@
     EXPECT_EQ(watch->unreadable, 5U);
     EXPECT_EQ(watch->revision, 9U);
 }
+
+// Another writer's key may hold half of a surrogate pair, escaped or not.
+TEST_F(codec_test, key_that_is_not_unicode_does_not_hide_other_items) {
+    for (const char* const key :
+         {R"(\ud800)", R"(\udc00)", R"(\uD83D\u0041)", R"(\ud83d\ud83d)",
+          R"(\ud83d\n)", R"(\\\ud800)", "\xff", "\xed\xa0\x80",
+          R"(\ud83d\ude00)"}) {
+        const auto page = decode_range(
+            {.status = 200,
+             .body = R"({"items":[{"key":")" + std::string(key) +
+                     R"(","value":"YWJj"},{"key":"b","value":"YWJj"}]})"});
+        ASSERT_TRUE(page) << key;
+        ASSERT_EQ(page->values.size(), 2U);
+        EXPECT_EQ(page->values[1].key, "b");
+        EXPECT_EQ(page->values[1].value, "abc");
+    }
+    const auto pair = decode_key(
+        {.status = 200,
+         .body = R"({"key":"\ud83d\ude00\u0041\\ud800","value":""})"});
+    ASSERT_TRUE(pair);
+    EXPECT_EQ((*pair)->key, "\xf0\x9f\x98\x80"
+                            "A\\ud800");
+}
