Log an invalid upstream entry once, not with each write

An entry of another writer that is written over and over filled the log with one warning for each write, each with an unchecked key, so that the bounded buffer dropped lines of other decisions. An entry is now logged when it becomes invalid and again only after it was valid or removed. A key outside the prefix is ignored instead of throwing on the traffic thread, where an exception ends the process.

--- a/drivers/node/fleet_mirror.cpp
+++ b/drivers/node/fleet_mirror.cpp
@@ -103,8 +103,12 @@
 
 void fleet_mirror::apply_upstream_change(const store_change& change) {
     const std::string& key = change.value.key;
+    if (!key.starts_with(platform::upstream_prefix)) {
+        return;
+    }
     const upstream_id id(key.substr(platform::upstream_prefix.size()));
     if (change.is_removed) {
+        ignored_.erase(id);
         const steady_time outage_end = events_.outage_ended_at();
         const steady_time remove_at = outage_end + reregistration_time;
         const bool is_outage_recent =
@@ -127,10 +131,15 @@
     if (!entry) {
         pending_removals_.erase(id);
         upstreams_.erase(id);
-        log_.write(log_event::upstream_entry_ignored,
-                   "key=" + key + " reason=\"" + entry.reason().detail + '"');
+        if (ignored_.insert(id).second) {
+            log_.write(
+                log_event::upstream_entry_ignored,
+                "key=" + key + " reason=\"" + entry.reason().detail +
+                    "\" revision=" + std::to_string(change.value.modified));
+        }
         return;
     }
+    ignored_.erase(id);
     pending_removals_.erase(id);
     const auto known = upstreams_.find(id);
     if (known == upstreams_.end() ||
--- a/drivers/node/fleet_mirror.hpp
+++ b/drivers/node/fleet_mirror.hpp
@@ -90,6 +90,8 @@
     operator_listener operator_listener_;
     upstream_listener upstream_listener_;
     std::map<upstream_id, upstream_entry> upstreams_;
+    /// Invalid entries that were logged, so that each is logged only once.
+    std::set<upstream_id> ignored_;
     /// Upstreams whose entries disappeared around an outage of the store, and
     /// when to remove them unless they register again.
     std::map<upstream_id, steady_time> pending_removals_;
