Keep a log line on one line whatever it quotes

A key or text of another writer with line breaks or terminal escapes began a new line in the log, which looked like a line of this program and broke its readers. The logger now replaces control characters by "?".

Evidence: log4cxx_logger_test.control_characters_do_not_begin_another_line failed before (two lines for one event, one run) and passes now.

--- a/drivers/logging/log4cxx_logger.cpp
+++ b/drivers/logging/log4cxx_logger.cpp
@@ -6,6 +6,8 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include <algorithm>
+
 namespace savorydock {
 
 namespace {
@@ -35,6 +37,18 @@
                            : log4cxx::Level::getInfo();
 }
 
+/// Replaces control characters, so that a line stays one line.
+void replace_control_characters(std::string& line) {
+    constexpr unsigned char first_printable = 0x20;
+    constexpr unsigned char delete_character = 0x7f;
+    std::replace_if(
+        line.begin(), line.end(),
+        [](unsigned char character) {
+            return character < first_printable || character == delete_character;
+        },
+        '?');
+}
+
 } // namespace
 
 struct log4cxx_logger::state {
@@ -101,6 +115,7 @@
     if (!detail.empty()) {
         line += ' ' + std::string(detail);
     }
+    replace_control_characters(line);
     state_->target->forcedLog(level, line, LOG4CXX_LOCATION);
 }
 
