--- a/servers/batch/job_keys.cpp
+++ b/servers/batch/job_keys.cpp
@@ -14,6 +14,8 @@
 /// numerical order.
 constexpr std::size_t number_width = 6;
 constexpr std::size_t revision_width = 16;
+/// Unix milliseconds. Nanoseconds up to this time fit into 64 bits.
+constexpr std::int64_t max_accepted_at = 9'000'000'000'000;
 
 std::string padded(std::uint64_t number, std::size_t width = number_width) {
     std::string digits = std::to_string(number);
@@ -93,6 +95,11 @@
     }
     try {
         const json::value source = json::parse(text);
+        const auto accepted_at =
+            source.at("accepted_at").to_number<std::int64_t>();
+        if (accepted_at < 0 || accepted_at > max_accepted_at) {
+            return invalid;
+        }
         return job_record{
             .id = job_id(std::string(key.substr(job_prefix.size()))),
             .route = std::string(source.at("route").as_string()),
@@ -101,7 +108,7 @@
                 service_name(std::string(source.at("service").as_string())),
             .total = source.at("total").to_number<std::uint32_t>(),
             .parts = source.at("parts").to_number<std::uint32_t>(),
-            .accepted_at = source.at("accepted_at").to_number<std::int64_t>(),
+            .accepted_at = accepted_at,
             .is_ended = source.at("ended").as_bool(),
             .is_complete = source.at("complete").as_bool()};
     } catch (const std::exception&) {
--- a/tests/core/wire_codec_test.cpp
+++ b/tests/core/wire_codec_test.cpp
@@ -42,6 +42,28 @@
     RC_ASSERT(got.has_value() || got.reason().code == result_code::bad_frame);
 }
 
+RC_GTEST_PROP(wire_codec_test, changed_bytes_never_throw, ()) {
+    const outer_message sent{.list = {{instance_id("a"), 7}, {{}, {}}},
+                             .shares = {{"x", 0.5}},
+                             .age = std::chrono::milliseconds(12)};
+    std::string bytes = wire::encode(sent);
+    for (int changes = *rc::gen::inRange(1, 6); changes > 0; --changes) {
+        const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size() + 1);
+        switch (*rc::gen::inRange(0, 3)) {
+        case 0:
+            bytes.resize(at);
+            break;
+        case 1:
+            bytes.insert(at, *rc::gen::arbitrary<std::string>());
+            break;
+        default:
+            bytes.replace(at, 1, 1, *rc::gen::arbitrary<char>());
+        }
+    }
+    const auto got = wire::decode<outer_message>(bytes);
+    RC_ASSERT(got.has_value() || got.reason().code == result_code::bad_frame);
+}
+
 // Another writer may put such a value under a key whose values are decoded. It
 // must not overflow the stack.
 TEST(wire_codec_test, deeply_nested_bytes_are_refused) {
--- /dev/null
+++ b/tests/servers/batch/job_keys_test.cpp
@@ -0,0 +1,32 @@
+#include "servers/batch/job_keys.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace savorydock;
+
+namespace {
+
+std::string make_record(const std::string& accepted_at,
+                        const std::string& total = "1") {
+    return R"({"route":"r","host":"h","service":"s","total":)" + total +
+           R"(,"parts":1,"accepted_at":)" + accepted_at +
+           R"(,"ended":false,"complete":false})";
+}
+
+} // namespace
+
+// The time is converted to nanoseconds, which must not overflow.
+TEST(job_keys_test, record_with_a_number_out_of_range_is_refused) {
+    const std::string key = job_key(job_id("j"));
+    EXPECT_TRUE(decode_job_record(key, make_record("1700000000000")));
+    for (const char* const time :
+         {"-1", "9223372036854775807", "9223372036854775",
+          "9223372036854775808", "1e300", "1.5", "\"1\"", "null"}) {
+        EXPECT_FALSE(decode_job_record(key, make_record(time))) << time;
+    }
+    for (const char* const total : {"-1", "4294967296", "1e300", "1.5", "[]"}) {
+        EXPECT_FALSE(decode_job_record(key, make_record("1", total))) << total;
+    }
+    EXPECT_FALSE(decode_job_record(key, std::string(1U << 20U, '[')));
+    EXPECT_FALSE(decode_job_record("x", make_record("1")));
+}
