--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -68,7 +68,7 @@
     feed_left = 3107,
     store_call_relayed = 3108,
     term_handed_over = 3109,
-    store_items_unreadable = 3110,
+    store_items_unreadable = 3111,
 
     peer_suspected = 3200,
     peer_alive = 3201,
