--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -138,6 +138,9 @@
     log_event_entry{
         feed_push_undecodable, warning, "feed_push_undecodable",
         "changes from the feeder build on a version that is missing here"},
+    log_event_entry{store_items_unreadable, warning, "store_items_unreadable",
+                    "items in a response of the store could not be read; "
+                    "the others are used"},
     log_event_entry{peer_suspected, warning, "peer_suspected",
                     "an instance does not respond"},
     log_event_entry{peer_alive, info, "peer_alive", "an instance responds"},
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -71,6 +71,7 @@
     store_call_relayed = 3108,
     term_handed_over = 3109,
     feed_push_undecodable = 3110,
+    store_items_unreadable = 3111,
 
     peer_suspected = 3200,
     peer_alive = 3201,
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -309,3 +309,165 @@
     EXPECT_EQ(order.header("Expect-Instance"), "i");
     EXPECT_NE(order.body.find(R"("expected":3)"), std::string::npos);
 }
+
+// A number of slots divides: it must not become 0 when it is stored.
+TEST_F(codec_test, upstream_entry_with_slots_out_of_range_is_refused) {
+    const auto decode = [](const std::string& slots) {
+        return decode_upstream(
+            "servers/i",
+            R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":)" +
+                slots + R"(,"version":"v","state":"ready","born":5})");
+    };
+    for (const char* const slots :
+         {"0", "-1", "1.5", "4294967296", "18446744073709551615",
+          "18446744073709551616", "1e19", "1e400", "-1e400", "\"8\"", "null",
+          "true", "[8]", "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[8]", "NaN"}) {
+        EXPECT_FALSE(decode(slots)) << slots;
+    }
+    for (const char* const slots : {"8", "8.0", "8e0"}) {
+        const auto entry = decode(slots);
+        ASSERT_TRUE(entry) << slots;
+        EXPECT_EQ(entry->slots, 8U);
+    }
+    EXPECT_EQ(decode("4294967295")->slots, UINT32_MAX);
+}
+
+TEST_F(codec_test, configured_numbers_out_of_range_are_capped) {
+    const auto decode = [](const std::string& number) {
+        return decode_configuration(
+            R"({"version":1,"routes":[{"host":"h","prefix":"/",)"
+            R"("route_type":"safe","timeout_ms":)" +
+                number + R"(,"queue_ttl_s":)" + number +
+                R"(,"backends":[{"service":"s","weight":)" + number +
+                R"(}]}],"limits":{"max_body_bytes":)" + number + "}}",
+            1);
+    };
+    const route_rule defaults;
+    const caller_bounds bounds;
+    for (const char* const number : {"4294967296", "18446744073709551615"}) {
+        const auto large = decode(number);
+        ASSERT_TRUE(large);
+        EXPECT_EQ(large->routes[0].services[0].weight, UINT32_MAX);
+        EXPECT_EQ(large->bounds.max_body_bytes, UINT32_MAX);
+        EXPECT_GE(large->routes[0].timeout, 4'294'967'296ms);
+        EXPECT_LE(large->routes[0].timeout, std::chrono::hours(24 * 365));
+        EXPECT_EQ(large->routes[0].batch_time_to_live,
+                  std::chrono::hours(24 * 365));
+    }
+    const auto longest = decode("1e300");
+    ASSERT_TRUE(longest);
+    EXPECT_EQ(longest->routes[0].timeout, std::chrono::hours(24 * 365));
+    const auto negative = decode("-1e300");
+    ASSERT_TRUE(negative);
+    EXPECT_EQ(negative->routes[0].timeout, defaults.timeout);
+    EXPECT_EQ(negative->routes[0].batch_time_to_live,
+              defaults.batch_time_to_live);
+    EXPECT_EQ(negative->routes[0].services[0].weight, 1U);
+    EXPECT_EQ(negative->bounds.max_body_bytes, bounds.max_body_bytes);
+}
+
+// A caller that waits for any length of time must not get a timeout at once.
+TEST_F(codec_test, longest_wait_of_a_caller_is_not_negative) {
+    for (const char* const wait :
+         {"9223372036854775807", "9223372036854775808", "18446744073709551615",
+          "9223372036854775"}) {
+        const auto call = decode_call({.headers = {{"Deadline-Ms", wait}}});
+        ASSERT_TRUE(call.max_wait);
+        EXPECT_EQ(*call.max_wait, std::chrono::hours(24 * 365)) << wait;
+        const auto read = decode_job_call({.method = "GET",
+                                           .target = "/savorydock/lots/j",
+                                           .headers = {{"Wait-Ms", wait}}});
+        ASSERT_TRUE(read);
+        EXPECT_EQ(std::get<read_results_call>(*read).wait,
+                  std::chrono::hours(24 * 365));
+    }
+}
+
+// No other entry depends on such a one, and nobody connects to it.
+TEST_F(codec_test, upstream_entry_of_another_writer_is_refused) {
+    const std::string good =
+        R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":8,)"
+        R"("version":"v1","state":"ready","born":5,"sequence":4,)"
+        R"("cold_left_ms":1.5})";
+    ASSERT_TRUE(decode_upstream("servers/i", good));
+    for (const auto& [from, to] :
+         std::vector<std::pair<std::string, std::string>>{
+             {":80", ":0"},
+             {":80", ":65536"},
+             {":80", ":-1"},
+             {":80", ":4294967376"},
+             {":80", ":80 "},
+             {":80", ""},
+             {"10.0.0.9", R"(10.0.0.9\u0000)"},
+             {"10.0.0.9", "0.0.0.0"},
+             {"\"s\"", "\"\""},
+             {"\"s\"", R"("s\n")"},
+             {"\"v1\"", R"("v\r\nX: 1")"},
+             {"\"a\"", R"("a\u0000")"},
+             {":5,", ":5.5,"},
+             {":5,", ":-5,"},
+             {":5,", ":\"5\","},
+             {":5,", ":18446744073709551616,"},
+             {":4,", ":\"4\","},
+             {":1.5", ":[]"}}) {
+        std::string bad = good;
+        bad.replace(bad.find(from), from.size(), to);
+        ASSERT_NE(bad, good);
+        EXPECT_FALSE(decode_upstream("servers/i", bad)) << bad;
+    }
+    for (const std::string& key :
+         {std::string("servers/"), std::string("servers/a\r\nX: 1"),
+          std::string("servers/a\0b", 11), std::string("server"),
+          std::string()}) {
+        EXPECT_FALSE(decode_upstream(key, good)) << key;
+    }
+}
+
+TEST_F(codec_test, unreadable_item_of_a_list_does_not_hide_the_others) {
+    const std::string rows = R"([{"key":"a","value":"YWJj","revision":1},)"
+                             R"({"key":"b","value":"?","revision":2},)"
+                             R"({"key":"c","value":"abc","revision":3},)"
+                             R"({"value":"YWJj","revision":4},7,{"key":5},)"
+                             R"({"key":"d","value":"YWJj","revision":5}])";
+    const auto page = decode_range(
+        {.status = 200,
+         .body = R"({"has_more":true,"current_rev":9,"items":)" + rows + '}'});
+    ASSERT_TRUE(page) << page.reason().detail;
+    ASSERT_EQ(page->values.size(), 4U);
+    EXPECT_EQ(page->values[0].value, "abc");
+    EXPECT_EQ(page->values[1].value, "");
+    EXPECT_EQ(page->values[1].modified, 2U);
+    EXPECT_EQ(page->values[3].value, "abc");
+    EXPECT_EQ(page->unreadable, 5U);
+    EXPECT_TRUE(page->has_more);
+    const auto watch = decode_watch(
+        {.status = 200, .body = R"({"current_rev":9,"events":)" + rows + '}'});
+    ASSERT_TRUE(watch) << watch.reason().detail;
+    ASSERT_EQ(watch->changes.size(), 4U);
+    EXPECT_EQ(watch->changes[3].value.value, "abc");
+    EXPECT_EQ(watch->unreadable, 5U);
+    EXPECT_EQ(watch->revision, 9U);
+}
+
+// Another writer's key may hold half of a surrogate pair, escaped or not.
+TEST_F(codec_test, key_that_is_not_unicode_does_not_hide_other_items) {
+    for (const char* const key :
+         {R"(\ud800)", R"(\udc00)", R"(\uD83D\u0041)", R"(\ud83d\ud83d)",
+          R"(\ud83d\n)", R"(\\\ud800)", "\xff", "\xed\xa0\x80",
+          R"(\ud83d\ude00)"}) {
+        const auto page = decode_range(
+            {.status = 200,
+             .body = R"({"items":[{"key":")" + std::string(key) +
+                     R"(","value":"YWJj"},{"key":"b","value":"YWJj"}]})"});
+        ASSERT_TRUE(page) << key;
+        ASSERT_EQ(page->values.size(), 2U);
+        EXPECT_EQ(page->values[1].key, "b");
+        EXPECT_EQ(page->values[1].value, "abc");
+    }
+    const auto pair = decode_key(
+        {.status = 200,
+         .body = R"({"key":"\ud83d\ude00\u0041\\ud800","value":""})"});
+    ASSERT_TRUE(pair);
+    EXPECT_EQ((*pair)->key, "\xf0\x9f\x98\x80"
+                            "A\\ud800");
+}
