Refuse requests that can't be expected to end before a planned exit

Callers saw requests that came late in a planned stop, on connections that they kept, sent on to an upstream and cut without an answer when the grace was over, among them requests that must not run twice. While a single long request kept the drain going, everything that arrived was sent on to the end; only streams were refused.

A request to a plain service is now sent, at each attempt, only if the time left until the exit covers its deadline or a multiple of its usual time: the route's target latency or the upstream's recent call time, whichever is longer. Requests that must not run twice need more, at least two seconds. A submission of a job needs one second, and its time limit ends before the exit. All others get 503 with Retry-After and `Connection: close`.

--- a/drivers/front/front_service.cpp
+++ b/drivers/front/front_service.cpp
@@ -118,6 +118,11 @@
     , log_(log)
     , on_job_(std::move(on_job)) {}
 
+void front_service::set_exit_time(steady_time time) {
+    exit_.set_exit_time(time);
+    streams_.set_exit_time(time);
+}
+
 asio::awaitable<void> front_service::refuse(http_exchange& exchange,
                                             const std::string& request,
                                             unsigned status,
@@ -204,7 +209,8 @@
                              .request = exchange.request(),
                              .id = call.id.text(),
                              .deadline = begin + time_limit,
-                             .guard = &guard};
+                             .guard = &guard,
+                             .exit = &exit_};
     auto outcome = co_await (plain_caller_.call(std::move(plain)) ||
                              exchange.wait_for_disconnect());
     if (outcome.index() == 1) {
@@ -239,6 +245,9 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
+    if (result.is_exiting) {
+        exchange.close_after_answer();
+    }
     if (!result.may_have_run) {
         if (result.reason.code == result_code::not_run_suspect_request) {
             co_await refuse_suspect(exchange, call.id.text());
@@ -346,8 +355,16 @@
                       .accepted_at = wall_milliseconds()};
     const auto time_limit =
         std::min(call.max_wait.value_or(max_accept_time), max_accept_time);
+    const steady_time deadline = begin + time_limit - answer_margin;
+    if (!exit_.may_send({.kind = route.kind, .deadline = deadline}, begin)) {
+        ++counters_.jobs_refused;
+        exchange.close_after_answer();
+        co_await refuse(exchange, id.text(), status_unavailable,
+                        "the instance exits");
+        co_return;
+    }
     const accept_end end = co_await jobs_.accept(
-        record, exchange.request().body, begin + time_limit - answer_margin);
+        record, exchange.request().body, exit_.answer_by(deadline));
     const std::string detail =
         "job=" + id.text() + " route=" + route.name +
         " items=" + std::to_string(job->items.size()) + " milliseconds=" +
--- a/drivers/front/front_service.hpp
+++ b/drivers/front/front_service.hpp
@@ -7,6 +7,7 @@
 #include "drivers/front/stream_forwarder.hpp"
 #include "drivers/http/http_server.hpp"
 #include "platform/request_codec.hpp"
+#include "servers/admission/exit_admission.hpp"
 #include "servers/fleet/fleet_state.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -50,6 +51,10 @@
     /// caller closes the connection first.
     boost::asio::awaitable<void> handle(http_exchange& exchange);
 
+    /// The instance exits at this time. Requests that can't be expected to end
+    /// before it are refused from now on.
+    void set_exit_time(steady_time time);
+
     [[nodiscard]] const front_counters& counters() const { return counters_; }
 
 private:
@@ -91,6 +96,7 @@
     metrics_registry& metrics_;
     logger& log_;
     job_listener on_job_;
+    exit_admission exit_;
     front_counters counters_;
 };
 
--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -36,6 +36,12 @@
     return status >= 200 && status < 300;
 }
 
+/// Returns the time by which the call must have ended.
+steady_time end_of(const plain_call_request& call) {
+    return call.exit == nullptr ? call.deadline
+                                : call.exit->answer_by(call.deadline);
+}
+
 bool is_blocked(const plain_call_request& call) {
     return call.guard != nullptr && call.guard->is_blocked();
 }
@@ -98,7 +104,7 @@
                                            std::uint32_t attempts_left,
                                            steady_time now) const {
     if (call.route.kind != request_kind::idempotent || attempts_left <= 1) {
-        return call.deadline;
+        return end_of(call);
     }
     const auto typical = fleet_.pool.smoothed_call_time(upstream.id);
     const auto attempt_time =
@@ -109,7 +115,7 @@
             : std::max<std::chrono::microseconds>(
                   call.route.target_latency * attempt_time_in_targets,
                   typical * attempt_time_in_calls);
-    return std::min(call.deadline, now + attempt_time);
+    return std::min(end_of(call), now + attempt_time);
 }
 
 asio::awaitable<plain_caller::attempt_result>
@@ -171,6 +177,18 @@
     co_return result;
 }
 
+bool plain_caller::may_send(const plain_call_request& call,
+                            const upstream_entry& upstream) const {
+    return call.exit == nullptr ||
+           call.exit->may_send(
+               {.kind = call.route.kind,
+                .deadline = call.deadline,
+                .usual_time = std::max<std::chrono::microseconds>(
+                    call.route.target_latency,
+                    fleet_.pool.smoothed_call_time(upstream.id))},
+               std::chrono::steady_clock::now());
+}
+
 std::optional<plain_caller::reserved_upstream> plain_caller::reserve_upstream(
     const plain_call_request& call, const service_name& service,
     std::set<upstream_id>& tried, plain_call_result& result) {
@@ -181,13 +199,12 @@
         tried.clear();
         upstream = fleet_.pool.choose(service, tried, now);
     }
-    if (!upstream || now >= call.deadline) {
+    const steady_time end = end_of(call);
+    if (!upstream || now >= end) {
         return std::nullopt;
     }
     const steady_time latest =
-        call.max_limit_wait
-            ? std::min(call.deadline, now + *call.max_limit_wait)
-            : call.deadline;
+        call.max_limit_wait ? std::min(end, now + *call.max_limit_wait) : end;
     const auto send_at =
         reserve_request(fleet_.pool, upstream->id, latest, now);
     if (!send_at) {
@@ -227,6 +244,12 @@
         if (!fleet_.pool.is_available(upstream.id) || is_blocked(call)) {
             continue;
         }
+        if (!may_send(call, upstream)) {
+            result.reason = {result_code::not_run_draining,
+                             "the instance exits before it would be answered"};
+            result.is_exiting = true;
+            break;
+        }
         tried.insert(upstream.id);
         const steady_time attempt_end =
             attempt_deadline(call, upstream, max_attempts - result.attempts,
--- a/drivers/front/plain_caller.hpp
+++ b/drivers/front/plain_caller.hpp
@@ -5,6 +5,7 @@
 #include "core/random_source.hpp"
 #include "drivers/front/crash_guard.hpp"
 #include "drivers/http/http_client.hpp"
+#include "servers/admission/exit_admission.hpp"
 #include "servers/fleet/fleet_state.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -36,6 +37,9 @@
     /// Blocks the request once it has crashed several upstreams; null if it
     /// must not be blocked. Must stay valid during the call.
     crash_guard* guard = nullptr;
+    /// Refuses the request if the instance exits too soon; null if it must not
+    /// be refused. Must stay valid during the call.
+    const exit_admission* exit = nullptr;
 };
 
 struct plain_call_result {
@@ -50,6 +54,8 @@
     std::uint32_t failures = 0;
     /// If request limits prevented the call: when they would allow it.
     std::optional<std::chrono::milliseconds> retry_after;
+    /// Whether the call was given up because the instance exits.
+    bool is_exiting = false;
 };
 
 /// Sends calls to plain HTTP upstreams and retries them. Cancelling the
@@ -77,6 +83,9 @@
                                                const upstream_entry& upstream,
                                                std::uint32_t attempts_left,
                                                steady_time now) const;
+    /// Whether the call may still be sent before the instance exits.
+    [[nodiscard]] bool may_send(const plain_call_request& call,
+                                const upstream_entry& upstream) const;
     /// Chooses an upstream and reserves a request there. Returns nothing if
     /// there is no upstream, or if the request limits don't allow the call in
     /// time; in the second case it says so in `result`.
--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -29,8 +29,6 @@
 constexpr std::chrono::milliseconds max_unrecorded_wait{30'000};
 /// Time that the store gets to take the record of a stream.
 constexpr std::chrono::milliseconds max_record_time{1'500};
-/// Time in which nearly all streams end.
-constexpr std::chrono::milliseconds usual_stream_time{5'000};
 /// Crashed upstreams of a version that is being replaced may come back.
 constexpr std::chrono::milliseconds origin_retry_after{1'000};
 
@@ -77,7 +75,10 @@
     progress state;
     state.result.last_event = request.call.last_event.value_or(0);
     state.result.reason = "no upstream took the stream";
-    if (exit_time_ && now() + usual_stream_time > *exit_time_) {
+    if (!exit_.may_send({.kind = request_kind::stream,
+                         .deadline = request.deadline,
+                         .usual_time = request.route.target_latency},
+                        now())) {
         state.result.reason = "the instance exits before the stream would end";
         request.exchange.close_after_answer();
         co_return std::move(state.result);
--- a/drivers/front/stream_forwarder.hpp
+++ b/drivers/front/stream_forwarder.hpp
@@ -7,6 +7,7 @@
 #include "drivers/http/http_client.hpp"
 #include "drivers/http/http_server.hpp"
 #include "platform/request_codec.hpp"
+#include "servers/admission/exit_admission.hpp"
 #include "servers/fleet/fleet_state.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -71,7 +72,7 @@
 
     /// The instance exits at this time. Streams that probably wouldn't end
     /// before it are refused from now on.
-    void set_exit_time(steady_time time) { exit_time_ = time; }
+    void set_exit_time(steady_time time) { exit_.set_exit_time(time); }
 
     /// Runs the request. Sends the caller the stream, but neither refusals nor
     /// answers of upstreams without a stream. The references in `request` must
@@ -120,7 +121,7 @@
     stream_ledger& ledger_;
     random_source& random_;
     logger& log_;
-    std::optional<steady_time> exit_time_;
+    exit_admission exit_;
 };
 
 } // namespace savorydock
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -841,7 +841,7 @@
     asio::co_spawn(context_, feed_.retire(), asio::detached);
     asio::co_spawn(context_, registration_.announce_leaving(), asio::detached);
     const steady_time last = begin + settings_.shutdown_grace - exit_margin;
-    streams_.set_exit_time(last);
+    front_.set_exit_time(last);
     // When the reports of stopped runs should have reached their planners.
     std::optional<steady_time> reported_at;
     while (true) {
