Announce the close of a connection in answers to earlier requests

A caller whose request had been read before a planned stop began got an answer that invited it to use its connection again, so its next request arrived during the drain. Whether the connection stays open was decided when a request had been read; it is now decided when its answer begins.

Evidence: planned_stop_test.answer_to_an_earlier_request_announces_the_close failed before (no Connection header) and passes now, one run each.

--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -52,8 +52,10 @@
 class connection_exchange final : public http_exchange {
 public:
     connection_exchange(beast::tcp_stream& stream, string_request&& request,
-                        std::size_t worker, std::chrono::milliseconds timeout)
+                        std::size_t worker, std::chrono::milliseconds timeout,
+                        const std::atomic<bool>& is_closing)
         : stream_(stream)
+        , is_closing_(is_closing)
         , is_keep_alive_(request.keep_alive())
         , request_(convert(std::move(request)))
         , worker_(worker)
@@ -141,10 +143,13 @@
         for (const http_header& header : headers) {
             message.set(header.name, header.value);
         }
+        is_keep_alive_ = is_keep_alive_ && !is_closing_;
         message.keep_alive(is_keep_alive_);
     }
 
     beast::tcp_stream& stream_;
+    /// Whether the server closes its connections after their next answers.
+    const std::atomic<bool>& is_closing_;
     bool is_keep_alive_;
     http_request request_;
     std::size_t worker_;
@@ -236,10 +241,8 @@
         co_return false;
     }
     stream.expires_never();
-    connection_exchange exchange(stream, parser.release(), worker, io_timeout);
-    if (is_closing) {
-        exchange.forbid_reuse();
-    }
+    connection_exchange exchange(stream, parser.release(), worker, io_timeout,
+                                 is_closing);
     ++active;
     co_await handle(exchange);
     --active;
--- a/tests/main/planned_stop_test.cpp
+++ b/tests/main/planned_stop_test.cpp
@@ -165,3 +165,15 @@
     EXPECT_FALSE(answer->header("Retry-After").empty());
     EXPECT_FALSE(has_run("late"));
 }
+
+// An answer during the drain invited the caller to use its connection again.
+TEST_F(planned_stop_test, answer_to_an_earlier_request_announces_the_close) {
+    raw_caller caller(address());
+    ASSERT_TRUE(caller.write(make_request("/safe/600", "earlier")));
+    std::this_thread::sleep_for(200ms);
+    stop();
+    const auto answer = caller.read_answer(2s);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200U);
+    EXPECT_EQ(answer->header("Connection"), "close");
+}
