Answer requests that still run shortly before a planned exit

Requests that ran at the end of the grace, taken early in a planned stop or before it, were cut without an answer: their upstream was slow, and their own time limit lay beyond the exit. Their callers learned nothing until the connection broke.

Whatever has no answer 50 ms before the exit is now answered 502 (it may have run) with `Connection: close`: plain calls, streams without a first event, submissions, reads and ends of jobs. Streams that have begun go on until the exit.

--- a/drivers/front/front_service.cpp
+++ b/drivers/front/front_service.cpp
@@ -3,9 +3,13 @@
 #include "platform/batch_codec.hpp"
 #include "servers/delivery/request_fingerprint.hpp"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <variant>
 
 namespace savorydock {
@@ -36,6 +40,9 @@
 constexpr std::chrono::milliseconds max_read_wait{1'000};
 /// Time limit for requests that state no deadline.
 constexpr std::chrono::milliseconds default_time_limit{30'000};
+/// Time before the exit for the answers to requests that still run. Calls to
+/// upstreams end a little earlier by themselves, with a more precise answer.
+constexpr std::chrono::milliseconds exit_answer_time{50};
 /// Time reserved for sending the answer back to the caller.
 constexpr std::chrono::milliseconds answer_margin{15};
 
@@ -121,6 +128,62 @@
 void front_service::set_exit_time(steady_time time) {
     exit_.set_exit_time(time);
     streams_.set_exit_time(time);
+    last_answer_at_ = time - exit_answer_time;
+    if (exit_timer_) {
+        exit_timer_->expires_at(last_answer_at_);
+    }
+}
+
+asio::awaitable<void> front_service::wait_for_exit(http_exchange& exchange) {
+    if (!exit_timer_) {
+        exit_timer_.emplace(co_await asio::this_coro::executor,
+                            last_answer_at_);
+    }
+    while (now() < last_answer_at_) {
+        co_await exit_timer_->async_wait(asio::as_tuple(asio::use_awaitable));
+        const auto state = co_await asio::this_coro::cancellation_state;
+        if (state.cancelled() != asio::cancellation_type::none) {
+            co_return;
+        }
+    }
+    if (exchange.has_begun()) {
+        asio::steady_timer never(co_await asio::this_coro::executor,
+                                 steady_time::max());
+        co_await never.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+asio::awaitable<void> front_service::answer_at_exit(http_exchange& exchange) {
+    ++counters_.unknown;
+    log_.write(log_event::request_outcome_unknown,
+               "target=" + exchange.request().target +
+                   " reason=\"the instance exits\"");
+    exchange.close_after_answer();
+    http_response response = platform::make_local_response(
+        status_bad_gateway, "the instance exits; the request may have run");
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void> front_service::handle(http_exchange& exchange) {
+    // The operator below would wait for the exit if the first call threw.
+    const auto serve_safely = [&]() -> asio::awaitable<std::exception_ptr> {
+        try {
+            co_await serve(exchange);
+        } catch (...) {
+            co_return std::current_exception();
+        }
+        co_return nullptr;
+    };
+    const auto served = co_await (serve_safely() || wait_for_exit(exchange));
+    if (served.index() == 1) {
+        if (!exchange.has_begun()) {
+            co_await answer_at_exit(exchange);
+        }
+        co_return;
+    }
+    if (std::get<0>(served)) {
+        std::rethrow_exception(std::get<0>(served));
+    }
 }
 
 asio::awaitable<void> front_service::refuse(http_exchange& exchange,
@@ -160,7 +223,7 @@
     co_await exchange.respond(std::move(response));
 }
 
-asio::awaitable<void> front_service::handle(http_exchange& exchange) {
+asio::awaitable<void> front_service::serve(http_exchange& exchange) {
     const http_request& request = exchange.request();
     if (const auto job_call = platform::decode_job_call(request)) {
         co_await handle_job_call(exchange, *job_call);
@@ -213,6 +276,10 @@
                              .exit = &exit_};
     auto outcome = co_await (plain_caller_.call(std::move(plain)) ||
                              exchange.wait_for_disconnect());
+    const auto cancellation = co_await asio::this_coro::cancellation_state;
+    if (cancellation.cancelled() != asio::cancellation_type::none) {
+        co_return;
+    }
     if (outcome.index() == 1) {
         ++counters_.callers_gone;
         log_.write(log_event::request_finished, "request=" + call.id.text() +
@@ -285,6 +352,10 @@
                            .guard = guard,
                            .deadline = deadline};
     stream_result result = co_await streams_.forward(std::move(request));
+    const auto cancellation = co_await asio::this_coro::cancellation_state;
+    if (cancellation.cancelled() != asio::cancellation_type::none) {
+        co_return;
+    }
     log_.write(log_event::stream_ended,
                "request=" + call.id.text() + " route=" + route.name +
                    " outcome=" + to_word(result.end) +
@@ -413,8 +484,14 @@
 
 asio::awaitable<http_response>
 front_service::answer_job_call(platform::read_results_call call) {
-    const auto page = co_await jobs_.read_results(
-        job_id(call.job), call.first, std::min(call.wait, max_read_wait));
+    const steady_time begin = now();
+    const steady_time end =
+        exit_.answer_by(begin + std::min(call.wait, max_read_wait));
+    const auto wait = std::max(
+        std::chrono::duration_cast<std::chrono::milliseconds>(end - begin),
+        std::chrono::milliseconds(0));
+    const auto page =
+        co_await jobs_.read_results(job_id(call.job), call.first, wait);
     if (!page) {
         co_return answer_failure(page.reason());
     }
--- a/drivers/front/front_service.hpp
+++ b/drivers/front/front_service.hpp
@@ -11,6 +11,7 @@
 #include "servers/fleet/fleet_state.hpp"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -52,12 +53,17 @@
     boost::asio::awaitable<void> handle(http_exchange& exchange);
 
     /// The instance exits at this time. Requests that can't be expected to end
-    /// before it are refused from now on.
+    /// before it are refused from now on. Those that run shortly before it are
+    /// answered as possibly run; streams that have begun go on.
     void set_exit_time(steady_time time);
 
     [[nodiscard]] const front_counters& counters() const { return counters_; }
 
 private:
+    boost::asio::awaitable<void> serve(http_exchange& exchange);
+    /// Returns once the exit is due, unless the answer has begun by then.
+    boost::asio::awaitable<void> wait_for_exit(http_exchange& exchange);
+    boost::asio::awaitable<void> answer_at_exit(http_exchange& exchange);
     void notify_job_listener(const job_id& job);
     boost::asio::awaitable<void> handle_job_call(http_exchange& exchange,
                                                  platform::job_call call);
@@ -97,6 +103,9 @@
     logger& log_;
     job_listener on_job_;
     exit_admission exit_;
+    /// When requests that still run are answered. Cancelled when it changes.
+    steady_time last_answer_at_ = steady_time::max();
+    std::optional<boost::asio::steady_timer> exit_timer_;
     front_counters counters_;
 };
 
--- a/tests/drivers/front/front_service_test.cpp
+++ b/tests/drivers/front/front_service_test.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <cstdlib>
 #include <future>
+#include <thread>
 
 using namespace savorydock;
 using namespace std::chrono_literals;
@@ -22,7 +23,8 @@
         auto configuration = std::make_shared<fleet_configuration>();
         configuration->routes = {
             make_route("/plain/", request_kind::idempotent),
-            make_route("/stream/", request_kind::stream)};
+            make_route("/stream/", request_kind::stream),
+            make_route("/job/", request_kind::batch)};
         fleet.routes = std::make_shared<const route_table>(configuration);
         address = *server.listen({.address = "127.0.0.1", .port = 0});
     }
@@ -126,3 +128,61 @@
     EXPECT_EQ(send("/plain/a", "c").status, 502U)
         << "routes of the old view are still served";
 }
+
+// Calls to jobs ended with the process if the store did not answer in time.
+TEST_F(front_service_test, call_that_runs_at_the_exit_is_answered) {
+    raw_upstream silent([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.read_request();
+    });
+    std::promise<void> is_set;
+    asio::post(pool.context(0), [&] {
+        store.set_limits({.address = silent.address()});
+        fleet.pool.set_upstreams({{.id = upstream_id("u"),
+                                   .service = service_name("s"),
+                                   .address = silent.address()}});
+        is_set.set_value();
+    });
+    is_set.get_future().wait();
+    const auto begin = std::chrono::steady_clock::now();
+    for (const char* const target :
+         {"/plain/a", "/stream/a", "/savorydock/lots/j"}) {
+        auto answer = std::async(std::launch::async,
+                                 [&] { return send(target, target); });
+        std::this_thread::sleep_for(100ms);
+        asio::post(pool.context(0), [&] {
+            front.set_exit_time(std::chrono::steady_clock::now() + 300ms);
+        });
+        const http_response last = answer.get();
+        EXPECT_EQ(last.status, 502U) << target;
+        EXPECT_EQ(last.header("Connection"), "close") << target;
+        std::promise<void> is_reset;
+        asio::post(pool.context(0), [&] {
+            front.set_exit_time(std::chrono::steady_clock::now() + 1h);
+            is_reset.set_value();
+        });
+        is_reset.get_future().wait();
+    }
+    EXPECT_LT(std::chrono::steady_clock::now(), begin + 1500ms);
+}
+
+TEST_F(front_service_test, late_submission_is_refused_as_not_run) {
+    std::promise<void> is_set;
+    asio::post(pool.context(0), [&] {
+        front.set_exit_time(std::chrono::steady_clock::now() + 1s);
+        is_set.set_value();
+    });
+    is_set.get_future().wait();
+    auto answer = call_blocking(
+        address,
+        {.method = "POST",
+         .target = "/job/",
+         .headers = {{"Host", "h"}, {"Request-Id", "j"}},
+         .body = R"({"items": [{"id": "i", "path": "/p", "headers": {},
+                     "body": "", "tokens": 1}]})"},
+        2s);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 503U);
+    EXPECT_EQ(answer->header("Connection"), "close");
+    EXPECT_FALSE(answer->header("Retry-After").empty());
+}
--- a/tests/main/planned_stop_test.cpp
+++ b/tests/main/planned_stop_test.cpp
@@ -166,6 +166,26 @@
     EXPECT_FALSE(has_run("late"));
 }
 
+// Requests that ran at the end of the grace got no answer.
+TEST_F(planned_stop_test, request_that_runs_at_the_exit_is_answered) {
+    raw_caller safe(address());
+    raw_caller once(address());
+    ASSERT_TRUE(safe.write(make_request("/safe/9000", "safe")));
+    ASSERT_TRUE(once.write(make_request("/once/9000", "once")));
+    std::this_thread::sleep_for(200ms);
+    stop();
+    for (raw_caller* const caller : {&safe, &once}) {
+        const auto answer = caller->read_answer(grace);
+        ASSERT_TRUE(answer) << "the connection was closed without an answer";
+        EXPECT_EQ(answer->status, 502U);
+        EXPECT_EQ(answer->header("Connection"), "close");
+    }
+    EXPECT_GT(std::chrono::steady_clock::now(), stopped_at_ + 4s)
+        << "the upstream's answer was not awaited";
+    EXPECT_NE(instance_->wait(), -1);
+    EXPECT_LT(std::chrono::steady_clock::now(), stopped_at_ + grace);
+}
+
 // An answer during the drain invited the caller to use its connection again.
 TEST_F(planned_stop_test, answer_to_an_earlier_request_announces_the_close) {
     raw_caller caller(address());
