Refuse requests that arrive after the end of a drain

After the drain had decided to exit, the traffic thread went on until the other threads had ended. A request that arrived on an open connection in that time was read, sent to its upstream and cut. Requests read after the server was stopped are now refused as not run, and no upstream gets them.

Evidence: http_test.request_after_the_stop_is_refused_as_not_run failed before (both requests on open connections were handled and answered 200). How long the window is in a process was not measured.

--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -25,9 +25,13 @@
 constexpr auto await = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view bad_request_body =
     R"({"code":104,"name":"not_run_bad_request","detail":"malformed HTTP"})";
+constexpr std::string_view draining_body =
+    R"({"code":108,"name":"not_run_draining","detail":"the instance exits"})";
 constexpr std::string_view too_large_body =
     R"({"code":113,"name":"not_run_too_large","detail":"over the limit"})";
 
+/// When a caller should retry elsewhere, in seconds.
+constexpr std::string_view stopped_retry_after = "0.25";
 /// Size of the first read of a request.
 constexpr std::size_t first_read_bytes = 16'384;
 
@@ -201,6 +205,7 @@
     asio::awaitable<void> handle(connection_exchange& exchange);
     asio::awaitable<void> answer_parse_error(beast::tcp_stream& stream,
                                              beast::error_code error);
+    asio::awaitable<void> refuse_after_stop(beast::tcp_stream& stream);
 
     traffic_pool& pool;
     caller_limits limits;
@@ -267,6 +272,10 @@
         co_await answer_parse_error(stream, error);
         co_return false;
     }
+    if (is_stopping) {
+        co_await refuse_after_stop(stream);
+        co_return false;
+    }
     stream.expires_never();
     connection_exchange exchange(stream, parser.release(), worker, io_timeout,
                                  is_closing);
@@ -293,6 +302,20 @@
     }
 }
 
+asio::awaitable<void>
+http_server::state::refuse_after_stop(beast::tcp_stream& stream) {
+    http::response<http::string_body> message(http::status::service_unavailable,
+                                              11);
+    message.set(http::field::content_type, "application/json");
+    message.set(http::field::retry_after, stopped_retry_after);
+    message.set("Savorydock-Result", "108");
+    message.keep_alive(false);
+    message.body() = draining_body;
+    message.prepare_payload();
+    stream.expires_after(limits.io_timeout);
+    co_await http::async_write(stream, message, await);
+}
+
 asio::awaitable<void>
 http_server::state::answer_parse_error(beast::tcp_stream& stream,
                                        beast::error_code error) {
--- a/drivers/http/http_server.hpp
+++ b/drivers/http/http_server.hpp
@@ -74,7 +74,8 @@
     void announce_close();
 
     /// Stops accepting connections and closes each open one after its current
-    /// request. Thread safe, idempotent.
+    /// request. Requests that arrive on them later are refused as not run.
+    /// Thread safe, idempotent.
     void stop_accepting();
 
     /// The number of requests being received or handled. Thread safe.
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -860,7 +860,7 @@
         }
         const bool may_exit = is_idle && now >= begin + rotation_exit_time;
         if (reported_at && now >= *reported_at && (may_exit || now >= last)) {
-            // Must not suspend after this point: a request that arrived on an
+            // Must not suspend before this call: a request that arrived on an
             // open connection meanwhile would be cut off.
             caller_server_->stop_accepting();
             log_.write(log_event::drain_finished,
--- a/tests/drivers/http/http_test.cpp
+++ b/tests/drivers/http/http_test.cpp
@@ -1,10 +1,13 @@
 #include "drivers/http/http_client.hpp"
 #include "drivers/http/http_server.hpp"
+#include "tests/fakes/raw_caller.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <gtest/gtest.h>
 
+#include <atomic>
+
 namespace savorydock {
 
 using namespace std::chrono_literals;
@@ -94,4 +97,29 @@
     EXPECT_EQ(answer->status, 413U);
 }
 
+// A request that crossed the end of a drain was handled while the process
+// exited.
+TEST_F(http_test, request_after_the_stop_is_refused_as_not_run) {
+    std::atomic<int> calls = 0;
+    const auto address =
+        serve([&](http_exchange& exchange) -> asio::awaitable<void> {
+            ++calls;
+            http_response response;
+            co_await exchange.respond(std::move(response));
+        });
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    raw_caller caller(address);
+    ASSERT_TRUE(caller.write(request));
+    ASSERT_TRUE(caller.read_answer(1s));
+    server_->stop_accepting();
+    ASSERT_TRUE(caller.write(request));
+    // The connection may also be closed with the request unread.
+    if (const auto refused = caller.read_answer(1s)) {
+        EXPECT_EQ(refused->status, 503U);
+        EXPECT_EQ(refused->header("Connection"), "close");
+        EXPECT_FALSE(refused->header("Retry-After").empty());
+    }
+    EXPECT_EQ(calls, 1);
+}
+
 } // namespace savorydock
