Refuse to continue a stream by a default origin that may be out of date

During a release a stream that had begun at a new software version went on at an old one. Its beginner couldn't reach the store and listed no upstream of the default version any more, so it began the stream without waiting for the record. An instance whose list was older found no record, took the stream for one of the default version, and still listed an upstream of that version which was alive: its entry had been removed while it went on serving. The same holds for an instance that hasn't heard of a replaced default.

An origin that comes from a record is used whatever the instance's view. One that comes from the default is used only while the view is known to be current (as for refused routes, 1.8 s at most, or following a feeder); otherwise the attempt is refused as not run with Retry-After.

Evidence: stream_forwarding_test.unrecorded_stream_is_not_taken_up_by_an_old_view, with two instances, failed before (200, and the old version's engine ran events 4 to 6 of the new version's stream) and passes now, one run each. Ruled out by tests that passed without a change: recorded_stream_is_taken_up_by_an_old_view (a record is found whatever the view; without an upstream of its origin it is refused) and old_view_without_a_store_serves_the_default.

--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -160,13 +160,22 @@
     const auto& services = request.route.services;
     if (!*origin || std::none_of(services.begin(), services.end(),
                                  [&](const service_share& share) {
-                                     return share.service == (*origin)->service;
+                                     return share.service ==
+                                            (*origin)->origin.service;
                                  })) {
         result.reason = "the stream's origin isn't known";
         co_return false;
     }
-    state.service = (*origin)->service;
-    state.software = (*origin)->software;
+    // Other instances may know that the default origin was replaced, or that
+    // its upstreams have left, and begin streams of another one without a
+    // record.
+    if (!(*origin)->is_recorded && !fleet_.find_view_age().is_current) {
+        result.reason = "the default origin of the route may be out of date";
+        result.retry_after.reset();
+        co_return false;
+    }
+    state.service = (*origin)->origin.service;
+    state.software = (*origin)->origin.software;
     if (!fleet_.pool.choose(state.service, {}, now(), &*state.software)) {
         result.reason = "no upstream has the software version " +
                         state.software->text() + " that began the stream";
--- a/drivers/front/stream_ledger.cpp
+++ b/drivers/front/stream_ledger.cpp
@@ -181,7 +181,7 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-asio::awaitable<outcome<std::optional<stream_origin>>>
+asio::awaitable<outcome<std::optional<found_origin>>>
 stream_ledger::find(request_id first, std::string route) {
     const auto value = co_await store_.read_key(stream_record_key(first));
     if (!value) {
@@ -193,14 +193,20 @@
             log_.write(log_event::store_call_failed,
                        "key=" + (*value)->key + " reason=\"" +
                            record.reason().detail + '"');
-            co_return std::optional<stream_origin>();
+            co_return std::optional<found_origin>();
         }
-        co_return std::optional(std::move(record->origin));
+        found_origin found{.origin = std::move(record->origin),
+                           .is_recorded = true};
+        co_return std::optional(std::move(found));
     }
     // Looked up after the read: a default that was replaced meanwhile has no
     // upstream left.
     const stream_origin* const origin = default_of(route);
-    co_return origin == nullptr ? std::nullopt : std::optional(*origin);
+    if (origin == nullptr) {
+        co_return std::optional<found_origin>();
+    }
+    found_origin found{.origin = *origin};
+    co_return std::optional(std::move(found));
 }
 
 } // namespace savorydock
--- a/drivers/front/stream_ledger.hpp
+++ b/drivers/front/stream_ledger.hpp
@@ -30,6 +30,14 @@
     std::chrono::milliseconds retention{30'000};
 };
 
+/// The origin of a stream that a caller continues.
+struct found_origin {
+    stream_origin origin;
+    /// Whether the store has a record of the stream. Otherwise the origin is
+    /// the default that this instance knows for the route.
+    bool is_recorded = false;
+};
+
 /// Knows which software began each resumable stream, also after all instances
 /// were restarted: in the platform's store, either as a record of the stream or
 /// as the default of its route.
@@ -69,7 +77,7 @@
 
     /// Returns the origin of the stream on this route that an attempt began, or
     /// nothing if it isn't known. Errors: those of the store.
-    boost::asio::awaitable<outcome<std::optional<stream_origin>>>
+    boost::asio::awaitable<outcome<std::optional<found_origin>>>
     find(request_id first, std::string route);
 
     /// Whether the store can be expected to take a record now.
--- a/tests/drivers/front/stream_forwarding_test.cpp
+++ b/tests/drivers/front/stream_forwarding_test.cpp
@@ -98,6 +98,37 @@
         [this](raw_connection& connection, std::size_t) { serve(connection); }};
 };
 
+/// An instance: a front service behind a real listener, with its own view of
+/// the fleet and its own way to the store.
+class test_instance {
+public:
+    test_instance(traffic_pool& pool, const endpoint& store_address)
+        : client(pool.context(0))
+        , store(pool.context(0), {.address = store_address}, log)
+        , ledger(pool.context(0), store, {}, log)
+        , server(pool, caller_limits{}, [this](http_exchange& exchange) {
+            return front.handle(exchange);
+        }) {
+        address = *server.listen({.address = "127.0.0.1", .port = 0});
+    }
+
+    null_logger log;
+    metrics_registry metrics;
+    seeded_random_source random{1};
+    fleet_state fleet{.pool = upstream_pool({})};
+    http_client client;
+    store_client store;
+    job_store jobs{store, log};
+    plain_caller caller{client, fleet, random, log};
+    suspect_list suspects{{.self = instance_id("b"), .boot = "1"}};
+    stream_ledger ledger;
+    stream_forwarder streams{fleet, client, ledger, random, log};
+    front_service front{fleet,    caller,  streams, jobs,
+                        suspects, metrics, log,     [](const job_record&) {}};
+    http_server server;
+    endpoint address;
+};
+
 /// A front service behind a real listener, with a resumable route.
 class stream_forwarding_test : public ::testing::Test {
 public:
@@ -137,10 +168,16 @@
 
     outcome<http_response> send(const std::string& id,
                                 http_headers headers = {}) {
+        return send_to(address, id, std::move(headers));
+    }
+
+    static outcome<http_response> send_to(const endpoint& instance,
+                                          const std::string& id,
+                                          http_headers headers = {}) {
         headers.push_back({"Host", "h"});
         headers.push_back({"Request-Id", id});
         return call_blocking(
-            address, {.target = "/stream/a", .headers = std::move(headers)},
+            instance, {.target = "/stream/a", .headers = std::move(headers)},
             3s);
     }
 
@@ -153,13 +190,17 @@
 
     /// Streams without a record began at this version.
     void set_default(const std::string& version) {
+        set_default_at(ledger, version);
+    }
+
+    void set_default_at(stream_ledger& known, const std::string& version) {
         const default_origins defaults{
             {"r",
              {.service = service_name("s"),
               .software = software_version(version)}}};
         store_change change{.value = {.key = std::string(stream_defaults_key),
                                       .value = wire::encode(defaults)}};
-        on_traffic_thread([&] { ledger.on_defaults_change(change); });
+        on_traffic_thread([&] { known.on_defaults_change(change); });
     }
 
     [[nodiscard]] bool has_record(const std::string& id) const {
@@ -491,3 +532,78 @@
     EXPECT_EQ(refused->header("Connection"), "close");
     EXPECT_EQ(old_engine.starts().size(), 1U);
 }
+
+// A stream that began at a new version while its instance had no store was
+// continued at the default version, by an instance whose list was out of date.
+TEST_F(stream_forwarding_test,
+       unrecorded_stream_is_not_taken_up_by_an_old_view) {
+    test_instance beginner(pool, {.address = "127.0.0.1", .port = 1});
+    on_traffic_thread([&] {
+        beginner.fleet.routes = fleet.routes;
+        beginner.fleet.pool.set_upstreams({new_engine.entry("b")});
+    });
+    set_default_at(beginner.ledger, "v1");
+    set_default("v1");
+    set_upstreams({old_engine.entry("a")});
+    // Its first call to the store shows that it can't be reached.
+    const auto refused = send_to(beginner.address, "0",
+                                 {{"Resumes", "x"}, {"Last-Event-Id", "1"}});
+    ASSERT_TRUE(refused) << refused.reason().detail;
+    new_engine.breaks_after = 3;
+    EXPECT_FALSE(send_to(beginner.address, "1")) << "the stream didn't break";
+    ASSERT_EQ(new_engine.starts().size(), 1U);
+
+    on_traffic_thread([&] {
+        fleet.find_view_age = [] { return view_age{.is_current = false}; };
+    });
+    const auto taken_up = take_up("2", "1", 3);
+    ASSERT_TRUE(taken_up) << taken_up.reason().detail;
+    EXPECT_EQ(taken_up->status, 503U);
+    EXPECT_FALSE(taken_up->header("Retry-After").empty());
+    EXPECT_TRUE(old_engine.starts().empty());
+}
+
+// A record names the origin whatever the instance knows of the default.
+TEST_F(stream_forwarding_test, recorded_stream_is_taken_up_by_an_old_view) {
+    test_instance beginner(pool, fake.address());
+    on_traffic_thread([&] {
+        beginner.fleet.routes = fleet.routes;
+        beginner.fleet.pool.set_upstreams({new_engine.entry("b")});
+    });
+    set_default_at(beginner.ledger, "v1");
+    set_default("v1");
+    new_engine.breaks_after = 3;
+    EXPECT_FALSE(send_to(beginner.address, "1")) << "the stream didn't break";
+    EXPECT_TRUE(has_record("1"));
+    new_engine.breaks_after = stream_length;
+    on_traffic_thread([&] {
+        fleet.find_view_age = [] { return view_age{.is_current = false}; };
+    });
+    // It doesn't list the new version yet.
+    set_upstreams({old_engine.entry("a")});
+    const auto early = take_up("2", "1", 3);
+    ASSERT_TRUE(early) << early.reason().detail;
+    EXPECT_EQ(early->status, 503U);
+    set_upstreams({old_engine.entry("a"), new_engine.entry("b")});
+    const auto taken_up = take_up("3", "1", 3);
+    ASSERT_TRUE(taken_up) << taken_up.reason().detail;
+    EXPECT_EQ(taken_up->status, 200U);
+    EXPECT_TRUE(old_engine.starts().empty());
+    EXPECT_EQ(new_engine.starts().back(), 4U);
+}
+
+// Without the store an old view can't be helped; the default version is served.
+TEST_F(stream_forwarding_test, old_view_without_a_store_serves_the_default) {
+    set_default("v1");
+    set_upstreams({old_engine.entry("a")});
+    fake.set_refusing(true);
+    on_traffic_thread([&] {
+        fleet.find_view_age = [] { return view_age{.is_current = false}; };
+    });
+    const auto refused = take_up("1", "0", 3);
+    ASSERT_TRUE(refused) << refused.reason().detail;
+    EXPECT_EQ(refused->status, 503U);
+    const auto answer = send("2");
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->status, 200U);
+}
