Record streams that begin while the default origin may be out of date

An instance that was out of step began streams of the default version that it knew, without a record. If the default had been replaced meanwhile, others took them for streams of the new default and continued them there.

While the view isn't known to be current and the store can be reached, streams of the default version are recorded as well. They wait for that at most 250 ms and begin also if the record isn't stored, so that the start of a store outage costs no stream of the default version.

--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -29,6 +29,9 @@
 constexpr std::chrono::milliseconds max_unrecorded_wait{30'000};
 /// Time that the store gets to take the record of a stream.
 constexpr std::chrono::milliseconds max_record_time{1'500};
+/// The same for streams of an origin that is the route's default as far as the
+/// instance knows. They begin also without a record.
+constexpr std::chrono::milliseconds max_default_record_time{250};
 /// Crashed upstreams of a version that is being replaced may come back.
 constexpr std::chrono::milliseconds origin_retry_after{1'000};
 
@@ -213,8 +216,12 @@
     if (!request.route.is_resumable || request.call.id.is_empty()) {
         return false;
     }
+    // Other instances may know that the default was replaced. Without the store
+    // no record can be written.
+    const bool may_be_replaced =
+        ledger_.is_store_reachable() && !fleet_.find_view_age().is_current;
     const stream_origin* const usual = ledger_.default_of(request.route.name);
-    return usual == nullptr || *usual != origin ||
+    return usual == nullptr || *usual != origin || may_be_replaced ||
            request.call.max_wait.value_or(default_stream_wait) >
                max_unrecorded_wait;
 }
@@ -303,8 +310,12 @@
         ledger_.record_later(id, std::move(origin), deadline);
         co_return attempt_end::unfinished;
     }
+    const bool is_usual = usual != nullptr && *usual == origin &&
+                          request.call.max_wait.value_or(default_stream_wait) <=
+                              max_unrecorded_wait;
     const steady_time write_by =
-        std::min(request.deadline, now() + max_record_time);
+        std::min(request.deadline, now() + (is_usual ? max_default_record_time
+                                                     : max_record_time));
     auto recorded =
         co_await (ledger_.record(id, std::move(origin), write_by, deadline) ||
                   request.exchange.wait_for_disconnect());
@@ -312,7 +323,7 @@
         state.result.end = stream_end::caller_gone;
         co_return attempt_end::finished;
     }
-    if (!std::get<0>(recorded)) {
+    if (!std::get<0>(recorded) && !is_usual) {
         // Another origin must not begin it: the write may still take effect.
         state.result.end = stream_end::unknown;
         state.result.reason = "the stream's origin was not stored";
--- a/tests/drivers/front/stream_forwarding_test.cpp
+++ b/tests/drivers/front/stream_forwarding_test.cpp
@@ -592,6 +592,20 @@
     EXPECT_EQ(new_engine.starts().back(), 4U);
 }
 
+// An instance that believed an outdated default began streams without a record,
+// which others took for streams of the new default.
+TEST_F(stream_forwarding_test, stream_begun_by_an_old_view_is_recorded) {
+    set_default("v1");
+    set_upstreams({old_engine.entry("a")});
+    on_traffic_thread([&] {
+        fleet.find_view_age = [] { return view_age{.is_current = false}; };
+    });
+    const auto answer = send("1");
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->status, 200U);
+    EXPECT_TRUE(has_record("1"));
+}
+
 // Without the store an old view can't be helped; the default version is served.
 TEST_F(stream_forwarding_test, old_view_without_a_store_serves_the_default) {
     set_default("v1");
@@ -607,3 +621,18 @@
     ASSERT_TRUE(answer) << answer.reason().detail;
     EXPECT_EQ(answer->status, 200U);
 }
+
+// The store may be lost before the instance knows it.
+TEST_F(stream_forwarding_test, old_view_at_a_lost_store_serves_the_default) {
+    set_default("v1");
+    set_upstreams({old_engine.entry("a")});
+    fake.set_refusing(true);
+    on_traffic_thread([&] {
+        fleet.find_view_age = [] { return view_age{.is_current = false}; };
+    });
+    const auto begin = std::chrono::steady_clock::now();
+    const auto answer = send("1");
+    ASSERT_TRUE(answer) << answer.reason().detail;
+    EXPECT_EQ(answer->status, 200U);
+    EXPECT_LT(std::chrono::steady_clock::now(), begin + 1s);
+}
