Keep to a grace that changed without a signal before a planned stop

The settings file may change without a signal and was looked at every 5 s, so a stop shortly after the grace had been shortened went on until the platform killed the process, and running requests got no answer. The drain now reads the settings as it begins.

Evidence: planned_stop_test.grace_changed_without_a_signal_is_kept failed before (no answer) and passes now, one run each. Ruled out by tests that passed without a change: grace_changed_by_a_reload_is_kept and second_signal_does_not_end_the_drain.

--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -825,6 +825,8 @@
         return;
     }
     is_draining_ = true;
+    // The grace may have changed without a signal.
+    reload_settings("drain");
     log_.write(log_event::drain_started,
                "requests=" + std::to_string(caller_server_->active_requests()));
     asio::co_spawn(context_, drain(), asio::detached);
--- a/tests/main/planned_stop_test.cpp
+++ b/tests/main/planned_stop_test.cpp
@@ -44,8 +44,22 @@
                                     R"(", "zone": "z", "version": "v1",
             "slots": 50, "state": "ready", "cold_left_ms": 0, "sequence": 1,
             "born": 1})");
+        write_settings(grace);
         const auto path = folder_ / "settings.toml";
-        std::ofstream(path)
+        ::setenv("SAVORYDOCK_SETTINGS", path.c_str(), 1);
+        instance_.emplace(std::string(SAVORYDOCK_BINARY_DIR) + "/bin",
+                          "savorydock-node", std::vector<std::string>{"entry"});
+        EXPECT_TRUE(is_served()) << "the instance serves no requests";
+    }
+
+    ~planned_stop_test() override {
+        instance_.reset();
+        std::filesystem::remove_all(folder_);
+    }
+
+    /// Sets the time between SIGTERM and SIGKILL.
+    void write_settings(std::chrono::seconds time) const {
+        std::ofstream(folder_ / "settings.toml")
             << "node_name = \"a\"\nrole = \"entry\"\nip = \"" << ip_
             << "\"\nzone = \"z\"\nregion = \"r\"\n"
             << "machine_class = \"front\"\nserves = [\"front\"]\n"
@@ -53,19 +67,10 @@
             << "heartbeat_ms = 1200\n[listen]\nfront = \"" << ip_
             << ":8161\"\nready = \"" << ip_ << ":8167\"\n[limits]\n"
             << "cpu_share = 0.25\nmemory_mb = 260\n[bounds]\ngrace_s = "
-            << grace.count() << "\nlease_ms = 3000\n[platform]\naddress = \""
+            << time.count() << "\nlease_ms = 3000\n[platform]\naddress = \""
             << to_text(store_.address())
             << "\"\nwrites_per_s = 400\nreads_per_s = 2000\n"
             << "value_bytes = 1048576\nttl_min_ms = 1000\n";
-        ::setenv("SAVORYDOCK_SETTINGS", path.c_str(), 1);
-        instance_.emplace(std::string(SAVORYDOCK_BINARY_DIR) + "/bin",
-                          "savorydock-node", std::vector<std::string>{"entry"});
-        EXPECT_TRUE(is_served()) << "the instance serves no requests";
-    }
-
-    ~planned_stop_test() override {
-        instance_.reset();
-        std::filesystem::remove_all(folder_);
     }
 
     [[nodiscard]] endpoint address() const {
@@ -214,3 +219,44 @@
     EXPECT_EQ(answer->status, 200U);
     EXPECT_EQ(answer->header("Connection"), "close");
 }
+
+TEST_F(planned_stop_test, second_signal_does_not_end_the_drain) {
+    raw_caller caller(address());
+    ASSERT_TRUE(caller.write(make_request("/once/1500", "once")));
+    std::this_thread::sleep_for(200ms);
+    stop();
+    wait_after_stop(200ms);
+    instance_->send(SIGTERM);
+    instance_->send(SIGINT);
+    const auto answer = caller.read_answer(2s);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200U);
+}
+
+TEST_F(planned_stop_test, grace_changed_by_a_reload_is_kept) {
+    raw_caller caller(address());
+    ASSERT_TRUE(caller.write(make_request("/safe/5000", "safe")));
+    write_settings(2s);
+    instance_->send(SIGHUP);
+    std::this_thread::sleep_for(300ms);
+    stop();
+    const auto answer = caller.read_answer(3s);
+    EXPECT_LT(std::chrono::steady_clock::now(), stopped_at_ + 2s);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 502U);
+    EXPECT_NE(instance_->wait(), -1);
+    EXPECT_LT(std::chrono::steady_clock::now(), stopped_at_ + 2s);
+}
+
+// The settings may change without a signal shortly before the stop.
+TEST_F(planned_stop_test, grace_changed_without_a_signal_is_kept) {
+    raw_caller caller(address());
+    ASSERT_TRUE(caller.write(make_request("/safe/5000", "safe")));
+    std::this_thread::sleep_for(200ms);
+    write_settings(2s);
+    stop();
+    const auto answer = caller.read_answer(3s);
+    EXPECT_LT(std::chrono::steady_clock::now(), stopped_at_ + 2s);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 502U);
+}
