--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -30,8 +30,9 @@
 constexpr std::chrono::milliseconds max_unrecorded_wait{30'000};
 /// Time that the store gets to take the record of a stream.
 constexpr std::chrono::milliseconds max_record_time{1'500};
-/// Time in which nearly all streams end.
-constexpr std::chrono::milliseconds usual_stream_time{5'000};
+/// The same for streams of an origin that is the route's default as far as the
+/// instance knows. They begin also without a record.
+constexpr std::chrono::milliseconds max_default_record_time{250};
 /// Crashed upstreams of a version that is being replaced may come back.
 constexpr std::chrono::milliseconds origin_retry_after{1'000};
 
@@ -78,7 +79,10 @@
     progress state;
     state.result.last_event = request.call.last_event.value_or(0);
     state.result.reason = "no upstream took the stream";
-    if (exit_time_ && now() + usual_stream_time > *exit_time_) {
+    if (!exit_.may_send({.kind = request_kind::stream,
+                         .deadline = request.deadline,
+                         .usual_time = request.route.target_latency},
+                        now())) {
         state.result.reason = "the instance exits before the stream would end";
         request.exchange.close_after_answer();
         co_return std::move(state.result);
@@ -160,13 +164,22 @@
     const auto& services = request.route.services;
     if (!*origin || std::none_of(services.begin(), services.end(),
                                  [&](const service_share& share) {
-                                     return share.service == (*origin)->service;
+                                     return share.service ==
+                                            (*origin)->origin.service;
                                  })) {
         result.reason = "the stream's origin isn't known";
         co_return false;
     }
-    state.service = (*origin)->service;
-    state.software = (*origin)->software;
+    // Other instances may know that the default origin was replaced, or that
+    // its upstreams have left, and begin streams of another one without a
+    // record.
+    if (!(*origin)->is_recorded && !fleet_.find_view_age().is_current) {
+        result.reason = "the default origin of the route may be out of date";
+        result.retry_after.reset();
+        co_return false;
+    }
+    state.service = (*origin)->origin.service;
+    state.software = (*origin)->origin.software;
     if (!fleet_.pool.choose(state.service, {}, now(), &*state.software)) {
         result.reason = "no upstream has the software version " +
                         state.software->text() + " that began the stream";
@@ -204,8 +217,12 @@
     if (!request.route.is_resumable || request.call.id.is_empty()) {
         return false;
     }
+    // Other instances may know that the default was replaced. Without the store
+    // no record can be written.
+    const bool may_be_replaced =
+        ledger_.is_store_reachable() && !fleet_.find_view_age().is_current;
     const stream_origin* const usual = ledger_.default_of(request.route.name);
-    return usual == nullptr || *usual != origin ||
+    return usual == nullptr || *usual != origin || may_be_replaced ||
            request.call.max_wait.value_or(default_stream_wait) >
                max_unrecorded_wait;
 }
@@ -298,8 +315,12 @@
         ledger_.record_later(id, std::move(origin), deadline);
         co_return attempt_end::unfinished;
     }
+    const bool is_usual = usual != nullptr && *usual == origin &&
+                          request.call.max_wait.value_or(default_stream_wait) <=
+                              max_unrecorded_wait;
     const steady_time write_by =
-        std::min(request.deadline, now() + max_record_time);
+        std::min(request.deadline, now() + (is_usual ? max_default_record_time
+                                                     : max_record_time));
     auto recorded =
         co_await (ledger_.record(id, std::move(origin), write_by, deadline) ||
                   request.exchange.wait_for_disconnect());
@@ -307,7 +328,7 @@
         state.result.end = stream_end::caller_gone;
         co_return attempt_end::finished;
     }
-    if (!std::get<0>(recorded)) {
+    if (!std::get<0>(recorded) && !is_usual) {
         // Another origin must not begin it: the write may still take effect.
         state.result.end = stream_end::unknown;
         state.result.reason = "the stream's origin was not stored";
--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -25,12 +25,18 @@
 constexpr auto await = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view bad_request_body =
     R"({"code":104,"name":"not_run_bad_request","detail":"malformed HTTP"})";
-constexpr std::size_t first_read_bytes = 4'096;
 /// When to retry a request that was refused by limits that may be out of date.
 constexpr std::string_view limits_retry_after = "0.250";
+constexpr std::string_view draining_body =
+    R"({"code":108,"name":"not_run_draining","detail":"the instance exits"})";
 constexpr std::string_view too_large_body =
     R"({"code":113,"name":"not_run_too_large","detail":"over the limit"})";
 
+/// When a caller should retry elsewhere, in seconds.
+constexpr std::string_view stopped_retry_after = "0.25";
+/// Size of the first read of a request.
+constexpr std::size_t first_read_bytes = 16'384;
+
 using string_request = http::request<http::string_body>;
 
 http_request convert(string_request&& source) {
@@ -55,8 +61,10 @@
 class connection_exchange final : public http_exchange {
 public:
     connection_exchange(beast::tcp_stream& stream, string_request&& request,
-                        std::size_t worker, std::chrono::milliseconds timeout)
+                        std::size_t worker, std::chrono::milliseconds timeout,
+                        const std::atomic<bool>& is_closing)
         : stream_(stream)
+        , is_closing_(is_closing)
         , is_keep_alive_(request.keep_alive())
         , request_(convert(std::move(request)))
         , worker_(worker)
@@ -144,10 +152,13 @@
         for (const http_header& header : headers) {
             message.set(header.name, header.value);
         }
+        is_keep_alive_ = is_keep_alive_ && !is_closing_;
         message.keep_alive(is_keep_alive_);
     }
 
     beast::tcp_stream& stream_;
+    /// Whether the server closes its connections after their next answers.
+    const std::atomic<bool>& is_closing_;
     bool is_keep_alive_;
     http_request request_;
     std::size_t worker_;
@@ -156,6 +167,21 @@
     bool is_complete_ = false;
 };
 
+/// Counts a request while it is received and handled.
+class active_guard {
+public:
+    explicit active_guard(std::atomic<std::size_t>& count)
+        : count_(count) {
+        ++count_;
+    }
+    active_guard(const active_guard&) = delete;
+    active_guard& operator=(const active_guard&) = delete;
+    ~active_guard() { --count_; }
+
+private:
+    std::atomic<std::size_t>& count_;
+};
+
 /// Closes with a reset, so that a truncated response never looks complete.
 void reset_connection(beast::tcp_stream& stream) {
     beast::error_code ignored;
@@ -185,6 +211,7 @@
                                         beast::flat_buffer& buffer);
     asio::awaitable<void> answer_parse_error(beast::tcp_stream& stream,
                                              beast::error_code error);
+    asio::awaitable<void> refuse_after_stop(beast::tcp_stream& stream);
 
     traffic_pool& pool;
     caller_limits limits;
@@ -253,20 +280,21 @@
     parser.body_limit(limits.max_body_bytes);
     const std::chrono::milliseconds io_timeout = limits.io_timeout;
     stream.expires_after(io_timeout);
+    const active_guard guard(active);
     const auto [error, size] =
         co_await http::async_read(stream, buffer, parser, await);
     if (error) {
         co_await answer_parse_error(stream, error);
         co_return false;
     }
-    stream.expires_never();
-    connection_exchange exchange(stream, parser.release(), worker, io_timeout);
-    if (is_closing) {
-        exchange.forbid_reuse();
+    if (is_stopping) {
+        co_await refuse_after_stop(stream);
+        co_return false;
     }
-    ++active;
+    stream.expires_never();
+    connection_exchange exchange(stream, parser.release(), worker, io_timeout,
+                                 is_closing);
     co_await handle(exchange);
-    --active;
     if (!exchange.is_complete()) {
         reset_connection(stream);
         co_return false;
@@ -289,6 +317,20 @@
     }
 }
 
+asio::awaitable<void>
+http_server::state::refuse_after_stop(beast::tcp_stream& stream) {
+    http::response<http::string_body> message(http::status::service_unavailable,
+                                              11);
+    message.set(http::field::content_type, "application/json");
+    message.set(http::field::retry_after, stopped_retry_after);
+    message.set("Savorydock-Result", "108");
+    message.keep_alive(false);
+    message.body() = draining_body;
+    message.prepare_payload();
+    stream.expires_after(limits.io_timeout);
+    co_await http::async_write(stream, message, await);
+}
+
 asio::awaitable<void>
 http_server::state::answer_parse_error(beast::tcp_stream& stream,
                                        beast::error_code error) {
--- a/drivers/http/http_server.hpp
+++ b/drivers/http/http_server.hpp
@@ -80,10 +80,11 @@
     void announce_close();
 
     /// Stops accepting connections and closes each open one after its current
-    /// request. Thread safe, idempotent.
+    /// request. Requests that arrive on them later are refused as not run.
+    /// Thread safe, idempotent.
     void stop_accepting();
 
-    /// The number of requests being handled. Thread safe.
+    /// The number of requests being received or handled. Thread safe.
     [[nodiscard]] std::size_t active_requests() const;
     /// The number of open connections. Thread safe.
     [[nodiscard]] std::size_t open_connections() const;
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -900,6 +900,8 @@
         return;
     }
     is_draining_ = true;
+    // The grace may have changed without a signal.
+    reload_settings("drain");
     log_.write(log_event::drain_started,
                "requests=" + std::to_string(caller_server_->active_requests()));
     asio::co_spawn(context_, drain(), asio::detached);
@@ -917,7 +919,7 @@
     asio::co_spawn(context_, feed_.retire(), asio::detached);
     asio::co_spawn(context_, registration_.announce_leaving(), asio::detached);
     const steady_time last = begin + settings_.shutdown_grace - exit_margin;
-    streams_.set_exit_time(last);
+    front_.set_exit_time(last);
     // When the reports of stopped runs should have reached their planners.
     std::optional<steady_time> reported_at;
     while (true) {
@@ -937,7 +939,7 @@
         const bool may_exit = is_idle && tunnels_.active_tunnels() == 0 &&
                               now >= begin + rotation_exit_time;
         if (reported_at && now >= *reported_at && (may_exit || now >= last)) {
-            // Must not suspend after this point: a request that arrived on an
+            // Must not suspend before this call: a request that arrived on an
             // open connection meanwhile would be cut off.
             caller_server_->stop_accepting();
             log_.write(log_event::drain_finished,
