Count changes while a renewal of the feeder's lease is late

The cause of the refused requests, elsewhere, found by review: a renewal that is answered after the local clock has ended the lease goes on with the same term. A change that arrived in between got no number, so followers held the announced number without the change for good, and a heartbeat that was due then ended all further ones.

Changes are numbered and the heartbeats' timer runs for as long as the term stands; nothing is sent while the lease may have ended. Followers notice the gap and request.

--- a/drivers/feed/store_feed.cpp
+++ b/drivers/feed/store_feed.cpp
@@ -128,9 +128,13 @@
     const std::vector<store_change>& changes, bool is_reread) {
     history.record(changes, mirror.copy());
     values.record(changes);
-    if (owner.is_feeder() && !changes.empty()) {
+    if (owner.term_.term() && !changes.empty()) {
+        // Counts also while the lease may have ended: if a late renewal shows
+        // that it hasn't, followers notice the gap.
         ++pushes;
-        owner.push(*this, changes);
+        if (owner.is_feeder()) {
+            owner.push(*this, changes);
+        }
     }
     listener.on_changes(changes, is_reread);
     if (is_reread && mirror.prefix() == control_prefix) {
@@ -421,11 +425,9 @@
 }
 
 void store_feed::send_heartbeats() {
-    if (!is_feeder()) {
-        is_sending_heartbeats_ = false;
+    if (!term_.term()) {
         return;
     }
-    is_sending_heartbeats_ = true;
     update_mode();
     heartbeat_timer_.expires_after(announce() ? heartbeat_period
                                               : incomplete_copy_period);
--- a/drivers/feed/store_feed.hpp
+++ b/drivers/feed/store_feed.hpp
@@ -199,7 +199,6 @@
     boost::asio::steady_timer start_timer_;
     bool is_waiting_for_copies_ = false;
     bool has_requested_copies_ = false;
-    bool is_sending_heartbeats_ = false;
     bool was_following_ = false;
     steady_time reported_outage_end_{};
 };
