--- a/servers/feed/change_history.cpp
+++ b/servers/feed/change_history.cpp
@@ -9,6 +9,12 @@
     if (!copy.has_snapshot()) {
         return;
     }
+    if (revisions_.empty() || revisions_.back() < copy.revision()) {
+        revisions_.push_back(copy.revision());
+    }
+    if (revisions_.size() > max_revisions_) {
+        revisions_.pop_front();
+    }
     if (!complete_since_) {
         complete_since_ = copy.revision();
         return;
@@ -29,7 +35,10 @@
 std::optional<std::vector<store_change>>
 change_history::changes_since(store_revision revision,
                               const key_copy& copy) const {
-    if (!complete_since_ || revision < *complete_since_) {
+    const bool is_known =
+        revision >= copy.revision() ||
+        std::binary_search(revisions_.begin(), revisions_.end(), revision);
+    if (!is_known || !complete_since_ || revision < *complete_since_) {
         return std::nullopt;
     }
     std::vector<store_change> changes;
