--- a/drivers/feed/store_feed.cpp
+++ b/drivers/feed/store_feed.cpp
@@ -54,7 +54,7 @@
 /// isn't interleaved with others on its connection, so a heartbeat doesn't
 /// overtake it.
 constexpr std::size_t max_push_bytes = 12'000;
-/// A follower with more unanswered bytes gets no pushes and no large replies;
+/// A follower with more unanswered bytes gets no pushes, and no further replies;
 /// it repeats its request.
 constexpr std::size_t max_queued_bytes = 64'000;
 /// How long a reply may be sent to others that lack the same changes. It tells
@@ -567,8 +567,8 @@
         return;
     }
     const std::string& reply = make_reply(source, request);
-    if (reply.size() > max_queued_bytes &&
-        peers_.queued_bytes(*address) > max_queued_bytes) {
+    const std::size_t queued = peers_.queued_bytes(*address);
+    if (queued > 0 && queued + reply.size() > max_queued_bytes) {
         return;
     }
     send_to(*address, to, peer_topic::feed_push, reply);
