--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -333,6 +333,7 @@
     used->stream.expires_at(deadline);
     if (options.trace != nullptr) {
         options.trace->opened_at = used->opened_at;
+        options.trace->path = used->path.is_direct ? "direct" : "peer";
     }
     if (std::chrono::steady_clock::now() >= last_write) {
         co_return failure{result_code::not_run_deadline, "no time is left"};
