Leave planning to others while this instance reaches no upstream

Orders don't go through peers, because engines must see one holder.

An instance that concluded that only peers reach upstreams counts itself as unsuited, like feeders and small instances: it hands its terms over and claims them last. The existing growing hold time keeps it from flapping.

--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -144,7 +144,8 @@
     /// The term in which this instance plans the job now, or 0.
     [[nodiscard]] store_revision own_term_of(const job_id& job) const;
     /// The instances that leave planning to others, because they feed a zone,
-    /// have a small processor or are leaving.
+    /// have a small processor, are leaving or, as far as this one is concerned,
+    /// reach no upstream.
     [[nodiscard]] std::set<instance_id> unsuited_planners() const;
     /// This instance's part of an upstream's request limit for calls that it
     /// sends by its own decision, not by that of a planner.
@@ -564,6 +565,10 @@
          other_feeders(control_keys().values(), instance_id())) {
         unsuited.insert(feeder.instance);
     }
+    // Orders to engines don't go through peers.
+    if (paths_.is_isolated()) {
+        unsuited.insert(settings_.instance);
+    }
     return unsuited;
 }
 
