--- a/drivers/feed/store_feed.cpp
+++ b/drivers/feed/store_feed.cpp
@@ -54,8 +54,8 @@
 /// isn't interleaved with others on its connection, so a heartbeat doesn't
 /// overtake it.
 constexpr std::size_t max_push_bytes = 12'000;
-/// A follower with more unanswered bytes gets no pushes, and no further replies;
-/// it repeats its request.
+/// A follower with more unanswered bytes gets no pushes, and no further
+/// replies; it repeats its request.
 constexpr std::size_t max_queued_bytes = 64'000;
 /// How long a reply may be sent to others that lack the same changes. It tells
 /// the time since an outage.
