Let a test's outage last until the feeder notices it

Cause: its outage lasted 300 ms, and the root calls the store each 500 ms while a watch waits, so by phase no call may meet it; then nobody can know its end. In the failed run all six members, the root included, knew of none. The outage now lasts until the root's call was refused, which must happen within 1 s; what followers must know is checked as before.

Ruled out: a wrong time told to followers.

--- a/tests/drivers/feed/store_feed_test.cpp
+++ b/tests/drivers/feed/store_feed_test.cpp
@@ -430,7 +430,8 @@
 TEST_F(store_feed_test, end_of_an_outage_is_known_to_followers) {
     ASSERT_TRUE(wait([&] { return watchers() == 1; }, 5s));
     fake.set_refusing(true);
-    run_for(300ms);
+    // Longer than the root's pause between two calls.
+    ASSERT_TRUE(wait([&] { return !root().client.is_reachable(); }, 1s));
     fake.set_refusing(false);
     fake.put("op/config", "4");
     ASSERT_TRUE(wait([&] { return all_have("4"); }, 3s));
