--- a/review/1/case.py
+++ b/review/1/case.py
@@ -87,8 +87,8 @@
         foreign = await play_round(case, node, other)
         await asyncio.sleep(3)
         if foreign:
-            return BROKEN, (f"MIXED broken: a client got {len(foreign)} results "
-                            f"of another job")
+            return BROKEN, (f"MIXED broken: a client got {len(foreign)} "
+                            f"results of another job")
     return HELD, "MIXED held: each result was one of its job"
 
 
--- a/review/harness.py
+++ b/review/harness.py
@@ -106,7 +106,7 @@
     cancelled when its connection closes."""
 
     def __init__(self, handler):
-        self.handler, self.writers = handler, set()
+        self.handler = handler
 
     async def start(self, ip):
         self.server = await asyncio.start_server(self.serve, ip, 0,
@@ -115,7 +115,6 @@
         return self
 
     async def serve(self, reader, writer):
-        self.writers.add(writer)
         queue = asyncio.Queue()
         task = asyncio.ensure_future(self.handle_all(queue, writer))
         try:
@@ -135,7 +134,6 @@
         finally:
             task.cancel()
             writer.close()
-            self.writers.discard(writer)
 
     async def handle_all(self, queue, writer):
         try:
@@ -147,10 +145,6 @@
         except (ConnectionError, OSError):
             writer.close()
 
-    def abort_all(self):
-        for writer in list(self.writers):
-            writer.transport.abort()
-
 
 class Answer:
     def __init__(self, status=0, headers=None, body=b"", error=""):
@@ -394,16 +388,15 @@
 
     def __init__(self, store, log, service, zone, slots, models=(),
                  work_s=0.025, event_s=0.035):
-        self.store, self.log, self.service, self.zone = store, log, service, zone
+        self.store, self.log = store, log
+        self.service, self.zone = service, zone
         self.slots, self.models = slots, {name: 1 for name in models}
         self.work_s, self.event_s = work_s, event_s
         self.id = "i-" + uuid.uuid4().hex[:8]
         self.born = int(time.time() * 1000)
         self.running, self.orders, self.beats = 0, 0, 0
-        self.is_refusing = False
         self.busy_until = 0.0
         self.on_run = self.on_end = lambda *_: None
-        self.failing = {}
 
     async def start(self, ip):
         self.server = await Server(self.handle).start(ip)
@@ -444,7 +437,7 @@
         if request.method == "GET":
             return await request.answer(200, headers={"Instance-Id": self.id})
         request_id = request.header("request-id")
-        if self.is_refusing or self.running >= self.slots:
+        if self.running >= self.slots:
             return await request.answer(503, headers={
                 "Not-Executed": "1", "Request-Id": request_id})
         self.running += 1
@@ -466,9 +459,6 @@
         await request.answer(200, b"answer:" + request.body, headers)
 
     async def stream(self, request, item):
-        if item in self.failing:
-            await asyncio.sleep(self.failing[item])
-            return await request.answer(500, headers={"Request-Id": item})
         number = int(request.header("last-event-id", "0") or 0)
         model = request.header("model")
         await request.begin(200, {
@@ -603,9 +593,6 @@
         if self.process:
             self.process.wait()
 
-    def log(self):
-        return self.log_path.read_text(errors="replace")
-
 
 # --- a case ---------------------------------------------------------------
 
@@ -675,31 +662,6 @@
                 raise CannotRun(problem)
             await asyncio.sleep(0.05)
 
-    def sender(self, request):
-        """The node whose process sent a request, or None. All connections on
-        loopback come from one address, so the owner of the port is looked
-        up."""
-        def encode(name):
-            ip, port = request.writer.get_extra_info(name)[:2]
-            return "%08X:%04X" % (int.from_bytes(
-                bytes(int(part) for part in ip.split(".")), "little"), port)
-
-        ends = [encode("peername"), encode("sockname")]
-        with open("/proc/net/tcp") as table:
-            inodes = {"socket:[%s]" % row[9]
-                      for row in (line.split() for line in table)
-                      if row[1:3] == ends}
-        for node in self.nodes:
-            folder = f"/proc/{node.process.pid}/fd"
-            try:
-                links = {os.readlink(f"{folder}/{fd}")
-                         for fd in os.listdir(folder)}
-            except OSError:
-                continue
-            if links & inodes:
-                return node
-        return None
-
     def holder_node(self, scope):
         value = self.store.holder(scope)
         for node in self.nodes:
@@ -766,7 +728,8 @@
     rows = []
     for at in range(items):
         item = new_id()
-        row = {"id": item, "path": prefix + "i", "group": f"g{at // group_size}",
+        row = {"id": item, "path": prefix + "i",
+               "group": f"g{at // group_size}",
                "headers": {"Model": model, "Token-Usage": "271,2200",
                            "Length-Hint": str(event_count(item) * 51)},
                "body": encode(item.encode()), "tokens": 2471}
