Match replies only to requests of the same process

Cause: result_exchange and peer_store_relay matched replies by a number that each process counts from 1, and the planner answers a waiting read up to a second later, to the instance's name. Of a reply's contents only the position was compared.

Numbers now begin at a random number in each process. A reply must come from the instance that was asked, and a result_reply names its job; from an older instance, which doesn't, the number alone decides. Unmatched replies are logged (3206).

Ruled out: a wrong row in the planner or in the store; both held the right ones.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -152,6 +152,9 @@
                     "too many peers or upstreams became unreachable at once"},
     log_event_entry{zone_cut_ended, info, "zone_cut_ended",
                     "enough peers or upstreams are reachable again"},
+    log_event_entry{peer_reply_unmatched, info, "peer_reply_unmatched",
+                    "a reply of another instance matches no open request: it "
+                    "was late, or meant for an earlier process"},
     log_event_entry{upstream_suspected, warning, "upstream_suspected",
                     "an upstream fails or does not answer"},
     log_event_entry{upstream_healthy, info, "upstream_healthy",
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -79,6 +79,7 @@
     peer_frame_refused = 3203,
     zone_cut_suspected = 3204,
     zone_cut_ended = 3205,
+    peer_reply_unmatched = 3206,
 
     upstream_suspected = 3300,
     upstream_healthy = 3301,
--- a/drivers/batch/result_exchange.cpp
+++ b/drivers/batch/result_exchange.cpp
@@ -18,6 +18,13 @@
 /// How long a planner that didn't reply is not asked again.
 constexpr std::chrono::milliseconds silence_pause{2'000};
 
+/// Whether the reply answers a request for these results. Older instances don't
+/// name the job.
+bool is_reply_for(const result_reply& reply, const job_id& job,
+                  std::size_t first) {
+    return reply.first == first && (reply.job.is_empty() || reply.job == job);
+}
+
 } // namespace
 
 result_exchange::result_exchange(asio::io_context& context, job_store& jobs,
@@ -70,14 +77,17 @@
         }
         silent_until_.erase(silent);
     }
-    const std::uint64_t number = ++last_number_;
+    const std::uint64_t number = numbers_.next();
     const result_request request{
         .number = number, .job = job, .first = first, .wait = wait};
     if (!send(planner, peer_topic::result_request, wire::encode(request))) {
         co_return std::nullopt;
     }
     const auto waiting = std::make_shared<waiting_read>(
-        waiting_read{.timer = asio::steady_timer(context_)});
+        waiting_read{.planner = planner,
+                     .job = job,
+                     .first = first,
+                     .timer = asio::steady_timer(context_)});
     waiting_[number] = waiting;
     waiting->timer.expires_after(wait + reply_time);
     co_await waiting->timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -90,7 +100,7 @@
                        " first=" + std::to_string(first));
         co_return std::nullopt;
     }
-    if (!waiting->reply->is_known || waiting->reply->first != first) {
+    if (!waiting->reply->is_known) {
         co_return std::nullopt;
     }
     co_return std::move(waiting->reply->rows);
@@ -109,12 +119,31 @@
                        asio::detached);
         return;
     }
+    handle_reply(message);
+}
+
+void result_exchange::handle_reply(const peer_message& message) {
     auto reply = wire::decode<result_reply>(message.body);
-    const auto waiting = reply ? waiting_.find(reply->number) : waiting_.end();
-    if (waiting != waiting_.end()) {
-        waiting->second->reply = std::move(*reply);
-        waiting->second->timer.cancel();
+    if (!reply) {
+        log_.write(log_event::peer_frame_refused,
+                   "from=" + message.from.text() + " reason=\"" +
+                       reply.reason().detail + '"');
+        return;
+    }
+    const auto found = waiting_.find(reply->number);
+    const bool is_expected =
+        found != waiting_.end() && found->second->planner == message.from &&
+        is_reply_for(*reply, found->second->job, found->second->first);
+    if (!is_expected) {
+        log_.write(log_event::peer_reply_unmatched,
+                   "topic=result_reply from=" + message.from.text() +
+                       " number=" + std::to_string(reply->number) +
+                       " job=" + reply->job.text() +
+                       " first=" + std::to_string(reply->first));
+        return;
     }
+    found->second->reply = std::move(*reply);
+    found->second->timer.cancel();
 }
 
 asio::awaitable<void> result_exchange::serve(instance_id reader,
@@ -123,7 +152,8 @@
     auto rows = co_await read_own(job, request.first, request.wait);
     result_reply reply{.number = request.number,
                        .is_known = rows.has_value(),
-                       .first = request.first};
+                       .first = request.first,
+                       .job = job};
     if (rows) {
         reply.rows = std::move(*rows);
     }
--- a/drivers/batch/result_exchange.hpp
+++ b/drivers/batch/result_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/correlation_numbers.hpp"
 #include "core/logger.hpp"
 #include "drivers/batch/job_store.hpp"
 #include "drivers/batch/result_source.hpp"
@@ -47,6 +48,9 @@
 
 private:
     struct waiting_read {
+        instance_id planner;
+        job_id job;
+        std::size_t first = 0;
         boost::asio::steady_timer timer;
         std::optional<result_reply> reply;
     };
@@ -56,6 +60,7 @@
     read_own(job_id job, std::size_t first, std::chrono::milliseconds wait);
     boost::asio::awaitable<void> serve(instance_id reader,
                                        result_request request);
+    void handle_reply(const peer_message& message);
     bool send(const instance_id& to, peer_topic topic, std::string body);
 
     boost::asio::io_context& context_;
@@ -65,7 +70,7 @@
     instance_id self_;
     lookups lookups_;
     logger& log_;
-    std::uint64_t last_number_ = 0;
+    correlation_numbers numbers_;
     std::map<std::uint64_t, std::shared_ptr<waiting_read>> waiting_;
     /// Planners that didn't reply, with the time until which they are not
     /// asked.
--- a/drivers/feed/peer_store_relay.cpp
+++ b/drivers/feed/peer_store_relay.cpp
@@ -56,7 +56,7 @@
         if (tried_count == max_candidates) {
             break;
         }
-        const std::uint64_t number = ++last_number_;
+        const std::uint64_t number = numbers_.next();
         const relayed_call call{.number = number,
                                 .method = request.method,
                                 .target = request.target,
@@ -67,8 +67,8 @@
             continue;
         }
         ++tried_count;
-        const auto waiting = std::make_shared<waiting_call>(
-            waiting_call{.timer = asio::steady_timer(context_)});
+        const auto waiting = std::make_shared<waiting_call>(waiting_call{
+            .peer = candidate, .timer = asio::steady_timer(context_)});
         waiting_[number] = waiting;
         waiting->timer.expires_after(answer_time);
         co_await waiting->timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -107,13 +107,26 @@
                        asio::detached);
         return;
     }
+    handle_answer(message);
+}
+
+void peer_store_relay::handle_answer(const peer_message& message) {
     auto answer = wire::decode<relayed_answer>(message.body);
-    const auto waiting =
-        answer ? waiting_.find(answer->number) : waiting_.end();
-    if (waiting != waiting_.end()) {
-        waiting->second->answer = std::move(*answer);
-        waiting->second->timer.cancel();
+    if (!answer) {
+        log_.write(log_event::peer_frame_refused,
+                   "from=" + message.from.text() + " reason=\"" +
+                       answer.reason().detail + '"');
+        return;
+    }
+    const auto found = waiting_.find(answer->number);
+    if (found == waiting_.end() || found->second->peer != message.from) {
+        log_.write(log_event::peer_reply_unmatched,
+                   "topic=store_answer from=" + message.from.text() +
+                       " number=" + std::to_string(answer->number));
+        return;
     }
+    found->second->answer = std::move(*answer);
+    found->second->timer.cancel();
 }
 
 asio::awaitable<void> peer_store_relay::serve(instance_id caller,
--- a/drivers/feed/peer_store_relay.hpp
+++ b/drivers/feed/peer_store_relay.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/correlation_numbers.hpp"
 #include "core/logger.hpp"
 #include "drivers/peer/peer_transport.hpp"
 #include "drivers/store/store_client.hpp"
@@ -39,11 +40,14 @@
 
 private:
     struct waiting_call {
+        /// The instance that was asked to make the call.
+        instance_id peer;
         boost::asio::steady_timer timer;
         std::optional<relayed_answer> answer;
     };
 
     boost::asio::awaitable<void> serve(instance_id caller, relayed_call call);
+    void handle_answer(const peer_message& message);
     bool send(const instance_id& to, peer_topic topic, std::string body);
 
     boost::asio::io_context& context_;
@@ -53,7 +57,7 @@
     instance_id self_;
     candidate_list candidates_;
     logger& log_;
-    std::uint64_t last_number_ = 0;
+    correlation_numbers numbers_;
     std::map<std::uint64_t, std::shared_ptr<waiting_call>> waiting_;
 };
 
--- a/servers/batch/result_message.hpp
+++ b/servers/batch/result_message.hpp
@@ -33,7 +33,9 @@
     /// Position of the first row.
     std::uint64_t first = 0;
     std::vector<std::string> rows;
+    /// The job of the request; empty if the sender is an older instance.
+    job_id job;
 };
-BOOST_DESCRIBE_STRUCT(result_reply, (), (number, is_known, first, rows))
+BOOST_DESCRIBE_STRUCT(result_reply, (), (number, is_known, first, rows, job))
 
 } // namespace savorydock
--- a/tests/drivers/batch/result_exchange_test.cpp
+++ b/tests/drivers/batch/result_exchange_test.cpp
@@ -1,3 +1,4 @@
+#include "core/wire_codec.hpp"
 #include "drivers/batch/result_exchange.hpp"
 #include "servers/batch/job_keys.hpp"
 #include "tests/fakes/fake_users_store.hpp"
@@ -23,6 +24,7 @@
 
     void send(const peer_message& message, const endpoint&) override {
         ++messages;
+        last = message;
         const auto receiver = receivers.find(message.to);
         if (receiver != receivers.end() && !silent.contains(message.to)) {
             asio::post(context_, [to = receiver->second, message] {
@@ -34,6 +36,7 @@
 
     std::map<instance_id, result_exchange*> receivers;
     std::set<instance_id> silent;
+    std::optional<peer_message> last;
     int messages = 0;
 
 private:
@@ -189,3 +192,67 @@
     EXPECT_EQ(rows_from(1), 1U);
     EXPECT_EQ(rows_from(0), 2U) << "the copy must not have a gap";
 }
+
+// Guards against results of another job: the planner answers a waiting read up
+// to a second later, and by then another process may have the reader's name.
+TEST_F(result_exchange_test, reply_to_an_earlier_process_is_ignored) {
+    const job_record other{.id = job_id("k"),
+                           .route = "r",
+                           .host = "h",
+                           .service = service_name("e"),
+                           .total = 3};
+    run(planner.jobs.accept(other, std::string(submission),
+                            std::chrono::steady_clock::now() + 1s));
+    ASSERT_TRUE(run(planner.jobs.load(other, term.revision)));
+    std::optional<outcome<result_page>> page;
+    asio::co_spawn(
+        context, store_value(reader.jobs.read_results(record.id, 0, 1s), page),
+        asio::detached);
+    context.restart();
+    context.run_for(50ms);
+    member restarted(context, fake.address(), transport, directory, "reader",
+                     log);
+    restarted.jobs.on_record(other.id, other);
+    std::optional<outcome<result_page>> other_page;
+    asio::co_spawn(context,
+                   store_value(restarted.jobs.read_results(other.id, 0, 200ms),
+                               other_page),
+                   asio::detached);
+    context.restart();
+    context.run_for(50ms);
+    ASSERT_EQ(commit(0), commit_end::listed);
+    context.restart();
+    context.run_for(1s);
+    ASSERT_TRUE(other_page && *other_page);
+    EXPECT_TRUE((*other_page)->rows.empty());
+}
+
+TEST_F(result_exchange_test, reply_for_another_job_or_position_is_ignored) {
+    transport.silent.insert(instance_id("planner"));
+    std::optional<outcome<result_page>> page;
+    asio::co_spawn(
+        context,
+        store_value(reader.jobs.read_results(record.id, 0, 200ms), page),
+        asio::detached);
+    context.restart();
+    context.run_for(20ms);
+    const auto request = wire::decode<result_request>(transport.last->body);
+    ASSERT_TRUE(request);
+    const auto deliver = [&](const char* from, result_reply reply) {
+        reply.number = request->number;
+        reply.is_known = true;
+        reader.exchange.on_message({.from = instance_id(from),
+                                    .to = instance_id("reader"),
+                                    .topic = peer_topic::result_reply,
+                                    .body = wire::encode(reply)});
+        context.restart();
+        context.run_for(20ms);
+    };
+    deliver("planner", {.rows = {"foreign"}, .job = job_id("k")});
+    deliver("planner", {.first = 1, .rows = {"foreign"}, .job = record.id});
+    deliver("another", {.rows = {"foreign"}, .job = record.id});
+    EXPECT_FALSE(page);
+    deliver("planner", {.rows = {"own"}, .job = record.id});
+    ASSERT_TRUE(page && *page);
+    EXPECT_EQ((*page)->rows, std::vector<std::string>{"own"});
+}
