Match answers to explain by subject and a random first number

The first id is random, and an answer counts only for its subject. Not changed: acks of membership probes, which are numbered from 1 as well; a wrong one delays a suspicion by one period.

--- a/drivers/entry/control_plane.cpp
+++ b/drivers/entry/control_plane.cpp
@@ -1,5 +1,6 @@
 #include "drivers/entry/control_plane.hpp"
 
+#include <limits>
 #include <sstream>
 
 namespace savorydock {
@@ -53,7 +54,10 @@
            .suspicion = {.self = options.settings.instance,
                          .boot = options.boot}},
           options.keys, options.port)
-    , explanations_({.instance = options.settings.instance}, options.decisions)
+    , explanations_({.instance = options.settings.instance,
+                     .first_question = options.random.below(
+                         std::numeric_limits<std::uint64_t>::max())},
+                    options.decisions)
     , shared_states_(std::make_shared<const upstream_state_map>()) {
     share_members({});
 }
--- a/servers/explain/explain_server.cpp
+++ b/servers/explain/explain_server.cpp
@@ -79,6 +79,7 @@
                                explain_message message) {
     const auto found = pending_questions_.find(message.question_id);
     if (found == pending_questions_.end() ||
+        found->second.explanation_so_far.subject != message.subject ||
         found->second.awaited_peers.erase(from) == 0) {
         return;
     }
--- a/servers/explain/explain_server.hpp
+++ b/servers/explain/explain_server.hpp
@@ -39,6 +39,9 @@
     instance_id instance;
     /// How long to wait for answers of peers.
     std::chrono::milliseconds timeout{1'000};
+    /// Number of the first question. Random, so that answers to an earlier
+    /// process of the instance match no question of this one.
+    std::uint64_t first_question = 1;
 };
 
 /// Collects the decision records about a subject from all instances, and
@@ -49,7 +52,8 @@
 
     explain_server(explain_options options, const decision_log& decisions)
         : options_(std::move(options))
-        , decisions_(decisions) {}
+        , decisions_(decisions)
+        , next_question_id_(options_.first_question) {}
 
     [[nodiscard]] peer_topic topic() const override {
         return peer_topic::explain;
@@ -82,7 +86,7 @@
     const decision_log& decisions_;
     std::vector<instance_id> peers_;
     std::map<std::uint64_t, pending_question> pending_questions_;
-    std::uint64_t next_question_id_ = 1;
+    std::uint64_t next_question_id_;
 };
 
 } // namespace savorydock
