Keep jobs that ended while they were loaded out of the planner

Cause: load_job checked the end of a job before its last read and added the job after it. The end had been reported to the planner in between, which didn't know the job and forgot the end. Its items were then placed and refused in turn; nothing told the planner why.

Now the end, the route's service and the term are checked after the last read, and nothing suspends until the planner has the job. For the planner an end is final whether it knows the job or not, and held runs of an ended job are stopped. Jobs that the planner has are tracked apart from those loaded in this term, so that an end around a new term reaches it.

Ruled out: a notice that was lost.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -68,6 +68,9 @@
                     "the planner of a service loaded a batch job"},
     log_event_entry{job_unreadable, error, "job_unreadable",
                     "the data of a batch job could not be decoded"},
+    log_event_entry{job_dropped, info, "job_dropped",
+                    "the planner of a service doesn't plan a batch job any "
+                    "more; the detail says why"},
     log_event_entry{item_started, debug, "item_started",
                     "an item was sent to an engine"},
     log_event_entry{item_interrupted, info, "item_interrupted",
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -39,6 +39,7 @@
     job_ended = 2202,
     job_loaded = 2203,
     job_unreadable = 2204,
+    job_dropped = 2205,
     item_started = 2210,
     item_interrupted = 2211,
     item_given_up = 2212,
--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -233,6 +233,7 @@
         return;
     }
     loaded_jobs_.clear();
+    planned_jobs_.clear();
     post_step(
         [](engine_control& control, steady_time now, engine_commands& out) {
             control.planner().drop_all(out.planner);
@@ -251,6 +252,10 @@
     return record.service == options_.service;
 }
 
+bool engine_driver::is_open(const job_record& record) const {
+    return !record.is_ended && is_own_job(record);
+}
+
 job_settings engine_driver::job_settings_of(const job_record& record) const {
     job_settings settings;
     if (!fleet_.routes) {
@@ -271,33 +276,64 @@
 
 void engine_driver::on_jobs_changed() {
     std::vector<job_id> ended;
+    std::vector<job_id> moved;
     for (const auto& [id, record] : jobs_.records()) {
-        const bool is_open = !record.is_ended && is_own_job(record);
-        if (!is_open && loaded_jobs_.erase(id) > 0) {
-            ended.push_back(id);
+        if (is_open(record)) {
+            if (term_.term() && !loaded_jobs_.contains(id) &&
+                loading_jobs_.insert(id).second) {
+                asio::co_spawn(context_, load_job(record), asio::detached);
+            }
+            continue;
         }
-        if (is_open && term_.term() && !loaded_jobs_.contains(id) &&
-            loading_jobs_.insert(id).second) {
-            asio::co_spawn(context_, load_job(record), asio::detached);
+        loaded_jobs_.erase(id);
+        if (planned_jobs_.erase(id) > 0) {
+            (record.is_ended ? ended : moved).push_back(id);
+            log_.write(
+                log_event::job_dropped,
+                "job=" + id.text() + " service=" + options_.service.text() +
+                    " reason=" + (record.is_ended ? "ended" : "other_service"));
         }
     }
-    if (ended.empty()) {
+    if (ended.empty() && moved.empty()) {
         return;
     }
-    post_step(
-        [ended](engine_control& control, steady_time, engine_commands& out) {
-            for (const job_id& id : ended) {
-                control.planner().on_job_ended(id, out.planner);
-            }
-        });
+    post_step([ended, moved](engine_control& control, steady_time,
+                             engine_commands& out) {
+        for (const job_id& id : ended) {
+            control.planner().on_job_ended(id, out.planner);
+        }
+        for (const job_id& id : moved) {
+            control.planner().remove_job(id, out.planner);
+        }
+    });
 }
 
 asio::awaitable<void> engine_driver::load_job(job_record record) {
     while (term_.term()) {
         const store_revision term = term_.term()->revision;
         auto loaded = co_await jobs_.load(record, term);
+        std::map<std::size_t, item_progress> saved;
+        if (loaded) {
+            saved = co_await jobs_.load_progress(record.id);
+        }
+        // The job, its route and the term may have changed during the calls.
+        // From here on nothing suspends until the planner has the job.
         const auto known = jobs_.records().find(record.id);
-        if (known == jobs_.records().end() || known->second.is_ended) {
+        if (known == jobs_.records().end() || !is_open(known->second)) {
+            log_.write(log_event::job_dropped,
+                       "job=" + record.id.text() + " service=" +
+                           options_.service.text() + " reason=\"it " +
+                           (known == jobs_.records().end() ? "was removed"
+                            : known->second.is_ended       ? "ended"
+                                                           : "moved") +
+                           " while it was loaded\"");
+            if (known != jobs_.records().end() && known->second.is_ended) {
+                // The planner may hold runs of the job from its predecessor.
+                post_step([id = record.id](engine_control& control, steady_time,
+                                           engine_commands& out) {
+                    control.planner().on_job_ended(id, out.planner);
+                });
+            }
             break;
         }
         if (!loaded) {
@@ -318,15 +354,13 @@
             std::chrono::duration_cast<steady_time::duration>(
                 std::max(age, decltype(age)::zero()));
         loaded_jobs_.insert(record.id);
+        planned_jobs_.insert(record.id);
         log_.write(log_event::job_loaded,
                    "job=" + record.id.text() + " term=" + std::to_string(term) +
                        " items=" + std::to_string(loaded->job->items.size()) +
                        " listed=" + std::to_string(loaded->listed.size()));
-        const auto saved = co_await jobs_.load_progress(record.id);
-        if (!term_.term() || term_.term()->revision != term) {
-            continue;
-        }
-        post_step([record, accepted, saved, loaded = std::move(*loaded),
+        post_step([record, accepted, saved = std::move(saved),
+                   loaded = std::move(*loaded),
                    settings = job_settings_of(record)](engine_control& control,
                                                        steady_time now,
                                                        engine_commands& out) {
@@ -647,6 +681,7 @@
     if (has_news) {
         fleet_.on_leaving();
     }
+    on_ends_reported(update.ended_jobs);
     runners_.on_heard(runner);
     adopt_found_runs(runner, update, now);
     std::vector<run_ticket> missing;
@@ -688,6 +723,16 @@
     });
 }
 
+void engine_driver::on_ends_reported(const std::vector<job_id>& ended) {
+    bool has_news = false;
+    for (const job_id& job : ended) {
+        has_news = jobs_.on_end_reported(job) || has_news;
+    }
+    if (has_news) {
+        on_jobs_changed();
+    }
+}
+
 asio::awaitable<void> engine_driver::save(std::vector<save_progress> texts) {
     const auto term = term_.term();
     if (term) {
--- a/drivers/batch/engine_driver.hpp
+++ b/drivers/batch/engine_driver.hpp
@@ -109,6 +109,8 @@
     /// Handles progress of runs whose runner was taken for lost.
     void adopt_found_runs(const instance_id& runner,
                           const runner_update& update, steady_time now);
+    /// Runners refused items because these jobs have ended.
+    void on_ends_reported(const std::vector<job_id>& ended);
     void adopt_held_runs(const instance_id& runner, std::vector<held_run> held);
     [[nodiscard]] run_task make_task(const start_run& command) const;
     [[nodiscard]] run_task make_task(const start_scoring& command) const;
@@ -117,6 +119,8 @@
     void on_lost(term_end reason);
     /// Whether this service plans the job under the current configuration.
     [[nodiscard]] bool is_own_job(const job_record& record) const;
+    /// Whether this service plans the job and it has not ended.
+    [[nodiscard]] bool is_open(const job_record& record) const;
     [[nodiscard]] job_settings job_settings_of(const job_record& record) const;
     [[nodiscard]] const upstream_entry*
     find_upstream(const upstream_id& id) const;
@@ -158,9 +162,11 @@
     scope_term term_;
     /// Used on the control thread only.
     engine_control control_;
-    /// Jobs that the planner has. `loading_jobs_`: jobs that are being loaded
-    /// for it.
+    /// Jobs that the planner has.
+    std::set<job_id> planned_jobs_;
+    /// Jobs that the planner has received from the store in this term.
     std::set<job_id> loaded_jobs_;
+    /// Jobs that are being loaded for the planner.
     std::set<job_id> loading_jobs_;
     boost::asio::steady_timer wake_timer_;
     boost::asio::steady_timer runner_timer_;
--- a/drivers/batch/job_store.cpp
+++ b/drivers/batch/job_store.cpp
@@ -85,6 +85,15 @@
     }
 }
 
+bool job_store::on_end_reported(const job_id& job) {
+    const auto known = records_.find(job);
+    if (known == records_.end() || known->second.is_ended) {
+        return false;
+    }
+    known->second.is_ended = true;
+    return true;
+}
+
 asio::awaitable<accept_end> job_store::accept(job_record record,
                                               std::string submission,
                                               steady_time deadline) {
--- a/drivers/batch/job_store.hpp
+++ b/drivers/batch/job_store.hpp
@@ -61,6 +61,10 @@
     /// has ended stays ended, even if an older record arrives later.
     void on_record(const job_id& job, std::optional<job_record> record);
 
+    /// Another instance knows that the job has ended. Returns whether this
+    /// instance has the job's record and didn't know it.
+    bool on_end_reported(const job_id& job);
+
     [[nodiscard]] const std::map<job_id, job_record>& records() const {
         return records_;
     }
--- a/drivers/batch/run_host.cpp
+++ b/drivers/batch/run_host.cpp
@@ -171,22 +171,23 @@
     }
 }
 
-void run_host::refuse_task(const planner_key& planner, run_ticket ticket) {
-    // Answers after a delay: a planner that doesn't know of the job's end yet
-    // would place the item again after each immediate answer.
+void run_host::refuse_task(const planner_key& planner, const run_task& task) {
+    // Answers after a delay: a planner of an older version doesn't learn of the
+    // job's end from the answer and would place the item again at once.
     const auto timer = std::make_shared<asio::steady_timer>(context_);
     timer->expires_after(report_period);
-    timer->async_wait(
-        [this, timer, planner, ticket](const boost::system::error_code& error) {
-            if (error) {
-                return;
-            }
-            runner_update update{.service = planner.second};
-            update.ends.push_back({.ticket = ticket,
-                                   .end = run_end::stopped,
-                                   .last_delta = {.ticket = ticket}});
-            report_(planner.first, std::move(update));
-        });
+    timer->async_wait([this, timer, planner, ticket = task.ticket,
+                       job = task.job](const boost::system::error_code& error) {
+        if (error) {
+            return;
+        }
+        runner_update update{.service = planner.second};
+        update.ends.push_back({.ticket = ticket,
+                               .end = run_end::stopped,
+                               .last_delta = {.ticket = ticket}});
+        update.ended_jobs.push_back(job);
+        report_(planner.first, std::move(update));
+    });
 }
 
 void run_host::on_leaving(const run_task& task) {
@@ -256,7 +257,7 @@
         log_.write(log_event::item_interrupted,
                    "item=" + task.id + " job=" + task.job.text() +
                        " end=refused reason=\"the job has ended\"");
-        refuse_task(planner, task.ticket);
+        refuse_task(planner, task);
         return;
     }
     auto run = std::make_shared<active_run>();
--- a/drivers/batch/run_host.hpp
+++ b/drivers/batch/run_host.hpp
@@ -97,7 +97,7 @@
     void hand_over(const planner_key& planner, store_revision term);
     void keep_result(const active_run& run, held_run result);
     void drop_old_results(steady_time now);
-    void refuse_task(const planner_key& planner, run_ticket ticket);
+    void refuse_task(const planner_key& planner, const run_task& task);
     void start_run(const run_pointer& run);
     void start_scoring(const run_pointer& run);
     void on_run_ended(const run_pointer& run, run_end end);
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -43,6 +43,9 @@
                           const std::map<std::size_t, item_progress>& saved,
                           steady_time accepted_at, steady_time now,
                           planner_commands& out) {
+    if (ended_jobs_.contains(record.id)) {
+        return;
+    }
     auto [position, is_new] = jobs_.try_emplace(record.id);
     job_state& state = position->second;
     if (is_new) {
@@ -107,6 +110,12 @@
 void item_planner::on_held_run(held_run held, steady_time now,
                                planner_commands& out) {
     const job_id id = held.job;
+    if (ended_jobs_.contains(id)) {
+        if (!held.has_ended) {
+            out.emplace_back(stop_run{.ticket = held.ticket});
+        }
+        return;
+    }
     held_runs_[id].push_back(std::move(held));
     const auto owner = jobs_.find(id);
     if (owner != jobs_.end() && owner->second.is_confirmed) {
@@ -300,6 +309,25 @@
 }
 
 void item_planner::on_job_ended(const job_id& job, planner_commands& out) {
+    if (ended_jobs_.insert(job).second) {
+        ended_jobs_order_.push_back(job);
+    }
+    if (ended_jobs_order_.size() > options_.max_ended_jobs) {
+        ended_jobs_.erase(ended_jobs_order_.front());
+        ended_jobs_order_.pop_front();
+    }
+    if (const auto held = held_runs_.find(job); held != held_runs_.end()) {
+        for (const held_run& one : held->second) {
+            if (!one.has_ended) {
+                out.emplace_back(stop_run{.ticket = one.ticket});
+            }
+        }
+        held_runs_.erase(held);
+    }
+    remove_job(job, out);
+}
+
+void item_planner::remove_job(const job_id& job, planner_commands& out) {
     const auto found = jobs_.find(job);
     if (found == jobs_.end()) {
         return;
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -263,6 +264,9 @@
     /// Maximum number of texts kept from ended jobs, in case a later job
     /// submits the same items again.
     std::size_t max_retained_texts = 2'048;
+    /// Number of ended jobs that are remembered. The end of a job and its
+    /// submission can cross only within seconds.
+    std::size_t max_ended_jobs = 4'096;
     /// Interval of the checks for slow or stalled runs.
     std::chrono::milliseconds check_period{250};
     /// How long a new planner waits for instances to report the runs of its
@@ -338,8 +342,12 @@
                 steady_time accepted_at, steady_time now,
                 planner_commands& out);
 
-    /// The job ended: stops its runs and lists no more results.
+    /// The job ended: stops its runs and lists no more results. An end is
+    /// final, so the job is ignored if it is added afterwards.
     void on_job_ended(const job_id& job, planner_commands& out);
+    /// Another service plans the job now: stops its runs and lists no more
+    /// results. The job may be added again.
+    void remove_job(const job_id& job, planner_commands& out);
 
     void on_upstreams(const std::vector<upstream_entry>& upstreams,
                       const engine_settings& settings, steady_time now);
@@ -576,6 +584,9 @@
     std::vector<std::pair<job_id, std::size_t>> to_score_;
     engine_settings engine_settings_;
     std::map<item_id, retained_text> retained_texts_;
+    /// Jobs that have ended lately, with the order of their ends.
+    std::set<job_id> ended_jobs_;
+    std::deque<job_id> ended_jobs_order_;
     /// Held runs of jobs that aren't loaded or confirmed yet.
     std::map<job_id, std::vector<held_run>> held_runs_;
     steady_time adoption_deadline_{};
--- a/servers/batch/run_message.hpp
+++ b/servers/batch/run_message.hpp
@@ -120,9 +120,11 @@
     std::vector<observed_limit> limits;
     /// Upstreams that told the instance that they leave.
     std::vector<upstream_id> leaving;
+    /// Jobs that have ended and whose items the instance therefore refused.
+    std::vector<job_id> ended_jobs;
 };
 BOOST_DESCRIBE_STRUCT(runner_update, (),
                       (service, deltas, ends, scores, active, takeover_term,
-                       held, limits, leaving))
+                       held, limits, leaving, ended_jobs))
 
 } // namespace savorydock
--- /dev/null
+++ b/tests/drivers/batch/engine_driver_test.cpp
@@ -0,0 +1,255 @@
+#include "core/wire_codec.hpp"
+#include "drivers/batch/engine_driver.hpp"
+#include "servers/batch/job_keys.hpp"
+#include "tests/fakes/fake_users_store.hpp"
+#include "tests/fakes/run_call.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace savorydock;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+/// Keeps the orders to other instances instead of delivering them.
+class order_recorder final : public peer_transport {
+public:
+    void send(const peer_message& message, const endpoint&) override {
+        if (message.topic != peer_topic::runner_command) {
+            return;
+        }
+        auto order = wire::decode<runner_command>(message.body);
+        if (order) {
+            orders[message.to].push_back(std::move(*order));
+        }
+    }
+    void on_message(message_handler) override {}
+
+    [[nodiscard]] std::vector<run_task> tasks_of(const char* instance) {
+        std::vector<run_task> tasks;
+        for (const runner_command& order : orders[instance_id(instance)]) {
+            tasks.insert(tasks.end(), order.tasks.begin(), order.tasks.end());
+        }
+        return tasks;
+    }
+
+    std::map<instance_id, std::vector<runner_command>> orders;
+};
+
+std::int64_t wall_milliseconds() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+/// The planner of one engine, whose runs go to the instance "near" in the
+/// engine's zone, then to the others.
+class engine_driver_test : public ::testing::Test {
+public:
+    engine_driver_test()
+        : store(context, {.address = fake.address()}, log)
+        , jobs(store, log)
+        , client(context)
+        , random(1)
+        , fleet{.pool = upstream_pool({})}
+        , scorers(client, fleet, random, log)
+        , runner(client, scorers, fleet, log)
+        , host(
+              context, runner, instance_id("self"),
+              [this](const instance_id& planner, runner_update update) {
+                  driver.on_run_update(planner, std::move(update));
+              },
+              [this](const job_id& job) {
+                  return jobs.records().contains(job) &&
+                         jobs.records().at(job).is_ended;
+              },
+              log)
+        , driver(context, control, store, jobs, client, host, transport,
+                 directory, fleet, [] { return true; }, log,
+                 {.service = service_name("e"),
+                  .self = instance_id("self"),
+                  .processor_share = 0.1}) {
+        add_instance("self", "home", 0.1);
+        add_instance("near", "engines", 1.0);
+        fleet.upstreams = {{.id = upstream_id("u"),
+                            .service = service_name("e"),
+                            .address = {.address = "127.0.0.1", .port = 1},
+                            .zone = availability_zone("engines"),
+                            .slots = 2,
+                            .software = software_version("v1"),
+                            .versions = {{"m", 1}}}};
+        driver.start();
+        gain_term();
+    }
+
+    ~engine_driver_test() override { control.stop(); }
+
+    void add_instance(const char* name, const char* zone, double share) {
+        directory[instance_id(name)] = {.instance = instance_id(name),
+                                        .zone = availability_zone(zone),
+                                        .processor_share = share};
+    }
+
+    void run(std::chrono::milliseconds time) {
+        context.restart();
+        context.run_for(time);
+    }
+
+    /// Runs the context until `is_done` returns true, for at most 5 s.
+    template <class Test>
+    bool wait(Test is_done) {
+        const auto end = std::chrono::steady_clock::now() + 5s;
+        while (!is_done() && std::chrono::steady_clock::now() < end) {
+            run(5ms);
+        }
+        return is_done();
+    }
+
+    /// Reports that nobody holds the term, so that the driver claims it.
+    void gain_term() {
+        const auto before = driver.statistics().term;
+        driver.on_term_key(nullptr, ++revision);
+        ASSERT_TRUE(wait([&] {
+            return driver.statistics().term != 0 &&
+                   driver.statistics().term != before;
+        }));
+        revision = driver.statistics().term;
+    }
+
+    /// The term's key was removed with its lease, and no other instance claimed
+    /// the term.
+    void lose_and_regain_term() {
+        fake.remove(term_key(service_name("e")));
+        gain_term();
+    }
+
+    job_record accept(const std::string& id, const std::string& items) {
+        job_record record{.id = job_id(id),
+                          .route = "r",
+                          .host = "h",
+                          .service = service_name("e"),
+                          .total = 2,
+                          .accepted_at = wall_milliseconds()};
+        EXPECT_EQ(
+            run_call(context,
+                     jobs.accept(record,
+                                 R"({"model":"m","items":[)" + items + "]}",
+                                 std::chrono::steady_clock::now() + 1s)),
+            accept_end::accepted);
+        return jobs.records().at(record.id);
+    }
+
+    void end(job_record record) {
+        record.is_ended = true;
+        jobs.on_record(record.id, record);
+        driver.on_jobs_changed();
+    }
+
+    fake_users_store fake;
+    null_logger log;
+    asio::io_context context;
+    control_mailbox control;
+    order_recorder transport;
+    node_directory directory;
+    store_client store;
+    job_store jobs;
+    http_client client;
+    seeded_random_source random;
+    fleet_state fleet;
+    plain_caller scorers;
+    item_runner runner;
+    run_host host;
+    engine_driver driver;
+    store_revision revision = 1;
+};
+
+constexpr const char* two_items =
+    R"({"id":"a","path":"/p","body":""},{"id":"b","path":"/p","body":""})";
+
+/// The parameter is when the job ends, after its planner began to load it.
+class job_end_while_loading_test
+    : public engine_driver_test,
+      public ::testing::WithParamInterface<std::chrono::milliseconds> {};
+
+} // namespace
+
+TEST_F(engine_driver_test, items_of_an_accepted_job_go_to_the_near_instance) {
+    accept("j", two_items);
+    driver.on_jobs_changed();
+    EXPECT_TRUE(wait([&] { return transport.tasks_of("near").size() == 2; }));
+}
+
+// Guards against a planner that holds its engines for a job that has ended: the
+// end came between two reads of the job, and the job was added after it.
+TEST_P(job_end_while_loading_test, no_item_is_placed) {
+    const job_record record = accept("j", two_items);
+    fake.set_range_delay(100ms);
+    driver.on_jobs_changed();
+    run(GetParam());
+    end(record);
+    run(1s);
+    EXPECT_TRUE(transport.tasks_of("near").empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(each_read, job_end_while_loading_test,
+                         ::testing::Values(50ms, 150ms, 250ms));
+
+// Guards against items that are placed and refused in turn: the end reached the
+// runner and not the planner.
+TEST_F(engine_driver_test, job_that_a_runner_knows_as_ended_is_dropped) {
+    const job_record record = accept("j", two_items);
+    driver.on_jobs_changed();
+    ASSERT_TRUE(wait([&] { return transport.tasks_of("near").size() == 2; }));
+    runner_update refusal{.service = service_name("e"),
+                          .ended_jobs = {record.id}};
+    for (const run_task& task : transport.tasks_of("near")) {
+        refusal.ends.push_back({.ticket = task.ticket,
+                                .end = run_end::stopped,
+                                .last_delta = {.ticket = task.ticket}});
+    }
+    driver.on_run_update(instance_id("near"), refusal);
+    run(300ms);
+    EXPECT_EQ(transport.tasks_of("near").size(), 2U);
+}
+
+// Guards against items that never run again: the planner had regained its term,
+// and the instance that ran them was gone.
+TEST_F(engine_driver_test,
+       runs_of_a_dead_instance_start_again_after_the_term_is_regained) {
+    add_instance("other", "engines", 0.9);
+    accept("j", two_items);
+    driver.on_jobs_changed();
+    const auto tasks = [&] {
+        return transport.tasks_of("near").size() +
+               transport.tasks_of("other").size();
+    };
+    ASSERT_TRUE(wait([&] { return tasks() == 2; }));
+    const char* const dead =
+        transport.tasks_of("near").empty() ? "other" : "near";
+    const char* const alive =
+        transport.tasks_of("near").empty() ? "near" : "other";
+    directory.erase(instance_id(dead));
+    lose_and_regain_term();
+    EXPECT_TRUE(wait([&] { return transport.tasks_of(alive).size() == 2; }));
+}
+
+// Guards against items that wait for a score for good: the instance that scored
+// them was told to stop by the takeover and reports nothing.
+TEST_F(engine_driver_test,
+       runs_that_a_takeover_does_not_report_start_again_at_once) {
+    accept("j", two_items);
+    driver.on_jobs_changed();
+    ASSERT_TRUE(wait([&] { return transport.tasks_of("near").size() == 2; }));
+    lose_and_regain_term();
+    const auto begin = std::chrono::steady_clock::now();
+    driver.on_run_update(instance_id("near"),
+                         {.service = service_name("e"),
+                          .takeover_term = driver.statistics().term});
+    EXPECT_TRUE(wait([&] { return transport.tasks_of("near").size() == 4; }));
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 1s);
+}
--- a/tests/drivers/batch/run_host_test.cpp
+++ b/tests/drivers/batch/run_host_test.cpp
@@ -74,6 +74,8 @@
     ASSERT_EQ(updates.size(), 1U);
     EXPECT_EQ(updates[0].ends[0].ticket, 2U);
     EXPECT_EQ(updates[0].ends[0].end, run_end::stopped);
+    EXPECT_EQ(updates[0].ended_jobs, std::vector<job_id>{ended})
+        << "the planner learns why the item was refused";
 }
 
 // A planner that was replaced keeps sending orders until it notices.
--- a/tests/fakes/fake_users_store.cpp
+++ b/tests/fakes/fake_users_store.cpp
@@ -274,9 +274,13 @@
         }
     } else if (!is_refusing_) {
         response = answer(request, is_lost);
-        if (request.path().starts_with("/savorydock/kv-keep/")) {
+        const bool is_renewal =
+            request.path().starts_with("/savorydock/kv-keep/");
+        const bool is_range = request.path() == "/savorydock/kv-range";
+        if (is_renewal || is_range) {
             asio::steady_timer timer(co_await asio::this_coro::executor);
-            timer.expires_after(renewal_delay_.load());
+            timer.expires_after(is_range ? range_delay_.load()
+                                         : renewal_delay_.load());
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         }
     }
--- a/tests/fakes/fake_users_store.hpp
+++ b/tests/fakes/fake_users_store.hpp
@@ -42,6 +42,10 @@
     /// While set, reads of ranges never get a response, but their connections
     /// stay open.
     void set_losing_ranges(bool is_losing) { is_losing_ranges_ = is_losing; }
+    /// Delays the responses to reads of ranges.
+    void set_range_delay(std::chrono::milliseconds delay) {
+        range_delay_ = delay;
+    }
     /// Delays the responses to renewals of leases; the renewals take effect.
     void set_renewal_delay(std::chrono::milliseconds delay) {
         renewal_delay_ = delay;
@@ -81,6 +85,7 @@
     std::atomic<bool> is_refusing_{false};
     std::atomic<bool> is_losing_watches_{false};
     std::atomic<bool> is_losing_ranges_{false};
+    std::atomic<std::chrono::milliseconds> range_delay_{};
     std::atomic<std::chrono::milliseconds> renewal_delay_{};
     traffic_pool pool_{1};
     http_server server_;
--- a/tests/servers/batch/item_planner_test.cpp
+++ b/tests/servers/batch/item_planner_test.cpp
@@ -300,6 +300,16 @@
     EXPECT_EQ(take_commands<start_run>()[0].progress.events, 0U);
 }
 
+// Guards against engines held by an ended job: it was added after its end had
+// been reported, and its items were placed again after each refusal.
+TEST_F(item_planner_test, job_whose_end_came_first_is_not_planned) {
+    set_engines(1, 2);
+    planner.on_job_ended(job_id("j"), commands);
+    add_job(make_job("j", 0, {{50, 50}}));
+    EXPECT_FALSE(planner.has_job(job_id("j")));
+    EXPECT_TRUE(take_commands<start_run>().empty());
+}
+
 TEST_F(item_planner_test, new_planner_resumes_from_saved_texts) {
     set_engines(1, 1);
     add_job(make_job("j", 0, {{50}}), {},
@@ -655,6 +665,19 @@
     EXPECT_EQ(take_commands<start_scoring>().size(), 1U);
 }
 
+// Guards against engines held by a job that ended before its new planner had
+// loaded it.
+TEST_F(planner_takeover_test, held_run_of_an_ended_job_is_stopped) {
+    const auto job = make_job("j", 0, {{50, 50}});
+    planner.on_held_run(held(900, *job, 0, 30), now, commands);
+    planner.on_job_ended(job->id, commands);
+    planner.on_held_run(held(901, *job, 1, 30), now, commands);
+    const auto stopped = take_commands<stop_run>();
+    ASSERT_EQ(stopped.size(), 2U);
+    EXPECT_EQ(stopped[0].ticket, 900U);
+    EXPECT_EQ(stopped[1].ticket, 901U);
+}
+
 TEST_F(planner_takeover_test, item_held_twice_is_run_once) {
     const auto job = make_job("j", 0, {{50}});
     planner.on_held_run(held(900, *job, 0, 30), now, commands);
