Report a store call as refused only if all of its tries were

Callers got 503 for both attempts to submit a job, and all of its items ran (review/3, REFUSED).

Cause: peer_store_relay asks up to three instances in turn. It noted that a call without an answer might have taken effect, and returned the next instance's refusal without looking at that.

combine() in servers/platform/call_effect.hpp decides what several tries mean together; the relay, the store's client and the acceptance of jobs use it. Only 429 and 503 are refusals; another 5xx of the store may have had an effect, also through the relay. The log line of a relayed call names the effect. The decision is made where the call begins, so it holds beside older instances.

Evidence: on the first instance logs job_refused outcome=refused for a job that the planner loads 4.4 s later. Ruled out: a second submission of the job. Looked at: forwarded calls and streams add up what may have run over all attempts.

--- a/drivers/batch/job_store.cpp
+++ b/drivers/batch/job_store.cpp
@@ -3,6 +3,7 @@
 #include "core/wire_codec.hpp"
 #include "platform/batch_codec.hpp"
 #include "servers/batch/job_keys.hpp"
+#include "servers/platform/call_effect.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -116,7 +117,7 @@
     transaction.conditions.push_back({.key = job_key(record.id)});
     transaction.writes.push_back(
         {.key = job_key(record.id), .value = encode_job_record(record)});
-    bool may_be_stored = false;
+    call_effect effect = call_effect::none;
     while (true) {
         const auto result = co_await client_.commit(transaction);
         if (result) {
@@ -125,8 +126,11 @@
             records_.try_emplace(record.id, record);
             co_return accept_end::accepted;
         }
-        may_be_stored =
-            may_be_stored || result.reason().code != result_code::store_refused;
+        effect =
+            combine(effect, result.reason().code == result_code::store_refused
+                                ? call_effect::none
+                                : call_effect::possible);
+        const bool may_be_stored = effect != call_effect::none;
         const steady_time now = std::chrono::steady_clock::now();
         if (!may_be_stored && !client_.is_reachable()) {
             co_return accept_end::refused;
--- a/drivers/feed/peer_store_relay.cpp
+++ b/drivers/feed/peer_store_relay.cpp
@@ -1,6 +1,8 @@
 #include "drivers/feed/peer_store_relay.hpp"
 
 #include "core/wire_codec.hpp"
+#include "platform/store_codec.hpp"
+#include "servers/platform/call_effect.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -20,6 +22,24 @@
 /// How many instances are tried for one call.
 constexpr std::size_t max_candidates = 3;
 
+http_response to_response(const relayed_answer& answer) {
+    http_response response{.status = answer.status, .body = answer.body};
+    response.headers.push_back({content_type, answer.content_type});
+    return response;
+}
+
+/// The effect of a call that another instance was asked to make, from its
+/// answer; nullopt if it sent none.
+call_effect effect_of(const std::optional<relayed_answer>& answer) {
+    if (!answer) {
+        return call_effect::possible;
+    }
+    if (answer->is_answered) {
+        return platform::effect_of(to_response(*answer));
+    }
+    return answer->may_take_effect ? call_effect::possible : call_effect::none;
+}
+
 } // namespace
 
 peer_store_relay::peer_store_relay(asio::io_context& context,
@@ -50,7 +70,7 @@
 asio::awaitable<outcome<http_response>>
 peer_store_relay::call(http_request request) {
     const std::vector<instance_id> candidates = candidates_();
-    bool may_take_effect = false;
+    call_effect effect = call_effect::none;
     std::size_t tried_count = 0;
     for (const instance_id& candidate : candidates) {
         if (tried_count == max_candidates) {
@@ -75,22 +95,27 @@
         waiting_.erase(number);
         const auto& answer = waiting->answer;
         const bool is_answered = answer && answer->is_answered;
+        const call_effect tried = effect_of(answer);
+        effect = combine(effect, tried);
         log_.write(log_event::store_call_relayed,
                    "through=" + candidate.text() +
                        " call=" + std::string(request.path()) + " outcome=" +
                        (is_answered ? std::to_string(answer->status)
                         : answer    ? "unreachable"
-                                    : "silent"));
+                                    : "silent") +
+                       " effect=" + std::string(to_word(tried)));
+        const bool is_final =
+            tried == call_effect::answered || effect == call_effect::none;
+        if (is_answered && is_final) {
+            co_return to_response(*answer);
+        }
         if (is_answered) {
-            http_response response{.status = answer->status,
-                                   .body = answer->body};
-            response.headers.push_back({content_type, answer->content_type});
-            co_return response;
+            break;
         }
-        may_take_effect = may_take_effect || !answer || answer->may_take_effect;
     }
-    co_return failure{may_take_effect ? result_code::store_unanswered
-                                      : result_code::store_refused,
+    co_return failure{effect == call_effect::none
+                          ? result_code::store_refused
+                          : result_code::store_unanswered,
                       "no instance reached the store"};
 }
 
--- a/drivers/store/store_client.cpp
+++ b/drivers/store/store_client.cpp
@@ -1,6 +1,7 @@
 #include "drivers/store/store_client.hpp"
 
 #include "platform/store_codec.hpp"
+#include "servers/platform/call_effect.hpp"
 
 namespace savorydock {
 
@@ -24,14 +25,16 @@
 constexpr std::chrono::milliseconds relay_first_time{1'000};
 /// How long calls don't use the relay after it failed to reach the store.
 constexpr std::chrono::milliseconds relay_retry_pause{700};
-constexpr unsigned status_too_many = 429;
-constexpr unsigned status_server_error = 500;
 /// The detail of a call that was cancelled on this side.
 constexpr const char* cancelled_detail = "given up";
 
-bool is_refusal(const http_response& response) {
-    return response.status >= status_server_error ||
-           response.status == status_too_many;
+call_effect effect_of(const outcome<http_response>& result) {
+    if (result) {
+        return platform::effect_of(*result);
+    }
+    return result.reason().code == result_code::store_refused
+               ? call_effect::none
+               : call_effect::possible;
 }
 
 } // namespace
@@ -103,7 +106,7 @@
         co_await client_.call(limits_.address, std::move(request), deadline);
     if (response) {
         // Refusals are recorded where the response is decoded.
-        if (!is_refusal(*response)) {
+        if (platform::effect_of(*response) == call_effect::answered) {
             record_call_result(true, target, {});
         }
         co_return response;
@@ -131,54 +134,43 @@
 asio::awaitable<outcome<http_response>>
 store_client::send_or_relay(http_request request, store_call_kind kind) {
     const auto now = [] { return std::chrono::steady_clock::now(); };
+    const std::string path(request.path());
     if (relay_ == nullptr || now() < relay_blocked_until_) {
         co_return co_await send(std::move(request), call_timeout, kind);
     }
     std::optional<outcome<http_response>> direct;
+    call_effect effect = call_effect::none;
     if (now() >= relay_first_until_) {
         http_request copy = request;
         direct = co_await send(std::move(copy), relayed_call_timeout, kind);
-        const bool is_refused = *direct && is_refusal(**direct);
+        effect = effect_of(*direct);
         const bool is_cancelled_call =
             !*direct && direct->reason().detail == cancelled_detail;
-        if ((*direct && !is_refused) || is_cancelled_call) {
+        if (effect == call_effect::answered || is_cancelled_call) {
             co_return std::move(*direct);
         }
-        if (is_refused) {
+        if (*direct) {
             ++counters_.refused;
-            record_call_result(false, std::string(request.path()),
+            record_call_result(false, path,
                                "status " + std::to_string((*direct)->status));
         }
     }
-    const bool may_direct_take_effect =
-        direct && !*direct &&
-        direct->reason().code == result_code::store_unanswered;
     auto relayed = co_await relay_->call(std::move(request));
-    if (relayed && !is_refusal(*relayed)) {
+    const call_effect relayed_effect = effect_of(relayed);
+    if (relayed_effect == call_effect::answered) {
         relay_first_until_ = now() + relay_first_time;
         is_reachable_by_relay_ = true;
         co_return relayed;
     }
     relay_first_until_ = {};
     relay_blocked_until_ = now() + relay_retry_pause;
-    if (relayed && may_direct_take_effect) {
-        // The store refused only the relayed call; the direct one may still
-        // take effect.
-        co_return std::move(*direct);
-    }
-    if (relayed) {
-        co_return relayed;
-    }
-    const bool may_relayed_take_effect =
-        relayed.reason().code == result_code::store_unanswered;
-    if (!direct || (may_relayed_take_effect && *direct)) {
-        co_return relayed;
-    }
-    if (!*direct && may_relayed_take_effect) {
+    effect = combine(effect, relayed_effect);
+    if (effect == call_effect::possible) {
         co_return failure{result_code::store_unanswered,
-                          direct->reason().detail};
+                          path + ": no answer to a direct or " +
+                              "relayed call"};
     }
-    co_return std::move(*direct);
+    co_return relayed || !direct ? std::move(relayed) : std::move(*direct);
 }
 
 template <class Value>
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -280,6 +280,21 @@
     EXPECT_FALSE(decode_range({.status = 200, .body = "no json"}));
 }
 
+// Only two statuses promise that a call had no effect.
+TEST_F(codec_test, store_status_tells_the_effect_of_a_call) {
+    for (const unsigned status : {429U, 503U}) {
+        EXPECT_EQ(effect_of({.status = status}), call_effect::none) << status;
+    }
+    for (const unsigned status : {500U, 502U, 504U}) {
+        EXPECT_EQ(effect_of({.status = status}), call_effect::possible)
+            << status;
+    }
+    for (const unsigned status : {200U, 404U, 410U, 412U}) {
+        EXPECT_EQ(effect_of({.status = status}), call_effect::answered)
+            << status;
+    }
+}
+
 TEST_F(codec_test, failed_condition_returns_the_current_items) {
     const auto result = decode_transaction(
         {.status = 412,
