Keep a planner's runs and the table of their runners together

Cause: a suspended planner keeps its runs, and begin_takeover reset the table of which instance has which run. A run whose instance didn't report it was in the planner only; nobody missed it, and its stop as stalled went to no instance.

Both are now kept while a term is suspended and dropped together once another instance plans. What an instance had before the term and doesn't report at the takeover is lost at once; that covers restarts with an empty table, orders that never arrived and scorings, which a takeover stops. A reported run that the planner has goes on; before, each was stopped and placed again.

Messages are unchanged.

--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -178,11 +178,18 @@
     on_jobs_changed();
 }
 
-void engine_driver::begin_takeover() {
+void engine_driver::reset_run_tables() {
     runners_ = runner_pool({.self = options_.self});
     result_locations_.clear();
     pending_releases_.clear();
     lost_runs_.clear();
+}
+
+void engine_driver::begin_takeover() {
+    if (has_dropped_runs_) {
+        reset_run_tables();
+    }
+    has_dropped_runs_ = false;
     unanswered_takeovers_.clear();
     post_step([](engine_control& control, steady_time now, engine_commands&) {
         control.planner().begin_adoption(now);
@@ -203,19 +210,37 @@
                                     std::vector<held_run> held) {
     const steady_time now = std::chrono::steady_clock::now();
     unanswered_takeovers_.erase(runner);
+    std::set<run_ticket> reported;
     for (const held_run& one : held) {
+        reported.insert(one.ticket);
+        lost_runs_.erase(one.ticket);
         if (one.has_ended) {
+            runners_.on_ended(one.ticket);
             result_locations_[one.ticket] = runner;
         } else {
             runners_.adopt(one.ticket, runner, now);
         }
     }
+    // The runner ignores orders of earlier terms from now on.
+    const auto missing =
+        runners_.take_missing_runs(runner, reported, gained_at_);
+    if (!missing.empty()) {
+        log_.write(log_event::runner_lost,
+                   "service=" + options_.service.text() +
+                       " runner=" + runner.text() +
+                       " runs=" + std::to_string(missing.size()) +
+                       " reason=\"not reported at the takeover\"");
+    }
     post_step(
-        [held = std::move(held), is_complete = unanswered_takeovers_.empty()](
+        [held = std::move(held), missing,
+         is_complete = unanswered_takeovers_.empty()](
             engine_control& control, steady_time at, engine_commands& out) {
             for (const held_run& one : held) {
                 control.planner().on_held_run(one, at, out.planner);
             }
+            for (const run_ticket ticket : missing) {
+                control.planner().on_run_lost(ticket, at);
+            }
             if (is_complete) {
                 control.planner().end_adoption();
             }
@@ -234,6 +259,7 @@
     }
     loaded_jobs_.clear();
     planned_jobs_.clear();
+    has_dropped_runs_ = true;
     post_step(
         [](engine_control& control, steady_time now, engine_commands& out) {
             control.planner().drop_all(out.planner);
--- a/drivers/batch/engine_driver.hpp
+++ b/drivers/batch/engine_driver.hpp
@@ -103,9 +103,12 @@
     void send_orders();
     void send_order_to(const instance_id& runner, runner_command order);
     void schedule_runner_check();
-    /// Requests from all instances the runs and results of earlier planners
-    /// that they hold.
+    /// Requests from all instances the runs and results of earlier terms that
+    /// they hold.
     void begin_takeover();
+    /// Forgets which instance has which run. Call it only when the planner has
+    /// dropped its runs: a run in one of the two tables only is never missed.
+    void reset_run_tables();
     /// Handles progress of runs whose runner was taken for lost.
     void adopt_found_runs(const instance_id& runner,
                           const runner_update& update, steady_time now);
@@ -154,6 +157,8 @@
     std::map<instance_id, std::vector<run_ticket>> pending_releases_;
     /// Runs whose runner was taken for lost, and that it hasn't reported since.
     std::set<run_ticket> lost_runs_;
+    /// The planner has dropped its runs since the last term.
+    bool has_dropped_runs_ = true;
     steady_time gained_at_{};
     /// The last term for which a takeover was started.
     store_revision last_term_ = 0;
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -116,6 +116,9 @@
         }
         return;
     }
+    if (update_own_run(held, now)) {
+        return;
+    }
     held_runs_[id].push_back(std::move(held));
     const auto owner = jobs_.find(id);
     if (owner != jobs_.end() && owner->second.is_confirmed) {
@@ -123,6 +126,33 @@
     }
 }
 
+bool item_planner::update_own_run(const held_run& held, steady_time now) {
+    if (scorings_.contains(held.ticket)) {
+        if (held.has_ended) {
+            on_scored({.ticket = held.ticket, .score = held.score});
+        }
+        return true;
+    }
+    const auto found = runs_.find(held.ticket);
+    if (found == runs_.end()) {
+        return false;
+    }
+    run_state& run = found->second;
+    run.last_event_at = now;
+    if (held.events > run.progress.events) {
+        run.progress.text = held.text;
+        run.progress.events = held.events;
+        run.progress.versions = held.versions;
+    }
+    if (held.has_ended) {
+        on_run_ended({.ticket = held.ticket,
+                      .end = run_end::complete,
+                      .last_delta = {.ticket = held.ticket}},
+                     now);
+    }
+    return true;
+}
+
 void item_planner::adopt_held_runs(const job_id& id, job_state& job,
                                    steady_time now, planner_commands& out) {
     const auto found = held_runs_.find(id);
@@ -180,6 +210,7 @@
         }
         return;
     }
+    lost_runs_.erase(held.ticket);
     job.waiting.erase({item.rank, index});
     if (held.has_ended) {
         item.unreleased_tickets.push_back(held.ticket);
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -315,7 +315,8 @@
     void begin_adoption(steady_time now);
     void end_adoption();
     /// An instance reported a held run. The planner continues the run or takes
-    /// its result, or stops the run if the item no longer needs it.
+    /// its result, or stops the run if the item no longer needs it. A run of
+    /// its own, from before it regained its term, goes on.
     void on_held_run(held_run held, steady_time now, planner_commands& out);
 
     /// Starts no more runs. Runs in progress may finish, and their results are
@@ -553,6 +554,9 @@
     /// Adopts all held runs reported for the job.
     void adopt_held_runs(const job_id& id, job_state& job, steady_time now,
                          planner_commands& out);
+    /// Applies the report if the run or scoring is one of this planner's own.
+    /// Returns whether it is.
+    bool update_own_run(const held_run& held, steady_time now);
     void adopt_run(job_state& job, std::size_t item, held_run held,
                    steady_time now, planner_commands& out);
     /// Whether runs may start now.
--- a/servers/batch/runner_pool.cpp
+++ b/servers/batch/runner_pool.cpp
@@ -128,6 +128,23 @@
     return missing;
 }
 
+std::vector<run_ticket>
+runner_pool::take_missing_runs(const instance_id& runner,
+                               const std::set<run_ticket>& reported,
+                               steady_time assigned_before) {
+    std::vector<run_ticket> missing;
+    for (const auto& [ticket, assigned] : assignments_) {
+        if (assigned.runner == runner && !reported.contains(ticket) &&
+            assigned.assigned_at < assigned_before) {
+            missing.push_back(ticket);
+        }
+    }
+    for (const run_ticket ticket : missing) {
+        on_ended(ticket);
+    }
+    return missing;
+}
+
 std::vector<run_ticket> runner_pool::take_lost_runs(steady_time now) {
     std::vector<run_ticket> lost;
     for (const auto& [ticket, assigned] : assignments_) {
--- a/servers/batch/runner_pool.hpp
+++ b/servers/batch/runner_pool.hpp
@@ -81,6 +81,13 @@
     on_runner_update(const instance_id& runner,
                      const std::set<run_ticket>& active, steady_time now);
 
+    /// A runner reported all tickets that it has. Removes and returns the
+    /// tickets that it had been assigned before `assigned_before` and lacks.
+    [[nodiscard]] std::vector<run_ticket>
+    take_missing_runs(const instance_id& runner,
+                      const std::set<run_ticket>& reported,
+                      steady_time assigned_before);
+
     /// Removes and returns the tickets of lost runners, which get no new runs
     /// until they are heard from again.
     [[nodiscard]] std::vector<run_ticket> take_lost_runs(steady_time now);
--- a/tests/servers/batch/item_planner_test.cpp
+++ b/tests/servers/batch/item_planner_test.cpp
@@ -678,6 +678,48 @@
     EXPECT_EQ(stopped[1].ticket, 901U);
 }
 
+// A planner that regains its term still has its runs, and stopped each of them
+// when it was reported.
+TEST_F(planner_takeover_test, own_run_goes_on_after_the_term_is_regained) {
+    planner.end_adoption();
+    const auto job = make_job("j", 0, {{50}});
+    add_job(job);
+    const auto started = take_commands<start_run>();
+    ASSERT_EQ(started.size(), 1U);
+    planner.on_term(false);
+    planner.begin_adoption(now);
+    planner.on_term(true);
+    planner.on_held_run(held(started[0].ticket, *job, 0, 30), now, commands);
+    add_job(job);
+    planner.end_adoption();
+    step();
+    EXPECT_TRUE(take_commands<stop_run>().empty());
+    EXPECT_TRUE(take_commands<start_run>().empty());
+    report(started[0].ticket, 30, 50, run_end::complete);
+    const auto commits = take_commands<commit_results>();
+    ASSERT_EQ(commits.size(), 1U);
+    EXPECT_EQ(commits[0].results[0].text, "text\nt")
+        << "events that came while there was no term count";
+}
+
+TEST_F(planner_takeover_test, own_run_that_ended_without_a_term_is_listed) {
+    planner.end_adoption();
+    const auto job = make_job("j", 0, {{50}});
+    add_job(job);
+    const auto started = take_commands<start_run>();
+    ASSERT_EQ(started.size(), 1U);
+    planner.begin_adoption(now);
+    held_run ended = held(started[0].ticket, *job, 0, 50);
+    ended.has_ended = true;
+    planner.on_held_run(ended, now, commands);
+    planner.end_adoption();
+    step();
+    EXPECT_TRUE(take_commands<start_run>().empty());
+    const auto commits = take_commands<commit_results>();
+    ASSERT_EQ(commits.size(), 1U);
+    EXPECT_EQ(commits[0].results[0].text, "text");
+}
+
 TEST_F(planner_takeover_test, item_held_twice_is_run_once) {
     const auto job = make_job("j", 0, {{50}});
     planner.on_held_run(held(900, *job, 0, 30), now, commands);
--- a/tests/servers/batch/runner_pool_test.cpp
+++ b/tests/servers/batch/runner_pool_test.cpp
@@ -151,3 +151,20 @@
     EXPECT_EQ(pool.take_lost_runs(now).size(), 1U);
     EXPECT_NE(assign_to("z1", "e"), instance_id("z1large"));
 }
+
+// A runner that reports all it has at a takeover lacks what an earlier process
+// of its name ran, and what never reached it.
+TEST_F(runner_pool_test, runs_missing_at_a_takeover_are_taken_at_once) {
+    for (const run_ticket ticket : {1, 2}) {
+        pool.adopt(ticket, instance_id("n1"), now);
+    }
+    pool.adopt(3, instance_id("n2"), now);
+    now += 100ms;
+    pool.adopt(4, instance_id("n1"), now);
+    EXPECT_EQ(pool.take_missing_runs(instance_id("n1"), {2}, now),
+              std::vector<run_ticket>{1});
+    EXPECT_TRUE(pool.runner_of(1).is_empty());
+    for (const run_ticket ticket : {2, 3, 4}) {
+        EXPECT_FALSE(pool.runner_of(ticket).is_empty()) << ticket;
+    }
+}
