Number commits of results across jobs

A job that the planner dropped and added again numbered its commits from 1 again, so the outcome of a commit before the drop counted as that of a later one: results were taken for listed, and the job was dropped with them. Found by reading; outcome_of_a_commit_before_a_drop_* fails without the change.

--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -969,8 +969,9 @@
         }
         const bool is_last =
             job.next_position + job.ready.size() >= job.items.size();
+        job.commit_number = ++last_commit_number_;
         commit_results commit{.job = id,
-                              .number = ++job.commit_number,
+                              .number = job.commit_number,
                               .first_position = job.next_position,
                               .is_last = is_last};
         for (const std::size_t index : job.ready) {
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -593,6 +593,10 @@
     std::deque<job_id> ended_jobs_order_;
     /// Held runs of jobs that aren't loaded or confirmed yet.
     std::map<job_id, std::vector<held_run>> held_runs_;
+    /// Number of the last commit of any job. A job that was dropped and added
+    /// again must not take the outcome of an earlier commit for that of its
+    /// own.
+    std::uint64_t last_commit_number_ = 0;
     steady_time adoption_deadline_{};
     run_ticket next_ticket_;
     steady_time next_check_{};
--- a/tests/servers/batch/item_planner_test.cpp
+++ b/tests/servers/batch/item_planner_test.cpp
@@ -300,6 +300,30 @@
     EXPECT_EQ(take_commands<start_run>()[0].progress.events, 0U);
 }
 
+// Guards against a result that counts as listed because an earlier commit of
+// the job was: the planner had dropped the job and added it again meanwhile.
+TEST_F(item_planner_test, outcome_of_a_commit_before_a_drop_is_ignored) {
+    set_engines(1, 2);
+    const auto job = make_job("j", 0, {{50}});
+    const auto run_to_commit = [&] {
+        add_job(job);
+        const auto started = take_commands<start_run>();
+        EXPECT_EQ(started.size(), 1U);
+        report(started.at(0).ticket, 0, 50, run_end::complete);
+        const auto commits = take_commands<commit_results>();
+        EXPECT_EQ(commits.size(), 1U);
+        return commits.at(0).number;
+    };
+    const auto earlier = run_to_commit();
+    planner.drop_all(commands);
+    planner.on_term(true);
+    const auto later = run_to_commit();
+    planner.on_committed(job->id, earlier, commit_end::listed, now, commands);
+    EXPECT_TRUE(planner.has_job(job->id)) << "taken for the later commit";
+    planner.on_committed(job->id, later, commit_end::listed, now, commands);
+    EXPECT_FALSE(planner.has_job(job->id));
+}
+
 // Guards against engines held by an ended job: it was added after its end had
 // been reported, and its items were placed again after each refusal.
 TEST_F(item_planner_test, job_whose_end_came_first_is_not_planned) {
