Read results again that were evicted during a watch

An instance that evicted a job's results while it waited for the next one recorded the next key as read although its rows had been left out for the gap. It never returned the job's results again. The same cause as of jobs that end while they are loaded: state checked before an await and relied on after it. Found by reading; needs 48 MB of cached results. results_evicted_during_a_watch_* shows it with a limit of 1 byte.

--- a/drivers/batch/job_store.cpp
+++ b/drivers/batch/job_store.cpp
@@ -26,15 +26,14 @@
 constexpr std::size_t max_parts = 28;
 /// The protocol limits a page of results to 1 MB.
 constexpr std::size_t max_page_bytes = 900'000;
-/// Memory for cached results of all jobs. The least recently read job is
-/// evicted first.
-constexpr std::size_t max_result_bytes = 48U << 20U;
 constexpr std::size_t max_cached_submissions = 6;
 /// Limits of a write that saves texts of several jobs.
 constexpr std::size_t max_saves_per_write = 24;
 constexpr std::size_t max_saved_bytes_per_write = 1U << 20U;
 constexpr std::chrono::milliseconds accept_retry_delay{60};
 constexpr int max_end_tries = 4;
+/// Reads of a job's results, if they are evicted meanwhile.
+constexpr int max_result_reads = 2;
 
 asio::awaitable<void> pause(std::chrono::milliseconds time) {
     asio::steady_timer timer(co_await asio::this_coro::executor);
@@ -69,9 +68,11 @@
 
 } // namespace
 
-job_store::job_store(store_client& client, logger& log)
+job_store::job_store(store_client& client, logger& log,
+                     std::size_t max_result_bytes)
     : client_(client)
-    , log_(log) {}
+    , log_(log)
+    , max_result_bytes_(max_result_bytes) {}
 
 void job_store::on_record(const job_id& job, std::optional<job_record> record) {
     if (!record) {
@@ -176,15 +177,19 @@
     }
 }
 
-void job_store::append_stored_rows(const job_id& job,
+bool job_store::append_stored_rows(const job_id& job,
                                    const stored_value& value) {
     const auto position = results_position(job, value.key);
     if (!position) {
-        return;
+        return true;
+    }
+    if (results_[job].rows.has_gap_before(*position)) {
+        return false;
     }
     append_rows(job, *position, split_rows(value.value));
     known_results& known = results_[job];
     known.last_key = std::max(known.last_key, value.key);
+    return true;
 }
 
 void job_store::record_read(const job_id& job) {
@@ -194,7 +199,7 @@
 }
 
 void job_store::evict_old_results() {
-    while (result_bytes_ > max_result_bytes && recently_read_.size() > 1) {
+    while (result_bytes_ > max_result_bytes_ && recently_read_.size() > 1) {
         const job_id oldest = recently_read_.front();
         recently_read_.pop_front();
         if (const auto found = results_.find(oldest); found != results_.end()) {
@@ -205,18 +210,27 @@
 }
 
 asio::awaitable<outcome<done>> job_store::read_new_results(job_id job) {
-    const auto page = co_await client_.read_range(results_prefix(job),
-                                                  results_[job].last_key);
-    if (!page) {
-        co_return page.reason();
-    }
-    if (page->unreadable > 0) {
-        co_return failure{result_code::bad_frame, "results can't be read"};
+    bool has_gap = true;
+    for (int tries = 0; has_gap && tries < max_result_reads; ++tries) {
+        const std::string after = results_[job].last_key;
+        const auto page =
+            co_await client_.read_range(results_prefix(job), after);
+        if (!page) {
+            co_return page.reason();
+        }
+        if (page->unreadable > 0) {
+            co_return failure{result_code::bad_frame, "results can't be read"};
+        }
+        has_gap = false;
+        for (const stored_value& value : page->values) {
+            has_gap = !append_stored_rows(job, value) || has_gap;
+        }
+        results_[job].revision = has_gap ? 0 : page->revision;
     }
-    for (const stored_value& value : page->values) {
-        append_stored_rows(job, value);
+    if (has_gap) {
+        co_return failure{result_code::store_unanswered,
+                          "results were evicted while they were read"};
     }
-    results_[job].revision = page->revision;
     record_read(job);
     co_return done{};
 }
@@ -317,8 +331,15 @@
         }
         co_return make_page(job, record.total, first);
     }
+    bool has_gap = false;
     for (const store_change& change : changes->changes) {
-        append_stored_rows(job, change.value);
+        has_gap = !append_stored_rows(job, change.value) || has_gap;
+    }
+    if (has_gap) {
+        if (const auto read = co_await read_new_results(job); !read) {
+            co_return read.reason();
+        }
+        co_return make_page(job, record.total, first);
     }
     known_results& known = results_[job];
     known.revision = std::max(known.revision, changes->revision);
--- a/drivers/batch/job_store.hpp
+++ b/drivers/batch/job_store.hpp
@@ -54,8 +54,13 @@
 /// the store's and means that the job's state is unknown.
 class job_store {
 public:
+    /// Limit on the memory for cached results of all jobs. The least recently
+    /// read job is evicted first.
+    static constexpr std::size_t default_max_result_bytes = 48U << 20U;
+
     /// All references must outlive the job store.
-    job_store(store_client& client, logger& log);
+    job_store(store_client& client, logger& log,
+              std::size_t max_result_bytes = default_max_result_bytes);
 
     /// The record of a job changed, or was removed if there is none. A job that
     /// has ended stays ended, even if an older record arrives later.
@@ -137,7 +142,10 @@
     boost::asio::awaitable<outcome<result_page>>
     read_results_from_store(job_record record, std::size_t first,
                             std::chrono::milliseconds wait);
-    void append_stored_rows(const job_id& job, const stored_value& value);
+    /// Returns false if the rows before those of the value are missing, because
+    /// they were evicted while the value was read.
+    [[nodiscard]] bool append_stored_rows(const job_id& job,
+                                          const stored_value& value);
     void append_rows(const job_id& job, std::size_t position,
                      std::vector<std::string> rows);
     [[nodiscard]] result_page make_page(const job_id& job, std::size_t total,
@@ -149,6 +157,7 @@
 
     store_client& client_;
     logger& log_;
+    std::size_t max_result_bytes_;
     std::map<job_id, job_record> records_;
     std::map<job_id, store_revision> record_revisions_;
     std::map<job_id, known_results> results_;
--- a/servers/batch/listed_rows.cpp
+++ b/servers/batch/listed_rows.cpp
@@ -5,7 +5,7 @@
 namespace savorydock {
 
 bool listed_rows::append(std::size_t position, std::vector<std::string> rows) {
-    if (position > rows_.size() || position + rows.size() <= rows_.size()) {
+    if (has_gap_before(position) || position + rows.size() <= rows_.size()) {
         return false;
     }
     for (std::size_t at = rows_.size() - position; at < rows.size(); ++at) {
--- a/servers/batch/listed_rows.hpp
+++ b/servers/batch/listed_rows.hpp
@@ -28,8 +28,8 @@
     static constexpr std::chrono::milliseconds max_commit_time{300};
 
     /// Adds rows that begin at a position. Ignores those already known, and all
-    /// if rows before the position are missing. Returns whether rows were
-    /// added.
+    /// if rows before the position are missing (`has_gap_before`). Returns
+    /// whether rows were added.
     bool append(std::size_t position, std::vector<std::string> rows);
 
     /// Returns the rows from a position on, at least one if there is one, and
@@ -37,6 +37,11 @@
     [[nodiscard]] std::vector<std::string> page(std::size_t first,
                                                 std::size_t max_bytes) const;
 
+    /// Whether rows before the position are missing.
+    [[nodiscard]] bool has_gap_before(std::size_t position) const {
+        return position > rows_.size();
+    }
+
     [[nodiscard]] std::size_t size() const { return rows_.size(); }
     [[nodiscard]] std::size_t bytes() const { return bytes_; }
     [[nodiscard]] const std::vector<std::string>& rows() const { return rows_; }
--- a/tests/drivers/store/store_test.cpp
+++ b/tests/drivers/store/store_test.cpp
@@ -202,6 +202,29 @@
               result_code::store_refused);
 }
 
+// Guards against results that an instance never shows again: they were evicted
+// while it waited for the next one, and it went on after that one.
+TEST_F(store_test, results_evicted_during_a_watch_are_read_again) {
+    job_store small(client, log, 1);
+    for (const char* const name : {"j", "k"}) {
+        small.on_record(job_id(name),
+                        job_record{.id = job_id(name), .total = 3});
+        fake.put(results_key(job_id(name), 0), R"({"id":"a"})");
+    }
+    ASSERT_EQ(run(small.read_results(job_id("j"), 0, 0ms))->rows.size(), 1U);
+    std::optional<outcome<result_page>> page;
+    asio::co_spawn(context,
+                   store_value(small.read_results(job_id("j"), 1, 1s), page),
+                   asio::detached);
+    wait([&] { return client.counters().calls >= 3; });
+    ASSERT_EQ(run(small.read_results(job_id("k"), 0, 0ms))->rows.size(), 1U);
+    fake.put(results_key(job_id("j"), 1), R"({"id":"b"})");
+    ASSERT_TRUE(wait([&] { return page.has_value(); }));
+    ASSERT_TRUE(*page);
+    EXPECT_EQ((*page)->rows, std::vector<std::string>{R"({"id":"b"})"});
+    EXPECT_EQ(run(small.read_results(job_id("j"), 0, 0ms))->rows.size(), 2U);
+}
+
 TEST_F(store_test, end_is_durable_and_repeatable) {
     accept();
     EXPECT_TRUE(run(jobs.end(job_id("j"))));
