Bound the text of an item

An item's text may have as many events as the item may have tokens, and as many bytes as a value of the store holds in base64. Beyond that the run ends as oversized: the text is discarded, the engine is paused and comes last for the item, and no failure is counted. The planner checks the same, for runs on older instances. An older planner takes the new end for an interruption and resumes the text.

--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -495,7 +495,8 @@
                   .after_event = command.progress.events,
                   .text = command.progress.text,
                   .versions = command.progress.versions,
-                  .origin = command.progress.origin};
+                  .origin = command.progress.origin,
+                  .max_events = command.max_events};
     for (const http_header& header : item.headers) {
         task.headers.push_back({header.name, header.value});
     }
--- a/drivers/batch/item_runner.cpp
+++ b/drivers/batch/item_runner.cpp
@@ -36,11 +36,13 @@
 class text_builder {
 public:
     text_builder(run_record& record, weight_version version,
-                 const run_task& task)
+                 const run_task& task, std::size_t max_text_bytes)
         : record_(record)
         , version_(version)
         , min_version_(task.min_version)
-        , is_single_version_(task.is_single_version) {}
+        , is_single_version_(task.is_single_version)
+        , max_events_(task.max_events)
+        , max_text_bytes_(max_text_bytes) {}
 
     /// Parses received bytes. Returns how the run must end, or nothing if it
     /// continues.
@@ -75,6 +77,12 @@
         if (*event.number != progress.events + 1) {
             return run_end::interrupted;
         }
+        const bool is_too_long =
+            (max_events_ > 0 && *event.number > max_events_) ||
+            progress.text.size() + event.data.size() >= max_text_bytes_;
+        if (is_too_long) {
+            return run_end::oversized;
+        }
         if (version_ < min_version_) {
             return run_end::wrong_version;
         }
@@ -96,6 +104,8 @@
     weight_version version_;
     weight_version min_version_;
     bool is_single_version_;
+    std::uint64_t max_events_;
+    std::size_t max_text_bytes_;
     event_splitter splitter_;
 };
 
@@ -113,11 +123,13 @@
 } // namespace
 
 item_runner::item_runner(http_client& client, plain_caller& scorers,
-                         fleet_state& fleet, logger& log)
+                         fleet_state& fleet, logger& log,
+                         std::size_t max_text_bytes)
     : client_(client)
     , scorers_(scorers)
     , fleet_(fleet)
-    , log_(log) {}
+    , log_(log)
+    , max_text_bytes_(max_text_bytes) {}
 
 asio::awaitable<run_end> item_runner::run(std::shared_ptr<const run_task> task,
                                           std::shared_ptr<run_record> record) {
@@ -176,7 +188,7 @@
     if (answer.version < task->min_version) {
         co_return run_end::wrong_version;
     }
-    text_builder builder(*record, answer.version, *task);
+    text_builder builder(*record, answer.version, *task, max_text_bytes_);
     // Only complete events extend the deadline: a stalled engine may still send
     // comments or parts of an event.
     steady_time next_event_by = now() + first_event_timeout;
--- a/drivers/batch/item_runner.hpp
+++ b/drivers/batch/item_runner.hpp
@@ -48,9 +48,11 @@
     /// because it had said so.
     using leaving_handler = std::function<void(const run_task& task)>;
 
-    /// All references must outlive the runner.
+    /// All references must outlive the runner. A run whose text would exceed
+    /// `max_text_bytes`, or the events that its task allows, is ended.
     item_runner(http_client& client, plain_caller& scorers, fleet_state& fleet,
-                logger& log);
+                logger& log,
+                std::size_t max_text_bytes = default_max_text_bytes);
 
     /// Runs an item until its stream ends. Cancelling the coroutine closes the
     /// connection, which makes the engine drop the run; `record` then holds
@@ -74,6 +76,7 @@
     plain_caller& scorers_;
     fleet_state& fleet_;
     logger& log_;
+    std::size_t max_text_bytes_;
     limit_handler on_limit_ = [](const run_task&, std::optional<double>) {};
     leaving_handler on_leaving_ = [](const run_task&) {};
 };
--- a/drivers/batch/run_host.cpp
+++ b/drivers/batch/run_host.cpp
@@ -45,6 +45,8 @@
         return "wrong_version";
     case run_end::stopped:
         return "stopped";
+    case run_end::oversized:
+        return "oversized";
     }
     return "unlisted";
 }
@@ -301,11 +303,13 @@
     end = run->record->is_stopped ? run_end::stopped : end;
     if (end != run_end::complete) {
         ++statistics_.interrupted;
-        log_.write(log_event::item_interrupted,
-                   "item=" + run->task->id + " job=" + run->task->job.text() +
-                       " upstream=" + run->task->upstream.text() +
-                       " end=" + to_word(end) + " events=" +
-                       std::to_string(run->record->progress.events));
+        log_.write(
+            log_event::item_interrupted,
+            "item=" + run->task->id + " job=" + run->task->job.text() +
+                " upstream=" + run->task->upstream.text() +
+                " end=" + to_word(end) +
+                " events=" + std::to_string(run->record->progress.events) +
+                " bytes=" + std::to_string(run->record->progress.text.size()));
     } else {
         const item_progress& progress = run->record->progress;
         keep_result(*run, {.events = progress.events,
@@ -314,10 +318,13 @@
                            .origin = progress.origin});
     }
     runner_update update{.service = run->service};
+    // The planner discards an oversized text.
     update.ends.push_back(
         {.ticket = run->task->ticket,
          .end = end,
-         .last_delta = run->record->take_delta(run->task->ticket)});
+         .last_delta = end == run_end::oversized
+                           ? run_delta{.ticket = run->task->ticket}
+                           : run->record->take_delta(run->task->ticket)});
     report_(run->planner, std::move(update));
 }
 
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -55,7 +55,8 @@
         state.accepted_at = accepted_at;
         add_items(state);
         for (const auto& [item, progress] : saved) {
-            if (item < state.items.size() && is_reusable(progress, state)) {
+            if (item < state.items.size() && is_reusable(progress, state) &&
+                !is_oversized(state.submission->items[item], progress)) {
                 state.items[item].progress = progress;
             }
         }
@@ -204,7 +205,8 @@
                            .origin = std::move(held.origin)};
     const bool is_usable = held.has_ended ? has_allowed_versions(progress, job)
                                           : is_reusable(progress, job);
-    if (item.phase != item_phase::waiting || !is_usable) {
+    if (item.phase != item_phase::waiting || !is_usable ||
+        is_oversized(job.submission->items[index], progress)) {
         if (!held.has_ended) {
             out.emplace_back(stop_run{.ticket = held.ticket});
         }
@@ -280,7 +282,8 @@
         const bool is_usable = text.is_text_complete
                                    ? has_allowed_versions(text.progress, job)
                                    : is_reusable(text.progress, job);
-        if (!is_usable || text.progress.events <= item.progress.events) {
+        if (!is_usable || text.progress.events <= item.progress.events ||
+            is_oversized(job.submission->items[at], text.progress)) {
             continue;
         }
         item.progress = std::move(text.progress);
@@ -415,14 +418,30 @@
     run_state& run = found->second;
     record_speed(run, delta.events, now);
     run.last_event_at = now;
-    if (!append_delta(run.progress, delta) && !run.is_stopping) {
-        // A report between instances was lost. Stops the run so that another
-        // one resumes after the text that is known here.
+    const bool is_contiguous = append_delta(run.progress, delta);
+    const auto owner = jobs_.find(run.job);
+    if (owner != jobs_.end() &&
+        is_oversized(owner->second.submission->items[run.item], run.progress)) {
+        run.is_oversized = true;
+        run.progress = {.origin = run.progress.origin};
+    }
+    if ((!is_contiguous || run.is_oversized) && !run.is_stopping) {
+        // If a report between instances was lost, another run resumes after the
+        // text that is known here.
         run.is_stopping = true;
         out.emplace_back(stop_run{.ticket = delta.ticket});
     }
 }
 
+bool item_planner::is_oversized(const batch_item& item,
+                                const item_progress& progress) const {
+    // An event has at least one token.
+    const bool has_too_many_events =
+        item.max_tokens > 0 && progress.events > item.max_tokens;
+    return has_too_many_events ||
+           progress.text.size() > options_.max_text_bytes;
+}
+
 void item_planner::requeue(job_state& job, std::size_t item) {
     job.items[item].phase = item_phase::waiting;
     job.waiting.insert({job.items[item].rank, item});
@@ -464,8 +483,15 @@
     }
     job_state& job = owner->second;
     item_state& item = job.items[run.item];
-    if (report.end == run_end::wrong_version &&
-        job.settings.is_single_version) {
+    const bool is_too_long =
+        report.end == run_end::oversized || run.is_oversized ||
+        is_oversized(job.submission->items[run.item], run.progress);
+    if (is_too_long) {
+        report.end = run_end::oversized;
+        item.avoid.insert(run.upstream);
+    }
+    if (is_too_long || (report.end == run_end::wrong_version &&
+                        job.settings.is_single_version)) {
         run.progress = {};
     }
     if (item.phase != item_phase::running) {
@@ -705,7 +731,8 @@
                   .address = engine.listed_upstream.address,
                   .min_version = job.submission->min_version,
                   .is_single_version = job.settings.is_single_version,
-                  .progress = run.progress});
+                  .progress = run.progress,
+                  .max_events = job.submission->items[index].max_tokens});
 }
 
 void item_planner::place_items(steady_time now, planner_commands& out) {
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -63,6 +63,9 @@
     wrong_version,
     /// The planner stopped the run.
     stopped,
+    /// The engine sent more than the item's text may have. The whole text is
+    /// discarded, because where its excess begins is not known.
+    oversized,
 };
 
 /// Events of a run since its last report.
@@ -139,6 +142,8 @@
     bool is_single_version = false;
     /// The text received so far; the run resumes after it.
     item_progress progress;
+    /// Most events that the item's whole text may have; 0 if not known.
+    std::uint64_t max_events = 0;
 };
 
 struct stop_run {
@@ -224,6 +229,10 @@
     double limit_fraction = 1;
 };
 
+/// The default maximum size of an item's text: three fifths of a value of the
+/// store, which leaves room for base64.
+inline constexpr std::size_t default_max_text_bytes = (1U << 20U) * 3 / 5;
+
 struct item_planner_options {
     engine_roster_options engines;
     /// Minimum time between two commits of a job, so that one write lists
@@ -264,6 +273,9 @@
     /// Maximum number of texts kept from ended jobs, in case a later job
     /// submits the same items again.
     std::size_t max_retained_texts = 2'048;
+    /// Maximum size of an item's text. A longer one fits into no value of the
+    /// store and so can't be listed.
+    std::size_t max_text_bytes = default_max_text_bytes;
     /// Number of ended jobs that are remembered. The end of a job and its
     /// submission can cross only within seconds.
     std::size_t max_ended_jobs = 4'096;
@@ -481,6 +493,8 @@
         steady_time last_event_at;
         /// A stop was requested.
         bool is_stopping = false;
+        /// The text exceeds what the item allows.
+        bool is_oversized = false;
         /// Size of the saved part of the text in events and bytes.
         std::uint64_t saved_events = 0;
         std::size_t saved_bytes = 0;
@@ -542,6 +556,9 @@
                                           const item_state& item,
                                           const roster_entry& current,
                                           const roster_entry& target) const;
+    /// Whether the text exceeds what the item allows.
+    [[nodiscard]] bool is_oversized(const batch_item& item,
+                                    const item_progress& progress) const;
     /// Appends the events. Returns false if earlier events are missing.
     [[nodiscard]] static bool append_delta(item_progress& progress,
                                            const run_delta& delta);
--- a/servers/batch/run_message.hpp
+++ b/servers/batch/run_message.hpp
@@ -44,11 +44,14 @@
     run_ticket text_ticket = 0;
     /// Of the text so far, or of the text that this run begins.
     text_origin origin;
+    /// Most events that the item's whole text may have; 0 if not known.
+    std::uint64_t max_events = 0;
 };
 BOOST_DESCRIBE_STRUCT(run_task, (),
                       (ticket, is_scoring, job, id, host, path, headers, body,
                        upstream, address, min_version, is_single_version,
-                       after_event, text, versions, text_ticket, origin))
+                       after_event, text, versions, text_ticket, origin,
+                       max_events))
 
 /// Message from the planner of a service to an instance that runs its items.
 /// Without tasks or tickets it serves as a heartbeat of the planner.
--- a/tests/drivers/batch/item_runner_test.cpp
+++ b/tests/drivers/batch/item_runner_test.cpp
@@ -40,7 +40,8 @@
                      .host = "h",
                      .path = "/p/",
                      .upstream = upstream_id("u"),
-                     .address = to_text(upstream.address())});
+                     .address = to_text(upstream.address()),
+                     .max_events = max_events});
         record = std::make_shared<run_record>();
         const auto begin = std::chrono::steady_clock::now();
         const run_end end = run_call(context, runner.run(task, record));
@@ -55,6 +56,7 @@
     fleet_state fleet{.pool = upstream_pool({})};
     plain_caller scorers{client, fleet, random, log};
     item_runner runner{client, scorers, fleet, log};
+    std::uint64_t max_events = 0;
     std::shared_ptr<run_record> record;
     std::chrono::steady_clock::duration elapsed{};
 };
@@ -144,3 +146,32 @@
     EXPECT_EQ(run(upstream), run_end::interrupted);
     EXPECT_EQ(record->progress.events, 0U);
 }
+
+// Guards against an instance that runs out of memory: an engine sends numbered
+// events for an item faster than they can be listed, without end.
+TEST_F(item_runner_test, events_without_end_are_ended_at_the_texts_limit) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write(stream_header("i"));
+        const std::string data(4'096, 'a');
+        int number = 0;
+        while (connection.write(chunk("id: " + std::to_string(++number) +
+                                      "\ndata: " + data + "\n\n"))) {
+        }
+    });
+    EXPECT_EQ(run(upstream), run_end::oversized);
+    EXPECT_LE(record->progress.text.size(), default_max_text_bytes);
+    EXPECT_LT(elapsed, 5s);
+}
+
+TEST_F(item_runner_test, more_events_than_the_item_allows_end_the_run) {
+    max_events = 3;
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write(stream_header("i"));
+        for (int number = 1; connection.write(chunk(event(number))); ++number) {
+        }
+    });
+    EXPECT_EQ(run(upstream), run_end::oversized);
+    EXPECT_EQ(record->progress.events, 3U);
+}
--- a/tests/servers/batch/item_planner_test.cpp
+++ b/tests/servers/batch/item_planner_test.cpp
@@ -300,6 +300,44 @@
     EXPECT_EQ(take_commands<start_run>()[0].progress.events, 0U);
 }
 
+// An engine sends more than the item allows. What it sent may not get into the
+// result, and the next run of the item must not go on after it.
+TEST_F(item_planner_test, text_beyond_the_items_limit_is_discarded) {
+    set_engines(2, 1);
+    auto job = make_job("j", 0, {{50}});
+    std::const_pointer_cast<batch_job>(job)->items[0].max_tokens = 60;
+    add_job(job);
+    auto started = take_commands<start_run>();
+    ASSERT_EQ(started.size(), 1U);
+    EXPECT_EQ(started[0].max_events, 60U);
+    const upstream_id faulty = started[0].upstream;
+    // The report of an instance of an older version, which has no limit.
+    progress(started[0].ticket, 0, 61);
+    ASSERT_EQ(take_commands<stop_run>().size(), 1U);
+    report(started[0].ticket, 61, 70, run_end::stopped);
+    started = take_commands<start_run>();
+    ASSERT_EQ(started.size(), 1U);
+    EXPECT_NE(started[0].upstream, faulty);
+    EXPECT_EQ(started[0].progress.events, 0U);
+    report(started[0].ticket, 0, 0, run_end::oversized);
+    now += 1s;
+    step();
+    started = take_commands<start_run>();
+    ASSERT_EQ(started.size(), 1U) << "no failure of the item";
+    EXPECT_EQ(started[0].progress.events, 0U);
+}
+
+TEST_F(item_planner_test, complete_text_beyond_the_limit_is_not_listed) {
+    set_engines(1, 1);
+    const auto job = make_job("j", 0, {{50}});
+    add_job(job);
+    const auto started = take_commands<start_run>();
+    ASSERT_EQ(started.size(), 1U);
+    report(started[0].ticket, 0, 50, run_end::complete,
+           std::string(default_max_text_bytes + 1, 'a'));
+    EXPECT_TRUE(take_commands<commit_results>().empty());
+}
+
 // Guards against a result that counts as listed because an earlier commit of
 // the job was: the planner had dropped the job and added it again meanwhile.
 TEST_F(item_planner_test, outcome_of_a_commit_before_a_drop_is_ignored) {
--- a/tests/servers/batch/run_message_test.cpp
+++ b/tests/servers/batch/run_message_test.cpp
@@ -18,3 +18,18 @@
     EXPECT_EQ(update->leaving, std::vector<upstream_id>{upstream_id("u")});
     EXPECT_TRUE(update->ended_jobs.empty());
 }
+
+// Recorded from an instance before the member `max_events`.
+TEST(run_message_test, order_of_an_older_instance_is_read) {
+    const auto order = wire::decode<runner_command>(
+        "\x87\x61"
+        "e\x81\x91\x07\xf4\x61j\x61i\x61h\x62/p\x80\x60\x61u\x61"
+        "a\x01\xf4\x02\x61t\x81\x01\x00\x82\x62v1\x07\x80\x09\xf4\x80\xf4"s);
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->term, 9U);
+    ASSERT_EQ(order->tasks.size(), 1U);
+    EXPECT_EQ(order->tasks[0].ticket, 7U);
+    EXPECT_EQ(order->tasks[0].after_event, 2U);
+    EXPECT_EQ(order->tasks[0].origin.software, software_version("v1"));
+    EXPECT_EQ(order->tasks[0].max_events, 0U) << "not known";
+}
