Share the memory for answers between all upstream clients

Three clients had 48 MB each for bodies being received, and the answer that needed memory next was refused, which may be a sound one beside faulty ones that took it.

The clients now share 48 MB. At the limit the largest answer is given up (answer_memory). sound_answer_is_received_beside_endless_ones fails without the change.

--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -122,7 +122,12 @@
          unframed_answer used_unframed, answer_limits used_limits)
         : paths(std::move(used_connector))
         , unframed(used_unframed)
-        , limits(used_limits) {}
+        , limits(std::move(used_limits)) {
+        if (!limits.memory) {
+            limits.memory =
+                std::make_shared<answer_memory>(limits.max_total_body_bytes);
+        }
+    }
 
     connection_pointer take_idle(const endpoint& address,
                                  const std::string& key) {
@@ -154,34 +159,9 @@
     std::shared_ptr<connector> paths;
     unframed_answer unframed;
     answer_limits limits;
-    /// Body bytes held by the calls in progress.
-    std::size_t body_bytes = 0;
     std::map<std::string, std::vector<connection_pointer>> idle;
 };
 
-/// Counts the body bytes of one call, and releases them when the call ends or
-/// is cancelled.
-class http_client::body_reservation {
-public:
-    explicit body_reservation(std::shared_ptr<pool> owner)
-        : pool_(std::move(owner)) {}
-    body_reservation(const body_reservation&) = delete;
-    body_reservation& operator=(const body_reservation&) = delete;
-    ~body_reservation() { pool_->body_bytes -= bytes_; }
-
-    /// Returns false if the limits don't allow that many more bytes.
-    [[nodiscard]] bool add(std::size_t bytes) {
-        bytes_ += bytes;
-        pool_->body_bytes += bytes;
-        return bytes_ <= pool_->limits.max_body_bytes &&
-               pool_->body_bytes <= pool_->limits.max_total_body_bytes;
-    }
-
-private:
-    std::shared_ptr<pool> pool_;
-    std::size_t bytes_ = 0;
-};
-
 class http_client::stream final : public http_stream {
 public:
     stream(std::shared_ptr<pool> owner, endpoint address,
@@ -252,6 +232,13 @@
         co_return std::string();
     }
 
+    /// Ends a read in progress; the answer is not read further.
+    void abandon() {
+        if (connection_) {
+            connection_->stream.cancel();
+        }
+    }
+
 private:
     void reset_parser() {
         parser_.emplace();
@@ -297,7 +284,7 @@
     : pool_(std::make_shared<pool>(
           used_connector ? std::move(used_connector)
                          : std::make_shared<direct_connector>(context),
-          unframed, limits)) {}
+          unframed, std::move(limits))) {}
 
 http_client::~http_client() = default;
 
@@ -376,21 +363,27 @@
     if (!opened) {
         co_return opened.reason();
     }
-    http_stream& answer = **opened;
+    auto& answer = static_cast<stream&>(**opened);
     http_response response{.status = answer.status(),
                            .headers = answer.headers()};
-    body_reservation reservation(pool_);
+    const failure too_large{result_code::failed_by_upstream,
+                            "the answer is too large"};
+    answer_memory::share memory(pool_->limits.memory,
+                                [&answer] { answer.abandon(); });
     while (true) {
         auto part = co_await answer.read_some(deadline);
+        if (memory.is_revoked()) {
+            co_return too_large;
+        }
         if (!part) {
             co_return part.reason();
         }
         if (part->empty()) {
             co_return response;
         }
-        if (!reservation.add(part->size())) {
-            co_return failure{result_code::failed_by_upstream,
-                              "the answer is too large"};
+        if (!memory.add(part->size()) || response.body.size() + part->size() >
+                                             pool_->limits.max_body_bytes) {
+            co_return too_large;
         }
         response.body += *part;
     }
--- a/drivers/http/http_client.hpp
+++ b/drivers/http/http_client.hpp
@@ -6,6 +6,7 @@
 #include "core/http_message.hpp"
 #include "core/outcome.hpp"
 #include "drivers/http/connector.hpp"
+#include "servers/admission/answer_memory.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -76,8 +77,11 @@
 struct answer_limits {
     /// Largest body that `http_client::call` returns.
     std::size_t max_body_bytes = 16U << 20U;
-    /// Bodies being received by all calls of one client together.
+    /// Bodies being received by all calls that share the memory.
     std::size_t max_total_body_bytes = 48U << 20U;
+    /// Shared with other clients of the same thread. If null, the client has a
+    /// memory of `max_total_body_bytes` of its own.
+    std::shared_ptr<answer_memory> memory = nullptr;
 };
 
 /// An HTTP/1.1 client with a pool of idle connections per address. Belongs
@@ -125,7 +129,6 @@
 private:
     struct pool;
     class stream;
-    class body_reservation;
     std::shared_ptr<pool> pool_;
 };
 
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -66,6 +66,8 @@
 /// Time reserved for the process to exit before the platform kills it.
 constexpr std::chrono::milliseconds exit_margin{700};
 constexpr std::chrono::milliseconds drain_check_interval{40};
+/// Memory for the answers that all upstreams together are sending.
+constexpr std::size_t max_answer_bytes = 48U << 20U;
 /// How often the settings file is checked for changes that no signal announced.
 constexpr std::chrono::milliseconds settings_check_interval{5'000};
 /// Port of the metrics listener; must match the deploy file.
@@ -194,6 +196,9 @@
     fleet_state fleet_;
     upstream_paths paths_;
     std::shared_ptr<path_connector> connector_;
+    /// Shared by the clients of all upstreams.
+    std::shared_ptr<answer_memory> answer_memory_ =
+        std::make_shared<answer_memory>(max_answer_bytes);
     /// For orders, which must come from this machine and are never sent through
     /// another instance.
     http_client order_client_;
@@ -257,9 +262,12 @@
                                          return tunnel_address_of(peer);
                                      }},
           log))
-    , order_client_(context_)
-    , engine_client_(context_, unframed_answer::refuse, {}, connector_)
-    , plain_client_(context_, unframed_answer::accept, {}, connector_)
+    , order_client_(context_, unframed_answer::refuse,
+                    {.memory = answer_memory_})
+    , engine_client_(context_, unframed_answer::refuse,
+                     {.memory = answer_memory_}, connector_)
+    , plain_client_(context_, unframed_answer::accept,
+                    {.memory = answer_memory_}, connector_)
     , plain_(plain_client_, fleet_, random_, log)
     , suspects_(
           {.self = settings_.instance, .boot = std::to_string(random_seed())})
--- a/tests/drivers/http/http_client_faulty_peer_test.cpp
+++ b/tests/drivers/http/http_client_faulty_peer_test.cpp
@@ -202,6 +202,38 @@
     }
 }
 
+// Guards against sound answers that are refused because faulty upstreams hold
+// the memory that all answers share.
+TEST_F(http_client_faulty_peer_test,
+       sound_answer_is_received_beside_endless_ones) {
+    // Each stops below the limit of one answer; together they reach that of
+    // all.
+    constexpr std::size_t calls = 8;
+    raw_upstream faulty([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n" +
+                         std::string(600U << 10U, 'a'));
+        connection.read_request();
+    });
+    std::vector<std::optional<outcome<http_response>>> results(calls);
+    for (auto& result : results) {
+        asio::co_spawn(
+            context,
+            store_value(client.call(faulty.address(), {.target = "/"},
+                                    std::chrono::steady_clock::now() + 3s),
+                        result),
+            asio::detached);
+    }
+    context.run_for(500ms);
+    raw_upstream sound([](raw_connection& connection, std::size_t) {
+        connection.write(answer(header_of(connection.read_request(), "X-Id"),
+                                std::string(500U << 10U, 'b')));
+    });
+    const auto received = call(sound);
+    ASSERT_TRUE(received) << received.reason().detail;
+    EXPECT_EQ(received->body.size(), 500U << 10U);
+}
+
 // The permission for a request may end while the connection is being opened.
 TEST_F(http_client_faulty_peer_test,
        request_whose_permission_ended_is_not_written) {
