Bound messages of the own interface's store

A watch collected bytes without a line feed, and a call its body, without limit. Both end at 16 MB now. message_without_end_is_given_up would use up the memory before.

--- a/drivers/platform_kv/etcd_gateway_client.cpp
+++ b/drivers/platform_kv/etcd_gateway_client.cpp
@@ -16,6 +16,9 @@
 using stream_pointer = std::unique_ptr<http_stream>;
 
 constexpr unsigned http_ok = 200;
+/// Limit on one message of the store, so that a faulty one can't use up the
+/// memory.
+constexpr std::size_t max_message_bytes = 16U << 20U;
 
 failure unreachable(const failure& reason) {
     return {result_code::platform_unreachable,
@@ -56,6 +59,11 @@
             if (auto result = take_lines()) {
                 co_return std::move(*result);
             }
+            // Only the beginning of a line is left.
+            if (text_.size() > max_message_bytes) {
+                co_return failure{result_code::platform_unreachable,
+                                  "a message of the watch is too long"};
+            }
         }
     }
 
@@ -154,6 +162,11 @@
         if (part->empty()) {
             co_return response;
         }
+        if (response.body.size() + part->size() > max_message_bytes) {
+            use_next_address();
+            co_return failure{result_code::platform_unreachable,
+                              "the answer is too large"};
+        }
         response.body += *part;
     }
 }
--- a/tests/drivers/platform_kv/etcd_gateway_client_test.cpp
+++ b/tests/drivers/platform_kv/etcd_gateway_client_test.cpp
@@ -2,6 +2,7 @@
 #include "drivers/http/traffic_pool.hpp"
 #include "drivers/platform_kv/etcd_gateway_client.hpp"
 #include "tests/fakes/fake_platform.hpp"
+#include "tests/fakes/raw_upstream.hpp"
 
 #include <gtest/gtest.h>
 
@@ -212,4 +213,26 @@
     EXPECT_EQ(counts->body, R"({"total":2,"range":2})");
 }
 
+// Guards against an instance that runs out of memory because a store sends
+// bytes without end.
+TEST_F(etcd_gateway_client_test, message_without_end_is_given_up) {
+    raw_upstream faulty([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write("HTTP/1.1 200 OK\r\n\r\n");
+        connection.write_until_closed(std::string(65'536, 'a'));
+    });
+    client_ = std::make_unique<etcd_gateway_client>(
+        pool_.context(0), std::vector<endpoint>{faulty.address()});
+    for (const platform_request& request :
+         {platform_request(watch_prefix{.prefix = "p"}),
+          platform_request(read_range{.key = "p"})}) {
+        const auto begin = std::chrono::steady_clock::now();
+        const auto result = call(request, 60s);
+        ASSERT_FALSE(result);
+        EXPECT_EQ(result.reason().code, result_code::platform_unreachable);
+        EXPECT_LT(std::chrono::steady_clock::now() - begin, 30s)
+            << "the call must not wait for its deadline";
+    }
+}
+
 } // namespace savorydock
