Bound the size of results kept until they are listed

An instance kept up to 1,500 texts of any size for its planner. They have 24 MB together now; beyond that those with the smallest tickets are dropped, and their items run again if the planner is lost as well. Found by reading.

--- a/drivers/batch/run_host.cpp
+++ b/drivers/batch/run_host.cpp
@@ -25,10 +25,17 @@
 /// smallest machine's memory.
 constexpr std::size_t max_kept_results = 1'500;
 
+/// Maximum size of all kept results.
+constexpr std::size_t max_kept_bytes = 24U << 20U;
+
 /// Limits that upstreams named are repeated to planners for this long, because
 /// a new planner doesn't know them.
 constexpr std::chrono::milliseconds limit_report_time{10'000};
 
+std::size_t bytes_of(const held_run& result) {
+    return result.text.size() + result.score.size();
+}
+
 std::string to_word(run_end end) {
     switch (end) {
     case run_end::complete:
@@ -83,7 +90,7 @@
     const steady_time now = std::chrono::steady_clock::now();
     last_heard_at_[key] = now;
     for (const run_ticket ticket : order.released) {
-        kept_results_.erase(ticket);
+        drop_result(ticket);
     }
     if (order.is_takeover) {
         drop_old_results(now);
@@ -142,9 +149,13 @@
 }
 
 void run_host::keep_result(const active_run& run, held_run result) {
-    if (kept_results_.size() >= max_kept_results) {
-        kept_results_.erase(kept_results_.begin());
+    const std::size_t bytes = bytes_of(result);
+    while (!kept_results_.empty() &&
+           (kept_results_.size() >= max_kept_results ||
+            kept_bytes_ + bytes > max_kept_bytes)) {
+        drop_result(kept_results_.begin()->first);
     }
+    kept_bytes_ += bytes;
     result.ticket = run.task->ticket;
     result.job = run.task->job;
     result.id = run.task->id;
@@ -156,11 +167,25 @@
                                        .result = std::move(result)};
 }
 
+void run_host::drop_result(run_ticket ticket) {
+    const auto kept = kept_results_.find(ticket);
+    if (kept != kept_results_.end()) {
+        kept_bytes_ -= bytes_of(kept->second.result);
+        kept_results_.erase(kept);
+    }
+}
+
 void run_host::drop_old_results(steady_time now) {
-    std::erase_if(kept_results_, [&](const auto& entry) {
-        return now > entry.second.ended_at + result_retention ||
-               is_ended_(entry.second.result.job);
-    });
+    std::vector<run_ticket> old;
+    for (const auto& [ticket, kept] : kept_results_) {
+        if (now > kept.ended_at + result_retention ||
+            is_ended_(kept.result.job)) {
+            old.push_back(ticket);
+        }
+    }
+    for (const run_ticket ticket : old) {
+        drop_result(ticket);
+    }
 }
 
 void run_host::stop_all() {
--- a/drivers/batch/run_host.hpp
+++ b/drivers/batch/run_host.hpp
@@ -96,6 +96,7 @@
     void stop(run_ticket ticket);
     void hand_over(const planner_key& planner, store_revision term);
     void keep_result(const active_run& run, held_run result);
+    void drop_result(run_ticket ticket);
     void drop_old_results(steady_time now);
     void refuse_task(const planner_key& planner, const run_task& task);
     void start_run(const run_pointer& run);
@@ -113,6 +114,8 @@
     logger& log_;
     std::map<run_ticket, run_pointer> runs_;
     std::map<run_ticket, kept_result> kept_results_;
+    /// Size of the texts and scores in `kept_results_`.
+    std::size_t kept_bytes_ = 0;
     std::map<upstream_id, limit_observation> limits_;
     /// The newest known planner term of each service.
     std::map<service_name, store_revision> terms_;
