Split messages about runs that are too large for the link

The link between instances drops messages above 2 MiB, and only a counter shows it. An order with large bodies never arrived, and its items were placed and lost in turn; a takeover's answer with many long texts was lost whole, and so were its runs.

Orders and reports are sent in parts of at most 1 MiB; a task above that runs on the planner's instance. runner_update::has_more marks parts of a takeover's answer; an older planner takes each part for a whole one. No run with such bodies was made.

--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -4,6 +4,7 @@
 #include "drivers/front/attempt_log.hpp"
 #include "platform/order_codec.hpp"
 #include "servers/batch/job_keys.hpp"
+#include "servers/batch/message_parts.hpp"
 #include "servers/fleet/limit_sharing.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -40,6 +41,8 @@
 /// When more locations are known, all are removed. That is safe, because
 /// instances drop the results of ended jobs without a release order.
 constexpr std::size_t max_result_locations = 8'192;
+/// Half of the limit of the link between instances.
+constexpr std::size_t max_order_bytes = 1U << 20U;
 
 std::string to_word(order_answer answer) {
     switch (answer) {
@@ -191,6 +194,7 @@
     }
     has_dropped_runs_ = false;
     unanswered_takeovers_.clear();
+    reported_runs_.clear();
     post_step([](engine_control& control, steady_time now, engine_commands&) {
         control.planner().begin_adoption(now);
     });
@@ -207,10 +211,9 @@
 }
 
 void engine_driver::adopt_held_runs(const instance_id& runner,
-                                    std::vector<held_run> held) {
+                                    std::vector<held_run> held, bool has_more) {
     const steady_time now = std::chrono::steady_clock::now();
-    unanswered_takeovers_.erase(runner);
-    std::set<run_ticket> reported;
+    std::set<run_ticket>& reported = reported_runs_[runner];
     for (const held_run& one : held) {
         reported.insert(one.ticket);
         lost_runs_.erase(one.ticket);
@@ -221,9 +224,13 @@
             runners_.adopt(one.ticket, runner, now);
         }
     }
-    // The runner ignores orders of earlier terms from now on.
-    const auto missing =
-        runners_.take_missing_runs(runner, reported, gained_at_);
+    std::vector<run_ticket> missing;
+    if (!has_more) {
+        unanswered_takeovers_.erase(runner);
+        // The runner ignores orders of earlier terms from now on.
+        missing = runners_.take_missing_runs(runner, reported, gained_at_);
+        reported_runs_.erase(runner);
+    }
     if (!missing.empty()) {
         log_.write(log_event::runner_lost,
                    "service=" + options_.service.text() +
@@ -522,10 +529,16 @@
         preference =
             runner_preference{.zone = upstream->zone, .upstream = upstream->id};
     }
-    const instance_id runner =
-        runners_.assign(command.ticket, directory_,
-                        std::chrono::steady_clock::now(), preference);
-    orders_[runner].tasks.push_back(make_task(command));
+    const steady_time now = std::chrono::steady_clock::now();
+    run_task task = make_task(command);
+    instance_id runner = options_.self;
+    if (encoded_size(task) > max_order_bytes) {
+        // The link to other instances would drop the order.
+        runners_.adopt(command.ticket, runner, now);
+    } else {
+        runner = runners_.assign(command.ticket, directory_, now, preference);
+    }
+    orders_[runner].tasks.push_back(std::move(task));
 }
 
 void engine_driver::execute_one(start_scoring& command) {
@@ -594,11 +607,15 @@
         return;
     }
     const auto entry = directory_.find(runner);
-    if (entry != directory_.end()) {
+    if (entry == directory_.end()) {
+        return;
+    }
+    for (const runner_command& part :
+         split(std::move(order), max_order_bytes)) {
         peers_.send({.from = options_.self,
                      .to = runner,
                      .topic = peer_topic::runner_command,
-                     .body = wire::encode(order)},
+                     .body = wire::encode(part)},
                     entry->second.address);
     }
 }
@@ -677,7 +694,7 @@
     const steady_time now = std::chrono::steady_clock::now();
     if (update.takeover_term != 0) {
         if (update.takeover_term == last_term_ && term_.term()) {
-            adopt_held_runs(runner, std::move(update.held));
+            adopt_held_runs(runner, std::move(update.held), update.has_more);
         }
         return;
     }
--- a/drivers/batch/engine_driver.hpp
+++ b/drivers/batch/engine_driver.hpp
@@ -114,7 +114,9 @@
                           const runner_update& update, steady_time now);
     /// Runners refused items because these jobs have ended.
     void on_ends_reported(const std::vector<job_id>& ended);
-    void adopt_held_runs(const instance_id& runner, std::vector<held_run> held);
+    /// `has_more`: another part of the runner's answer follows.
+    void adopt_held_runs(const instance_id& runner, std::vector<held_run> held,
+                         bool has_more);
     [[nodiscard]] run_task make_task(const start_run& command) const;
     [[nodiscard]] run_task make_task(const start_scoring& command) const;
     void wake_at(std::optional<steady_time> time);
@@ -164,6 +166,8 @@
     store_revision last_term_ = 0;
     /// Instances that have not answered the takeover yet.
     std::set<instance_id> unanswered_takeovers_;
+    /// Runs in the parts of answers to the takeover that have arrived.
+    std::map<instance_id, std::set<run_ticket>> reported_runs_;
     scope_term term_;
     /// Used on the control thread only.
     engine_control control_;
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -26,6 +26,7 @@
 #include "platform/configuration_codec.hpp"
 #include "platform/settings_file.hpp"
 #include "servers/batch/job_keys.hpp"
+#include "servers/batch/message_parts.hpp"
 #include "servers/feed/claim_order.hpp"
 #include "servers/feed/root_feeder.hpp"
 #include "servers/fleet/limit_sharing.hpp"
@@ -68,6 +69,8 @@
 constexpr std::chrono::milliseconds drain_check_interval{40};
 /// Memory for the answers that all upstreams together are sending.
 constexpr std::size_t max_answer_bytes = 48U << 20U;
+/// Half of the limit of the link between instances.
+constexpr std::size_t max_report_bytes = 1U << 20U;
 /// How often the settings file is checked for changes that no signal announced.
 constexpr std::chrono::milliseconds settings_check_interval{5'000};
 /// Port of the metrics listener; must match the deploy file.
@@ -856,7 +859,10 @@
         }
         return;
     }
-    send_peer(planner, peer_topic::run_report, wire::encode(update));
+    for (const runner_update& part :
+         split(std::move(update), max_report_bytes)) {
+        send_peer(planner, peer_topic::run_report, wire::encode(part));
+    }
 }
 
 void node_instance::impl::complete_retirements() {
--- a/servers/batch/run_message.hpp
+++ b/servers/batch/run_message.hpp
@@ -125,9 +125,11 @@
     std::vector<upstream_id> leaving;
     /// Jobs that have ended and whose items the instance therefore refused.
     std::vector<job_id> ended_jobs;
+    /// Another part of this message follows; `held` isn't complete yet.
+    bool has_more = false;
 };
 BOOST_DESCRIBE_STRUCT(runner_update, (),
                       (service, deltas, ends, scores, active, takeover_term,
-                       held, limits, leaving, ended_jobs))
+                       held, limits, leaving, ended_jobs, has_more))
 
 } // namespace savorydock
