Refuse items that can't be written as one request

Cause: texts of callers became heads unchecked; the HTTP library checks neither targets nor field values when it writes. A submission with such an item or scoring call is answered 400 with the item's number. http_client writes no request that isn't representable, on any path. A run of a job that an older instance accepted is refused by the runner.

--- a/drivers/batch/run_host.cpp
+++ b/drivers/batch/run_host.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 
+#include <algorithm>
 #include <cmath>
 
 namespace savorydock {
@@ -32,6 +33,17 @@
 /// a new planner doesn't know them.
 constexpr std::chrono::milliseconds limit_report_time{10'000};
 
+/// Whether an engine that reads the task's request sees exactly one.
+bool is_single_request(const run_task& task) {
+    return is_valid_target(task.path) && is_valid_header_value(task.host) &&
+           is_valid_header_value(task.id) &&
+           std::all_of(task.headers.begin(), task.headers.end(),
+                       [](const run_header& header) {
+                           return is_valid_header_name(header.name) &&
+                                  is_valid_header_value(header.value);
+                       });
+}
+
 std::size_t bytes_of(const held_run& result) {
     return result.text.size() + result.score.size();
 }
@@ -212,7 +224,9 @@
         update.ends.push_back({.ticket = ticket,
                                .end = run_end::stopped,
                                .last_delta = {.ticket = ticket}});
-        update.ended_jobs.push_back(job);
+        if (is_ended_(job)) {
+            update.ended_jobs.push_back(job);
+        }
         report_(planner.first, std::move(update));
     });
 }
@@ -287,6 +301,14 @@
         refuse_task(planner, task);
         return;
     }
+    if (!is_single_request(task)) {
+        // From a job that an instance of an older version accepted.
+        log_.write(log_event::item_interrupted,
+                   "item=" + task.id + " job=" + task.job.text() +
+                       " end=refused reason=\"not a single request\"");
+        refuse_task(planner, task);
+        return;
+    }
     auto run = std::make_shared<active_run>();
     run->planner = planner.first;
     run->service = planner.second;
--- a/drivers/front/front_service.cpp
+++ b/drivers/front/front_service.cpp
@@ -1,6 +1,7 @@
 #include "drivers/front/front_service.hpp"
 
 #include "platform/batch_codec.hpp"
+#include "servers/batch/item_check.hpp"
 #include "servers/delivery/request_fingerprint.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -426,6 +427,11 @@
                         job.reason().detail);
         co_return;
     }
+    if (const auto checked = check_items(*job); !checked) {
+        co_await refuse(exchange, id.text(), status_bad_request,
+                        checked.reason().detail);
+        co_return;
+    }
     job_record record{.id = id,
                       .route = route.name,
                       .host = call.host,
--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -304,6 +304,10 @@
 asio::awaitable<outcome<std::unique_ptr<http_stream>>>
 http_client::open(endpoint address, http_request request, steady_time deadline,
                   call_options options) {
+    if (!is_representable(request)) {
+        co_return failure{result_code::not_run_bad_request,
+                          "the request's target or a header can't be written"};
+    }
     const steady_time last_write = std::min(deadline, options.write_by);
     connection_pointer used;
     if (options.use == connection_use::reuse) {
--- a/drivers/http/http_client.hpp
+++ b/drivers/http/http_client.hpp
@@ -91,9 +91,9 @@
 /// limit or isn't HTTP fails the call and closes its connection.
 ///
 /// Error codes state whether the upstream may have received the request:
-/// `not_run_no_upstream` and `not_run_deadline` mean that no byte of it was
-/// written to a socket; `unknown_upstream_lost` and `unknown_deadline` mean
-/// that some bytes may have been.
+/// `not_run_bad_request`, `not_run_no_upstream` and `not_run_deadline` mean
+/// that no byte of it was written to a socket; `unknown_upstream_lost` and
+/// `unknown_deadline` mean that some bytes may have been.
 class http_client {
 public:
     /// `used_connector` opens the connections; if null, they are opened to the
@@ -107,7 +107,8 @@
     http_client& operator=(const http_client&) = delete;
 
     /// Sends a request and returns once the response header has arrived.
-    /// Errors: `not_run_deadline` if the request can't be written in time;
+    /// Errors: `not_run_bad_request` if the request isn't representable;
+    /// `not_run_deadline` if the request can't be written in time;
     /// `unknown_upstream_lost` if no answer to this request arrived.
     boost::asio::awaitable<outcome<std::unique_ptr<http_stream>>>
     open(endpoint address, http_request request, steady_time deadline,
--- a/tests/drivers/batch/run_host_test.cpp
+++ b/tests/drivers/batch/run_host_test.cpp
@@ -31,6 +31,7 @@
         one.tasks.push_back({.ticket = ticket,
                              .job = job_id(job),
                              .id = "i",
+                             .path = "/p",
                              .upstream = upstream_id("u"),
                              .address = address,
                              .origin = {.software = software_version("v1"),
@@ -78,6 +79,22 @@
         << "the planner learns why the item was refused";
 }
 
+// The job was accepted by an instance that didn't check its items.
+TEST_F(run_host_test, item_that_is_no_single_request_never_starts) {
+    runner_command one{.service = service_name("e"), .term = term};
+    one.tasks.push_back({.ticket = 3,
+                         .job = job_id("open"),
+                         .id = "i",
+                         .path = "/p\r\nA: b",
+                         .address = "127.0.0.1:1"});
+    host.on_order(instance_id("planner"), std::move(one));
+    context.run_for(600ms);
+    EXPECT_EQ(host.statistics().started, 0U);
+    ASSERT_EQ(updates.size(), 1U);
+    EXPECT_EQ(updates[0].ends[0].end, run_end::stopped);
+    EXPECT_TRUE(updates[0].ended_jobs.empty());
+}
+
 // A planner that was replaced keeps sending orders until it notices.
 TEST_F(run_host_test, order_of_an_older_term_is_ignored) {
     term = 5;
--- a/tests/drivers/front/front_service_test.cpp
+++ b/tests/drivers/front/front_service_test.cpp
@@ -67,14 +67,14 @@
         return answer ? *answer : http_response{.status = 0};
     }
 
-    outcome<http_response> submit() const {
+    outcome<http_response> submit(const std::string& path = "/p") const {
         return call_blocking(
             address,
             {.method = "POST",
              .target = "/job/",
              .headers = {{"Host", "h"}, {"Request-Id", "j"}},
-             .body = R"({"items": [{"id": "i", "path": "/p", "headers": {},
-                         "body": "", "tokens": 1}]})"},
+             .body = R"({"items": [{"id": "i", "path": ")" + path +
+                     R"(", "headers": {}, "body": "", "tokens": 1}]})"},
             5s);
     }
 
@@ -150,6 +150,14 @@
         << "routes of the old view are still served";
 }
 
+// Guards against one item that an engine runs as two requests.
+TEST_F(front_service_test, item_with_a_line_break_is_refused_for_good) {
+    const auto answer = submit(R"(/p HTTP/1.1\r\nHost: x\r\n\r\n)");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 400U);
+    EXPECT_NE(answer->body.find("item 0"), std::string::npos);
+}
+
 // Calls to jobs ended with the process if the store did not answer in time.
 TEST_F(front_service_test, call_that_runs_at_the_exit_is_answered) {
     raw_upstream silent([](raw_connection& connection, std::size_t) {
--- a/tests/drivers/http/http_client_faulty_peer_test.cpp
+++ b/tests/drivers/http/http_client_faulty_peer_test.cpp
@@ -234,6 +234,29 @@
     EXPECT_EQ(received->body.size(), 500U << 10U);
 }
 
+// Guards against an upstream that reads one request as two.
+TEST_F(http_client_faulty_peer_test, request_that_reads_as_two_is_not_written) {
+    std::atomic<bool> has_request = false;
+    raw_upstream upstream([&](raw_connection& connection, std::size_t) {
+        has_request = !connection.read_request().empty();
+    });
+    const std::vector<http_request> requests{
+        {.target = "/ HTTP/1.1\r\nA: b"},
+        {.target = ""},
+        {.target = "/", .headers = {{"A", "b\r\nC: d"}}},
+        {.target = "/", .headers = {{"A: b\r\nC", "d"}}},
+        {.method = "GET / HTTP/1.1\r\n", .target = "/"}};
+    for (const http_request& request : requests) {
+        const auto result = run_call(
+            context, client.call(upstream.address(), request,
+                                 std::chrono::steady_clock::now() + 1s));
+        ASSERT_FALSE(result);
+        EXPECT_EQ(result.reason().code, result_code::not_run_bad_request);
+    }
+    EXPECT_FALSE(has_request);
+    EXPECT_EQ(upstream.connections(), 0U);
+}
+
 // The permission for a request may end while the connection is being opened.
 TEST_F(http_client_faulty_peer_test,
        request_whose_permission_ended_is_not_written) {
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -280,6 +280,25 @@
     EXPECT_FALSE(decode_range({.status = 200, .body = "no json"}));
 }
 
+// Guards against an item that reaches an engine under another id.
+TEST_F(codec_test, headers_set_by_the_instance_are_not_taken_from_an_item) {
+    const http_request request =
+        make_item_request("i", "h", "/p",
+                          {{"request-id", "other"},
+                           {"HOST", "other"},
+                           {"Last-Event-Id", "9"},
+                           {"Content-Length", "0"},
+                           {"Model", "m"}},
+                          "body", {.upstream = upstream_id("u")});
+    std::vector<std::string> values;
+    for (const http_header& header : request.headers) {
+        values.push_back(header.name + '=' + header.value);
+    }
+    EXPECT_EQ(values,
+              (std::vector<std::string>{"Host=h", "Request-Id=i", "Model=m",
+                                        "Expect-Instance=u"}));
+}
+
 // Only two statuses promise that a call had no effect.
 TEST_F(codec_test, store_status_tells_the_effect_of_a_call) {
     for (const unsigned status : {429U, 503U}) {
