Count failed runs of an item over all planners

Counts are saved at once beside the texts of unfinished items (saved_progress::failures) and read with them. Older planners ignore them and save none.

--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -345,7 +345,7 @@
     while (term_.term()) {
         const store_revision term = term_.term()->revision;
         auto loaded = co_await jobs_.load(record, term);
-        std::map<std::size_t, item_progress> saved;
+        saved_items saved;
         if (loaded) {
             saved = co_await jobs_.load_progress(record.id);
         }
@@ -398,8 +398,9 @@
                                                        steady_time now,
                                                        engine_commands& out) {
             control.planner().on_job(record, loaded.job, settings,
-                                     loaded.listed, saved, accepted, now,
+                                     loaded.listed, saved.texts, accepted, now,
                                      out.planner);
+            control.planner().on_saved_failures(record.id, saved.failures);
         });
         break;
     }
--- a/drivers/batch/job_store.cpp
+++ b/drivers/batch/job_store.cpp
@@ -454,15 +454,14 @@
     co_return loaded;
 }
 
-asio::awaitable<std::map<std::size_t, item_progress>>
-job_store::load_progress(job_id job) {
-    std::map<std::size_t, item_progress> texts;
+asio::awaitable<saved_items> job_store::load_progress(job_id job) {
+    saved_items saved;
     const auto page = co_await client_.read_range(progress_prefix(job));
     if (!page) {
         log_.write(log_event::store_call_failed,
                    "call=range prefix=" + progress_prefix(job) + " reason=\"" +
                        page.reason().detail + '"');
-        co_return texts;
+        co_return saved;
     }
     for (const stored_value& value : page->values) {
         const auto parts =
@@ -474,10 +473,16 @@
             continue;
         }
         for (const saved_progress& part : *parts) {
-            merge_saved_part(texts[part.item], part);
+            if (part.events > 0) {
+                merge_saved_part(saved.texts[part.item], part);
+            }
+            if (part.failures > 0) {
+                std::uint32_t& failures = saved.failures[part.item];
+                failures = std::max(failures, part.failures);
+            }
         }
     }
-    co_return texts;
+    co_return saved;
 }
 
 asio::awaitable<void>
--- a/drivers/batch/job_store.hpp
+++ b/drivers/batch/job_store.hpp
@@ -47,6 +47,14 @@
     std::vector<item_id> listed;
 };
 
+/// What earlier planners saved of a job's items, by index of the item.
+struct saved_items {
+    /// Texts of unfinished items.
+    std::map<std::size_t, item_progress> texts;
+    /// Runs that failed.
+    std::map<std::size_t, std::uint32_t> failures;
+};
+
 /// Stores batch jobs in the platform's store: their submissions, results and
 /// ends. Not thread safe: all calls must come from one traffic thread.
 ///
@@ -108,11 +116,9 @@
                      std::chrono::milliseconds wait,
                      std::function<store_revision()> term);
 
-    /// Reads the texts of unfinished items that a planner saved, by index of
-    /// the item. Returns none if the store can't be read: without them the
-    /// items start from the beginning.
-    boost::asio::awaitable<std::map<std::size_t, item_progress>>
-    load_progress(job_id job);
+    /// Reads what earlier planners saved. Returns nothing of it if the store
+    /// can't be read: without it the items start from the beginning.
+    boost::asio::awaitable<saved_items> load_progress(job_id job);
 
     /// Saves parts of texts of several jobs, provided that the term still
     /// holds. Texts of different jobs may share a write.
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -31,6 +31,7 @@
     runs_.clear();
     scorings_.clear();
     to_score_.clear();
+    unsaved_failures_.clear();
     jobs_.clear();
     held_runs_.clear();
     roster_.clear_runs();
@@ -504,17 +505,16 @@
         return;
     }
     if (report.end == run_end::invalid_item) {
-        item.is_given_up = true;
-        make_ready(job, run.item);
+        give_up(job, run.item);
         return;
     }
     item.progress = std::move(run.progress);
     if (report.end == run_end::failed) {
         ++item.failures;
         item.avoid.insert(run.upstream);
+        unsaved_failures_.emplace(run.job, run.item);
         if (item.failures >= job.settings.max_attempts) {
-            item.is_given_up = true;
-            make_ready(job, run.item);
+            give_up(job, run.item);
             return;
         }
     } else if (report.end != run_end::stopped) {
@@ -523,6 +523,49 @@
     requeue(job, run.item);
 }
 
+void item_planner::give_up(job_state& job, std::size_t item) {
+    job.items[item].is_given_up = true;
+    make_ready(job, item);
+}
+
+void item_planner::on_saved_failures(
+    const job_id& id, const std::map<std::size_t, std::uint32_t>& failures) {
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) {
+        return;
+    }
+    job_state& job = found->second;
+    for (const auto& [index, count] : failures) {
+        if (index >= job.items.size()) {
+            continue;
+        }
+        item_state& item = job.items[index];
+        item.failures = std::max(item.failures, count);
+        if (item.failures >= job.settings.max_attempts &&
+            job.waiting.erase({item.rank, index}) > 0) {
+            give_up(job, index);
+        }
+    }
+}
+
+void item_planner::save_failures(planner_commands& out) {
+    if (!has_term_) {
+        return;
+    }
+    std::map<job_id, std::vector<saved_progress>> parts;
+    for (const auto& [id, index] : unsaved_failures_) {
+        const auto job = jobs_.find(id);
+        if (job != jobs_.end()) {
+            parts[id].push_back(
+                {.item = index, .failures = job->second.items[index].failures});
+        }
+    }
+    unsaved_failures_.clear();
+    for (auto& [job, list] : parts) {
+        out.emplace_back(save_progress{.job = job, .parts = std::move(list)});
+    }
+}
+
 void item_planner::on_run_lost(run_ticket ticket, steady_time now) {
     if (const auto scoring = scorings_.find(ticket);
         scoring != scorings_.end()) {
@@ -942,8 +985,7 @@
         while (!job.waiting.empty()) {
             const std::size_t index = job.waiting.begin()->second;
             job.waiting.erase(job.waiting.begin());
-            job.items[index].is_given_up = true;
-            make_ready(job, index);
+            give_up(job, index);
         }
     }
 }
@@ -1030,6 +1072,7 @@
     }
     score_items(out);
     commit_ready(now, out);
+    save_failures(out);
     save_texts(now, out);
 }
 
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -184,9 +184,12 @@
     std::string text;
     std::vector<weight_version> versions;
     text_origin origin;
+    /// Runs of the item that failed so far, by all planners.
+    std::uint32_t failures = 0;
 };
 BOOST_DESCRIBE_STRUCT(saved_progress, (),
-                      (item, base_events, events, text, versions, origin))
+                      (item, base_events, events, text, versions, origin,
+                       failures))
 
 struct save_progress {
     job_id job;
@@ -355,6 +358,12 @@
                 steady_time accepted_at, steady_time now,
                 planner_commands& out);
 
+    /// Earlier planners saw this many runs fail, by index of the item. Call it
+    /// right after `on_job`.
+    void
+    on_saved_failures(const job_id& job,
+                      const std::map<std::size_t, std::uint32_t>& failures);
+
     /// The job ended: stops its runs and lists no more results. An end is
     /// final, so the job is ignored if it is added afterwards.
     void on_job_ended(const job_id& job, planner_commands& out);
@@ -589,6 +598,10 @@
     [[nodiscard]] std::optional<run_ticket>
     active_run_of(const job_id& job, std::size_t item) const;
     void save_texts(steady_time now, planner_commands& out);
+    /// Saves counts of failures at once: the next planner must not begin to
+    /// count anew.
+    void save_failures(planner_commands& out);
+    void give_up(job_state& job, std::size_t item);
     /// Sorted by the priority of the route, then by the target time.
     [[nodiscard]] std::vector<job_state*> jobs_by_urgency();
 
@@ -618,6 +631,8 @@
     run_ticket next_ticket_;
     steady_time next_check_{};
     steady_time next_save_{};
+    /// Items with failures that aren't saved yet.
+    std::set<std::pair<job_id, std::size_t>> unsaved_failures_;
 };
 
 } // namespace savorydock
--- a/tests/drivers/store/store_test.cpp
+++ b/tests/drivers/store/store_test.cpp
@@ -245,7 +245,7 @@
     save(0, 2, "a\nb");
     save(2, 3, "c");
     save(5, 6, "lost between");
-    const auto texts = run(jobs.load_progress(job_id("j")));
+    const auto texts = run(jobs.load_progress(job_id("j"))).texts;
     ASSERT_EQ(texts.size(), 1U);
     EXPECT_EQ(texts.at(0).text, "a\nb\nc");
     EXPECT_EQ(texts.at(0).events, 3U);
@@ -267,13 +267,27 @@
     save(15, 20, 2, "v2");
     save(20, 30, 2, "v2");
     save(20, 40, 3, "v1");
-    const auto texts = run(jobs.load_progress(job_id("j")));
+    const auto texts = run(jobs.load_progress(job_id("j"))).texts;
     ASSERT_EQ(texts.size(), 1U);
     EXPECT_EQ(texts.at(0).text, "v1");
     EXPECT_EQ(texts.at(0).events, 20U);
     EXPECT_EQ(texts.at(0).origin.software, software_version("v1"));
 }
 
+TEST_F(store_test, failures_of_an_item_are_saved_over_terms) {
+    accept();
+    const held_term term = hold();
+    for (const std::uint32_t failures : {1U, 2U}) {
+        save_progress saved{.job = job_id("j")};
+        saved.parts.push_back({.item = 0, .failures = failures});
+        save_all(term, {saved});
+    }
+    save_all(term, {make_saved("j", 0, 2, "a")});
+    const saved_items saved = run(jobs.load_progress(job_id("j")));
+    EXPECT_EQ(saved.failures.at(0), 2U);
+    EXPECT_EQ(saved.texts.at(0).events, 2U);
+}
+
 // Load pattern: all open jobs save their texts at the same interval.
 TEST_F(store_test, texts_of_several_jobs_share_a_write) {
     accept();
@@ -282,8 +296,8 @@
     save_all(term, {make_saved("j", 0, 1, "a"), make_saved("k", 0, 2, "b"),
                     make_saved("l", 0, 3, "c")});
     EXPECT_EQ(client.counters().calls, before + 1);
-    EXPECT_EQ(run(jobs.load_progress(job_id("k"))).at(0).events, 2U);
-    EXPECT_EQ(run(jobs.load_progress(job_id("l"))).at(0).text, "c");
+    EXPECT_EQ(run(jobs.load_progress(job_id("k"))).texts.at(0).events, 2U);
+    EXPECT_EQ(run(jobs.load_progress(job_id("l"))).texts.at(0).text, "c");
 }
 
 TEST_F(store_test, mirror_rereads_after_the_history_is_dropped) {
--- a/tests/servers/batch/item_planner_test.cpp
+++ b/tests/servers/batch/item_planner_test.cpp
@@ -338,6 +338,56 @@
     EXPECT_TRUE(take_commands<commit_results>().empty());
 }
 
+// Guards against an item that engines run and fail without end: each planner
+// counted its failures anew.
+TEST_F(item_planner_test, failures_seen_by_earlier_planners_count) {
+    set_engines(4, 1);
+    job_settings settings;
+    settings.max_attempts = 3;
+    add_job(make_job("j", 0, {{50}}), {}, {}, settings);
+    std::uint32_t saved = 0;
+    for (std::uint32_t run = 1; run <= 2; ++run) {
+        const auto started = take_commands<start_run>();
+        ASSERT_EQ(started.size(), 1U);
+        report(started[0].ticket, 0, 0, run_end::failed);
+        const auto saves = take_commands<save_progress>();
+        ASSERT_EQ(saves.size(), 1U) << "each failure is saved at once";
+        ASSERT_EQ(saves[0].parts.size(), 1U);
+        saved = saves[0].parts[0].failures;
+        EXPECT_EQ(saved, run);
+        now += 1s;
+        step();
+    }
+    planner.drop_all(commands);
+    planner.on_term(true);
+    commands.clear();
+    planner.on_job({.id = job_id("j"), .total = 1}, make_job("j", 0, {{50}}),
+                   settings, {}, {}, now, now, commands);
+    planner.on_saved_failures(job_id("j"), {{0, saved}});
+    step();
+    const auto started = take_commands<start_run>();
+    ASSERT_EQ(started.size(), 1U);
+    report(started[0].ticket, 0, 0, run_end::failed);
+    const auto commits = take_commands<commit_results>();
+    ASSERT_EQ(commits.size(), 1U);
+    EXPECT_FALSE(commits[0].results.at(0).is_completed);
+}
+
+TEST_F(item_planner_test,
+       item_that_earlier_planners_gave_up_is_listed_as_lost) {
+    set_engines(1, 1);
+    job_settings settings;
+    settings.max_attempts = 3;
+    planner.on_job({.id = job_id("j"), .total = 1}, make_job("j", 0, {{50}}),
+                   settings, {}, {}, now, now, commands);
+    planner.on_saved_failures(job_id("j"), {{0, 3}, {7, 3}});
+    step();
+    EXPECT_TRUE(take_commands<start_run>().empty());
+    const auto commits = take_commands<commit_results>();
+    ASSERT_EQ(commits.size(), 1U);
+    EXPECT_FALSE(commits[0].results.at(0).is_completed);
+}
+
 // Guards against a result that counts as listed because an earlier commit of
 // the job was: the planner had dropped the job and added it again meanwhile.
 TEST_F(item_planner_test, outcome_of_a_commit_before_a_drop_is_ignored) {
--- a/tests/servers/batch/run_message_test.cpp
+++ b/tests/servers/batch/run_message_test.cpp
@@ -33,3 +33,15 @@
     EXPECT_EQ(order->tasks[0].origin.software, software_version("v1"));
     EXPECT_EQ(order->tasks[0].max_events, 0U) << "not known";
 }
+
+// Recorded from an instance before the member `failures`.
+TEST(run_message_test, saved_text_of_an_older_instance_is_read) {
+    const auto parts = wire::decode<std::vector<saved_progress>>(
+        "\x81\x86\x03\x00\x02\x61t\x81\x01\x82\x62v1\x07"s);
+    ASSERT_TRUE(parts);
+    ASSERT_EQ(parts->size(), 1U);
+    EXPECT_EQ(parts->at(0).item, 3U);
+    EXPECT_EQ(parts->at(0).events, 2U);
+    EXPECT_EQ(parts->at(0).origin.first_run, 7U);
+    EXPECT_EQ(parts->at(0).failures, 0U);
+}
