List results in parts that fit into a value of the store

Results that finish while the store is away were committed in one write, of any size. The store refuses a value above 1 MiB for good, so their job never got another result.

A commit takes results up to half of a value, at least one; the rest follows in the next.

--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -1036,15 +1036,17 @@
             now < commit_due(job)) {
             continue;
         }
-        const bool is_last =
-            job.next_position + job.ready.size() >= job.items.size();
         job.commit_number = ++last_commit_number_;
         commit_results commit{.job = id,
                               .number = job.commit_number,
-                              .first_position = job.next_position,
-                              .is_last = is_last};
+                              .first_position = job.next_position};
+        std::size_t bytes = 0;
         for (const std::size_t index : job.ready) {
             const item_state& item = job.items[index];
+            bytes += item.progress.text.size();
+            if (bytes > options_.max_commit_bytes && !commit.results.empty()) {
+                break;
+            }
             commit.results.push_back(
                 {.item = job.submission->items[index].id,
                  .is_completed = !item.is_given_up,
@@ -1052,9 +1054,13 @@
                  .versions = item.progress.versions,
                  .score = item.score});
         }
-        job.in_commit = std::move(job.ready);
-        job.ready.clear();
-        job.has_complete_group = false;
+        const auto taken = static_cast<std::ptrdiff_t>(commit.results.size());
+        commit.is_last =
+            job.next_position + commit.results.size() >= job.items.size();
+        job.in_commit.assign(job.ready.begin(), job.ready.begin() + taken);
+        job.ready.erase(job.ready.begin(), job.ready.begin() + taken);
+        // What is left follows soon.
+        job.has_complete_group = !job.ready.empty();
         job.is_committing = true;
         out.emplace_back(std::move(commit));
     }
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -276,6 +276,10 @@
     /// Maximum number of texts kept from ended jobs, in case a later job
     /// submits the same items again.
     std::size_t max_retained_texts = 2'048;
+    /// Maximum size of the texts in one commit of several results. The store
+    /// refuses larger values for good; half of its limit leaves room for base64
+    /// and escapes.
+    std::size_t max_commit_bytes = 1U << 19U;
     /// Maximum size of an item's text. A longer one fits into no value of the
     /// store and so can't be listed.
     std::size_t max_text_bytes = default_max_text_bytes;
--- a/tests/servers/batch/item_planner_test.cpp
+++ b/tests/servers/batch/item_planner_test.cpp
@@ -388,6 +388,42 @@
     EXPECT_FALSE(commits[0].results.at(0).is_completed);
 }
 
+// Load pattern: many long items finish while the store is away. One value of
+// the store can't hold all of their texts, and their commit was refused for
+// good.
+TEST_F(item_planner_test, results_too_large_for_one_value_are_listed_in_parts) {
+    set_engines(3, 1);
+    const auto job = make_job("j", 0, {{50, 50, 50}});
+    add_job(job);
+    const auto started = take_commands<start_run>();
+    ASSERT_EQ(started.size(), 3U);
+    planner.on_term(false);
+    for (const start_run& run : started) {
+        report(run.ticket, 0, 50, run_end::complete,
+               std::string(200U << 10U, 't'));
+    }
+    planner.on_term(true);
+    add_job(job);
+    std::vector<std::size_t> counts;
+    while (planner.has_job(job->id)) {
+        auto commits = take_commands<commit_results>();
+        ASSERT_EQ(commits.size(), 1U);
+        std::size_t bytes = 0;
+        for (const item_result& result : commits[0].results) {
+            bytes += result.text.size();
+        }
+        EXPECT_LE(bytes, 1U << 19U);
+        EXPECT_EQ(commits[0].first_position, counts.empty() ? 0U : counts[0]);
+        counts.push_back(commits[0].results.size());
+        EXPECT_EQ(commits[0].is_last, counts.size() == 2U);
+        planner.on_committed(job->id, commits[0].number, commit_end::listed,
+                             now, commands);
+        now += 1s;
+        step();
+    }
+    EXPECT_EQ(counts, (std::vector<std::size_t>{2, 1}));
+}
+
 // Guards against a result that counts as listed because an earlier commit of
 // the job was: the planner had dropped the job and added it again meanwhile.
 TEST_F(item_planner_test, outcome_of_a_commit_before_a_drop_is_ignored) {
