Let the soak's stand-ins go on while a connection's owner is looked up

Cause: the proxy of an upstream finds the process of each connection in /proc/net/tcp, up to 20 times, in the event loop of all stand-ins. The table has the whole machine's connections: 62 ms for 5,986 rows. Instances gave up after 300 ms and connected again, and connections that were closed meanwhile were looked for as well, so the stand-ins fell behind for good (one had 3,099 descriptors, its instances 37).

The lookup runs in a thread, reads only rows with the port, and ends once the connection is closed.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -99,11 +99,15 @@
         server = await asyncio.start_server(self.serve, ip, 0)
         self.address = "%s:%d" % server.sockets[0].getsockname()[:2]
 
-    async def find_owner(self, writer):
-        """The node that opened a connection; None if it isn't known. Looks
-        several times: /proc/net/tcp isn't read atomically."""
+    async def find_owner(self, reader, writer):
+        """The node that opened a connection; None if it isn't known or has
+        closed it. Looks several times: /proc/net/tcp isn't read atomically. It
+        has the whole machine's connections, so the other stand-ins must go on
+        meanwhile."""
         for _ in range(20):
-            if node := self.owner(writer):
+            if reader.at_eof():
+                return None
+            if node := await asyncio.to_thread(self.owner, writer):
                 return node
             await asyncio.sleep(0.01)
         return None
@@ -118,7 +122,8 @@
         ends = [encode(writer.get_extra_info(name))
                 for name in ("peername", "sockname")]
         with open("/proc/net/tcp") as table:
-            inodes = {row[9] for row in (line.split() for line in table)
+            inodes = {row[9] for row in (line.split() for line in table
+                                         if ends[0] in line)
                       if row[1:3] == ends}
         for node in self.nodes:
             folder = f"/proc/{node.process.pid}/fd"
@@ -143,7 +148,7 @@
                     writer.transport.abort()
 
     async def serve(self, reader, writer):
-        node = await self.find_owner(writer)
+        node = await self.find_owner(reader, writer)
         while self.how(node) == "hang":
             await asyncio.sleep(0.05)
         if self.how(node) in ("reset", "refuse"):
