Don't look for the owner of a connection that isn't in the table

Where the soak's proxy finds no row for a connection, its client has closed it or the table was read while it changed. The descriptors of all instances, 24 in a large soak, were still read, up to 20 times.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -125,6 +125,8 @@
             inodes = {row[9] for row in (line.split() for line in table
                                          if ends[0] in line)
                       if row[1:3] == ends}
+        if not inodes:
+            return None
         for node in self.nodes:
             folder = f"/proc/{node.process.pid}/fd"
             try:
