Describe organisations, duties and hard load, and their shared interfaces

Cause: no part of the code knows organisations, keys or duties towards the platform, and several new parts need the same members of configuration, settings, records and messages.

Nothing uses them yet.

Result: builds; behaviour is unchanged.

--- a/core/ids.hpp
+++ b/core/ids.hpp
@@ -33,6 +33,8 @@
 using instance_id = text_id<struct instance_tag>;
 using availability_zone = text_id<struct availability_zone_tag>;
 using caller_id = text_id<struct caller_tag>;
+/// A customer whose callers share keys. Empty where there are none.
+using organisation_id = text_id<struct organisation_tag>;
 using upstream_id = text_id<struct upstream_tag>;
 using service_name = text_id<struct service_tag>;
 using request_id = text_id<struct request_tag>;
--- a/core/node_settings.hpp
+++ b/core/node_settings.hpp
@@ -22,6 +22,20 @@
     std::chrono::milliseconds min_lease_time{1'000};
 };
 
+/// The platform's interface for duties of the deployment as a whole.
+struct duty_settings {
+    endpoint address;
+    bool must_report_usage = false;
+    bool may_scale = false;
+    /// Calls per second that the platform accepts from all instances together.
+    double calls_per_second = 0;
+    /// The platform refuses calls with a lower fencing token than the highest.
+    bool is_fence_checked = true;
+    /// Length of a usage window, and when its report is due after its end.
+    std::chrono::milliseconds usage_window{5'000};
+    std::chrono::milliseconds usage_due{10'000};
+};
+
 /// Settings of an instance and its machine, read when the instance starts.
 struct node_settings {
     instance_id instance;
@@ -46,6 +60,14 @@
     /// The time within which a change of the configuration, or of an upstream's
     /// state, must take effect on all instances.
     std::chrono::milliseconds change_bound{2'000};
+    /// The time after which a request with a removed key must not run on any
+    /// instance; absent if keys follow `change_bound` like other changes.
+    std::optional<std::chrono::milliseconds> revocation_bound;
+    /// Memory and file descriptors of the process; 0 if not limited.
+    std::size_t memory_bytes = 0;
+    std::size_t max_descriptors = 0;
+    /// Absent if the deployment has no such duties.
+    std::optional<duty_settings> duties;
 };
 
 } // namespace savorydock
--- a/drivers/front/plain_caller.hpp
+++ b/drivers/front/plain_caller.hpp
@@ -26,6 +26,10 @@
     const route_rule& route;
     http_request request;
     std::string id;
+    /// The organisation of the caller; empty if it has none.
+    organisation_id organisation;
+    /// The caller's own credentials and organisation header aren't passed on.
+    bool strips_credentials = false;
     steady_time deadline;
     /// Whether the upstream gets the remaining time as its deadline.
     bool must_forward_deadline = true;
--- a/drivers/front/stream_forwarder.hpp
+++ b/drivers/front/stream_forwarder.hpp
@@ -55,6 +55,10 @@
     const platform::caller_call& call;
     crash_guard& guard;
     steady_time deadline;
+    /// The organisation of the caller; empty if it has none.
+    organisation_id organisation;
+    /// The caller's own credentials and organisation header aren't passed on.
+    bool strips_credentials = false;
 };
 
 /// Passes the stream of an upstream to a caller. If it breaks, continues it at
--- a/servers/batch/batch_job.hpp
+++ b/servers/batch/batch_job.hpp
@@ -62,6 +62,9 @@
     std::uint32_t total = 0;
     /// Number of store keys that hold the submission.
     std::uint32_t parts = 1;
+    /// The organisation that submitted the job; empty if it has none, or if an
+    /// older build wrote the record.
+    organisation_id organisation;
     /// Wall-clock time of acceptance, in Unix milliseconds.
     std::int64_t accepted_at = 0;
     /// The trainer ended the job, or all results are listed.
--- a/servers/batch/job_keys.cpp
+++ b/servers/batch/job_keys.cpp
@@ -76,14 +76,18 @@
 }
 
 std::string encode_job_record(const job_record& record) {
-    return json::serialize(json::object{{"route", record.route},
-                                        {"host", record.host},
-                                        {"service", record.service.text()},
-                                        {"total", record.total},
-                                        {"parts", record.parts},
-                                        {"accepted_at", record.accepted_at},
-                                        {"ended", record.is_ended},
-                                        {"complete", record.is_complete}});
+    json::object text{{"route", record.route},
+                      {"host", record.host},
+                      {"service", record.service.text()},
+                      {"total", record.total},
+                      {"parts", record.parts},
+                      {"accepted_at", record.accepted_at},
+                      {"ended", record.is_ended},
+                      {"complete", record.is_complete}};
+    if (!record.organisation.is_empty()) {
+        text["organisation"] = record.organisation.text();
+    }
+    return json::serialize(text);
 }
 
 outcome<job_record> decode_job_record(std::string_view key,
@@ -95,6 +99,8 @@
     }
     try {
         const json::value source = json::parse(text);
+        const json::value* const organisation =
+            source.as_object().if_contains("organisation");
         const auto accepted_at =
             source.at("accepted_at").to_number<std::int64_t>();
         if (accepted_at < 0 || accepted_at > max_accepted_at) {
@@ -108,6 +114,10 @@
                 service_name(std::string(source.at("service").as_string())),
             .total = source.at("total").to_number<std::uint32_t>(),
             .parts = source.at("parts").to_number<std::uint32_t>(),
+            .organisation =
+                organisation == nullptr
+                    ? organisation_id()
+                    : organisation_id(std::string(organisation->as_string())),
             .accepted_at = accepted_at,
             .is_ended = source.at("ended").as_bool(),
             .is_complete = source.at("complete").as_bool()};
--- a/servers/batch/run_message.hpp
+++ b/servers/batch/run_message.hpp
@@ -46,12 +46,14 @@
     text_origin origin;
     /// Most events that the item's whole text may have; 0 if not known.
     std::uint64_t max_events = 0;
+    /// The organisation of the job; empty if it has none.
+    organisation_id organisation;
 };
 BOOST_DESCRIBE_STRUCT(run_task, (),
                       (ticket, is_scoring, job, id, host, path, headers, body,
                        upstream, address, min_version, is_single_version,
                        after_event, text, versions, text_ticket, origin,
-                       max_events))
+                       max_events, organisation))
 
 /// Message from the planner of a service to an instance that runs its items.
 /// Without tasks or tickets it serves as a heartbeat of the planner.
--- a/servers/control_server.hpp
+++ b/servers/control_server.hpp
@@ -39,10 +39,13 @@
     job_notice = 15,
     result_request = 16,
     result_reply = 17,
+    usage_counts = 18,
+    usage_receipt = 19,
+    worker_demand = 20,
 };
 
 /// The topic with the highest number; keep it in step with the enumeration.
-inline constexpr peer_topic last_peer_topic = peer_topic::result_reply;
+inline constexpr peer_topic last_peer_topic = peer_topic::worker_demand;
 
 /// A message between two instances. `body` is a struct of the topic, encoded as
 /// core/wire_codec.hpp defines.
--- a/servers/fleet/fleet_configuration.hpp
+++ b/servers/fleet/fleet_configuration.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -53,6 +54,16 @@
     std::chrono::milliseconds batch_time_to_live{0};
     /// All events of a sample must come from the same version of the weights.
     bool is_single_version = false;
+    /// Callers need no key, also where the configuration has organisations.
+    bool is_public = false;
+};
+
+/// An organisation whose callers identify themselves by its keys.
+struct organisation_rule {
+    organisation_id name;
+    std::vector<std::string> keys;
+    /// Takes precedence over the priority of routes; 0 is the highest.
+    std::optional<std::uint32_t> priority;
 };
 
 /// Settings of a service whose upstreams are model engines.
@@ -64,12 +75,27 @@
     std::vector<std::string> models;
 };
 
+/// How many upstreams of a service may be ordered, and what they cost.
+struct scaling_rule {
+    /// Per zone, for both kinds of upstreams together.
+    std::uint32_t min_upstreams = 0;
+    std::uint32_t max_upstreams = 0;
+    /// From the order until a new upstream serves.
+    std::chrono::milliseconds start_time{0};
+    /// Price of a reclaimable upstream as a fraction of that of others.
+    double spot_price = 1;
+    /// Price of one upstream for a second, by zone.
+    std::map<availability_zone, double> zone_prices;
+};
+
 /// A service to which routes send requests.
 struct service_rule {
     service_name name;
     /// Connections that one upstream accepts from all instances together.
     std::uint32_t max_connections = 0;
     std::optional<engine_rule> engine;
+    /// Absent if upstreams of the service can't be ordered.
+    std::optional<scaling_rule> scaling;
 };
 
 /// Size and time limits for requests of callers.
@@ -87,6 +113,8 @@
     store_revision revision = 0;
     std::vector<route_rule> routes;
     std::vector<service_rule> services;
+    /// If empty, callers need no keys.
+    std::vector<organisation_rule> organisations;
     caller_bounds bounds;
 };
 
--- a/servers/fleet/fleet_state.hpp
+++ b/servers/fleet/fleet_state.hpp
@@ -25,6 +25,11 @@
     /// Called when the request limit that an upstream names has changed.
     std::function<void(const upstream_id&, std::optional<double> limit)>
         on_limit_changed = [](const upstream_id&, std::optional<double>) {};
+    /// Called once per request when an upstream has begun, or may have begun,
+    /// to run it: with the time of the send, or of a stream's first event. Not
+    /// called for batch items and for requests without an organisation.
+    std::function<void(const organisation_id&, steady_time)> on_run_began =
+        [](const organisation_id&, steady_time) {};
     /// Returns how old `routes` and `upstreams` may be.
     std::function<view_age()> find_view_age = [] { return view_age{}; };
 };
--- a/servers/fleet/upstream_entry.hpp
+++ b/servers/fleet/upstream_entry.hpp
@@ -24,6 +24,9 @@
     /// What upstreams of different software versions write doesn't fit
     /// together.
     software_version software;
+    /// It may be taken away at short notice, together with the others of its
+    /// zone.
+    bool is_reclaimable = false;
     /// Version of the weights that it has loaded, by model.
     std::map<std::string, weight_version> versions;
 
--- a/servers/fleet/view_age.hpp
+++ b/servers/fleet/view_age.hpp
@@ -14,6 +14,10 @@
     bool is_current = true;
     /// Time since the copies were known to be complete; absent if unknown.
     std::optional<std::chrono::milliseconds> age;
+    /// Upper bound of the time since the copies included the store's state,
+    /// which also holds after a suspension of the process and behind slow
+    /// links; absent if unknown.
+    std::optional<std::chrono::milliseconds> confirmed_age;
     /// Sequence numbers of the last change that the feeder announced, and of
     /// the last one that this instance has; of the prefix that is furthest
     /// behind.
