Count the age of data from answers about the data, and the time under way

Cause: a feeder took each answer of the store, also of lease renewals, as contact of its data, so its followers counted as current while its watch was lost; and ages in heartbeats were counted from their arrival, so the time under way on a slow link was left out. Requests for routes that had been added, or with keys that had been removed, could be judged by outdated copies.

Change: contact by other calls extends that of the data by 600 ms at most after the last answer to a watch or reread. Heartbeats carry the feeder's clock, and requests are echoed, from which a follower knows the earliest time at which a heartbeat can have been sent. Besides, each instance knows an upper bound of the age of its configuration that holds after suspensions, behind slow links and with lost watches, for decisions on removed keys. Members are added at the end of messages; ages in those of the previous build are used as before.

Ruled out: shorter watches alone, which cost store calls on all deployments and leave the slow link.

--- a/core/boot_clock.hpp
+++ b/core/boot_clock.hpp
@@ -23,6 +23,12 @@
         return time_point(std::chrono::seconds(time.tv_sec) +
                           std::chrono::nanoseconds(time.tv_nsec));
     }
+
+    /// The current reading, for messages to other instances. Thread safe.
+    [[nodiscard]] static std::chrono::milliseconds reading() {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+            now().time_since_epoch());
+    }
 };
 
 } // namespace savorydock
--- a/drivers/feed/store_feed.cpp
+++ b/drivers/feed/store_feed.cpp
@@ -43,6 +43,14 @@
 /// How often a feeder whose own copies aren't complete yet checks whether they
 /// are.
 constexpr std::chrono::milliseconds incomplete_copy_period{50};
+/// How long after the last answer to a watch the contact to the store by other
+/// calls counts as contact of the data: a watch may be lost without a sign.
+/// Together with a follower's limit of the age it must stay within 2 s.
+constexpr std::chrono::milliseconds max_unconfirmed_contact{600};
+/// A message of the feeder that took longer, as far as is known, is followed by
+/// a request for a better bound, at most this often.
+constexpr std::chrono::milliseconds max_known_transit{150};
+constexpr std::chrono::milliseconds clock_request_pause{1'000};
 /// Smallest `change_bound` with which changes may take two hops.
 constexpr std::chrono::milliseconds min_bound_for_root{3'000};
 /// Limits of the age of data with two hops. The difference leaves a feeder the
@@ -294,11 +302,33 @@
         return std::nullopt;
     }
     const steady_time contact =
-        is_from_feeder ? source().last_contact() : store_.last_contact();
+        is_from_feeder ? source().last_contact() : last_own_contact();
     return std::chrono::duration_cast<std::chrono::milliseconds>(
         std::chrono::steady_clock::now() - contact);
 }
 
+steady_time store_feed::last_own_contact() const {
+    steady_time contact = store_.last_contact();
+    for (const auto& source : subscriptions_) {
+        contact = std::min(contact, source->mirror.answered_at() +
+                                        max_unconfirmed_contact);
+    }
+    return contact;
+}
+
+std::optional<std::chrono::milliseconds> store_feed::confirmed_age() const {
+    auto confirmed_at =
+        std::max(zone_follower_.confirmed_at(), root_follower_.confirmed_at());
+    if (const auto own = subscriptions_.front()->mirror.confirmed_at()) {
+        confirmed_at = std::max(
+            confirmed_at,
+            std::optional(std::chrono::duration_cast<std::chrono::milliseconds>(
+                own->time_since_epoch())));
+    }
+    return confirmed_at ? std::optional(boot_clock::reading() - *confirmed_at)
+                        : std::nullopt;
+}
+
 bool store_feed::has_current_copies() const {
     return std::all_of(
         subscriptions_.begin(), subscriptions_.end(),
@@ -314,6 +344,7 @@
     const auto gap = source().find_gap(std::chrono::steady_clock::now());
     return {.is_current = is_data_current(),
             .age = data_age(),
+            .confirmed_age = confirmed_age(),
             .announced = gap.announced,
             .held = gap.held,
             .missing_for = gap.missing_for};
@@ -408,12 +439,12 @@
     const subscription* const source = find_subscription(prefix);
     const bool has_base =
         copy.has_snapshot() && source != nullptr && !source->needs_snapshot;
-    send(
-        feeder, peer_topic::feed_request,
-        wire::encode(feed_request{.prefix = prefix,
-                                  .is_between_zones = is_between_zones,
-                                  .address = to_text(options_.address),
-                                  .revision = has_base ? copy.revision() : 0}));
+    send(feeder, peer_topic::feed_request,
+         wire::encode(feed_request{.prefix = prefix,
+                                   .is_between_zones = is_between_zones,
+                                   .address = to_text(options_.address),
+                                   .revision = has_base ? copy.revision() : 0,
+                                   .sent_at = boot_clock::reading()}));
 }
 
 void store_feed::request_changes(const feed_follower& follower,
@@ -509,12 +540,17 @@
     }
 }
 
-std::optional<feed_heartbeat> store_feed::make_heartbeat() const {
+std::optional<feed_heartbeat>
+store_feed::make_heartbeat(std::chrono::milliseconds request_sent_at) const {
     const auto age = data_age();
     if (!is_feeder() || !age || (!is_following() && *age >= max_contact_age)) {
         return std::nullopt;
     }
-    feed_heartbeat heartbeat{.term = term_.term()->revision, .age = *age};
+    feed_heartbeat heartbeat{.term = term_.term()->revision,
+                             .age = *age,
+                             .confirmed_age = confirmed_age(),
+                             .sent_at = boot_clock::reading(),
+                             .request_sent_at = request_sent_at};
     for (const auto& source : subscriptions_) {
         heartbeat.numbers.push_back(source->pushes);
     }
@@ -562,7 +598,7 @@
 void store_feed::send_reply(subscription& source, const feed_request& request,
                             const instance_id& to) {
     const auto address = parse_endpoint(request.address);
-    auto heartbeat = make_heartbeat();
+    auto heartbeat = make_heartbeat(request.sent_at);
     if (!address || !heartbeat) {
         return;
     }
@@ -665,15 +701,53 @@
     source.mirror.apply_snapshot(std::move(values), push.revision);
 }
 
+std::optional<std::chrono::milliseconds>
+store_feed::correct_for_transit(feed_heartbeat& heartbeat,
+                                const instance_id& feeder) {
+    const bool is_from_root = heartbeat.is_between_zones;
+    remote_clock& clock =
+        is_from_root ? root_feeder_clock_ : zone_feeder_clock_;
+    store_revision& term = is_from_root ? root_clock_term_ : zone_clock_term_;
+    if (heartbeat.sent_at == std::chrono::milliseconds(0) ||
+        heartbeat.term < term) {
+        return std::nullopt;
+    }
+    if (heartbeat.term > term) {
+        term = heartbeat.term;
+        clock.reset();
+    }
+    if (heartbeat.request_sent_at > std::chrono::milliseconds(0)) {
+        clock.on_answer(heartbeat.request_sent_at, heartbeat.sent_at);
+    }
+    const auto now = boot_clock::reading();
+    const auto sent_at = clock.earliest_local(heartbeat.sent_at);
+    if (sent_at) {
+        heartbeat.age += std::max(now - *sent_at, std::chrono::milliseconds(0));
+    }
+    const bool is_well_known = sent_at && now - *sent_at <= max_known_transit;
+    const steady_time steady_now = std::chrono::steady_clock::now();
+    if (!is_well_known &&
+        steady_now >= clock_requested_at_ + clock_request_pause) {
+        clock_requested_at_ = steady_now;
+        request_changes(feeder, subscriptions_.front()->mirror.prefix(),
+                        is_from_root);
+    }
+    return sent_at && heartbeat.confirmed_age
+               ? std::optional(*sent_at - *heartbeat.confirmed_age)
+               : std::nullopt;
+}
+
 void store_feed::handle_heartbeat(const peer_message& message) {
-    const auto heartbeat = wire::decode<feed_heartbeat>(message.body);
+    auto heartbeat = wire::decode<feed_heartbeat>(message.body);
     if (!heartbeat || !is_from_source(heartbeat->is_between_zones)) {
         return;
     }
+    const auto confirmed_at = correct_for_transit(*heartbeat, message.from);
     feed_follower& follower =
         heartbeat->is_between_zones ? root_follower_ : zone_follower_;
-    const auto stale_prefixes = follower.on_heartbeat(
-        message.from, *heartbeat, std::chrono::steady_clock::now());
+    const auto stale_prefixes =
+        follower.on_heartbeat(message.from, *heartbeat,
+                              std::chrono::steady_clock::now(), confirmed_at);
     request_changes(follower, stale_prefixes, heartbeat->is_between_zones);
     update_mode();
 }
--- a/drivers/feed/store_feed.hpp
+++ b/drivers/feed/store_feed.hpp
@@ -8,6 +8,7 @@
 #include "servers/feed/change_history.hpp"
 #include "servers/feed/feed_follower.hpp"
 #include "servers/feed/node_directory.hpp"
+#include "servers/feed/remote_clock.hpp"
 #include "servers/feed/root_feeder.hpp"
 #include "servers/feed/value_history.hpp"
 #include "servers/fleet/view_age.hpp"
@@ -138,6 +139,13 @@
     /// Time since this instance's data was known to be current; nothing if it
     /// isn't.
     [[nodiscard]] std::optional<std::chrono::milliseconds> data_age() const;
+    /// When the own watches last showed that the copies are complete, as far as
+    /// the contact to the store by other calls may stand for their answers.
+    [[nodiscard]] steady_time last_own_contact() const;
+    /// Upper bound of the time since the copy of the first prefix included the
+    /// store's state, also after a suspension; absent if unknown.
+    [[nodiscard]] std::optional<std::chrono::milliseconds>
+    confirmed_age() const;
     void update_mode();
     /// Leaves the reading of all but the control keys to the zone's feeder for
     /// a time after the start.
@@ -150,8 +158,10 @@
     void send_heartbeats();
     void push(const subscription& source,
               const std::vector<store_change>& changes);
-    /// Returns nothing if the copies are not current.
-    [[nodiscard]] std::optional<feed_heartbeat> make_heartbeat() const;
+    /// Returns nothing if the copies are not current. `request_sent_at` as in
+    /// `feed_heartbeat`.
+    [[nodiscard]] std::optional<feed_heartbeat>
+    make_heartbeat(std::chrono::milliseconds request_sent_at = {}) const;
     /// Sends a heartbeat to all that follow this instance. Returns false if the
     /// copies are not current.
     bool announce();
@@ -173,6 +183,12 @@
     [[nodiscard]] subscription* find_subscription(const std::string& prefix);
     void handle_push(const peer_message& message);
     void handle_heartbeat(const peer_message& message);
+    /// Adds the time that the heartbeat was under way to its age, as far as
+    /// that is known. Returns the time, by the own boot clock, up to which the
+    /// feeder's copy of the first prefix included the store's state; nothing if
+    /// that isn't known.
+    [[nodiscard]] std::optional<std::chrono::milliseconds>
+    correct_for_transit(feed_heartbeat& heartbeat, const instance_id& feeder);
     [[nodiscard]] std::chrono::milliseconds since_outage() const;
     void send(const instance_id& to, peer_topic topic, std::string body);
     void send_to(const endpoint& address, const instance_id& to,
@@ -193,6 +209,13 @@
     std::vector<std::unique_ptr<subscription>> subscriptions_;
     feed_follower zone_follower_;
     feed_follower root_follower_;
+    remote_clock zone_feeder_clock_;
+    remote_clock root_feeder_clock_;
+    /// The terms that the clocks belong to, and when a request for a better
+    /// reading was last made.
+    store_revision zone_clock_term_ = 0;
+    store_revision root_clock_term_ = 0;
+    steady_time clock_requested_at_{};
     boost::asio::io_context& context_;
     boost::asio::steady_timer heartbeat_timer_;
     boost::asio::steady_timer freshness_timer_;
--- a/drivers/store/store_mirror.cpp
+++ b/drivers/store/store_mirror.cpp
@@ -96,7 +96,13 @@
     co_await sleep(std::min(first_pause * factor, longest_pause_));
 }
 
+void store_mirror::confirm(boot_clock::time_point time) {
+    answered_at_ = std::chrono::steady_clock::now();
+    confirmed_at_ = std::max(confirmed_at_, std::optional(time));
+}
+
 asio::awaitable<bool> store_mirror::reread() {
+    const boot_clock::time_point sent_at = boot_clock::now();
     auto page = co_await client_.read_range(prefix_, {}, relay_use::none);
     if (!page) {
         log_.write(log_event::store_call_failed,
@@ -105,6 +111,7 @@
         co_return false;
     }
     must_read_ = false;
+    confirm(sent_at);
     const auto changes = copy_.replace(std::move(page->values), page->revision);
     log_.write(log_event::store_history_reread,
                "prefix=" + prefix_ +
@@ -117,6 +124,7 @@
 
 asio::awaitable<bool> store_mirror::follow() {
     wake_.expires_after(until_woken);
+    const boot_clock::time_point sent_at = boot_clock::now();
     auto result =
         co_await (client_.watch(prefix_, copy_.revision(), watch_wait) ||
                   wake_.async_wait(asio::as_tuple(asio::use_awaitable)));
@@ -132,6 +140,10 @@
         co_return false;
     }
     const bool has_changes = !changes->changes.empty();
+    // The store answers a watch without changes at the end of its wait.
+    const bool has_waited =
+        !has_changes && boot_clock::now() >= sent_at + watch_wait;
+    confirm(has_waited ? sent_at + watch_wait : sent_at);
     apply_changes(std::move(changes->changes), changes->revision);
     if (has_changes) {
         co_await sleep(gather_time);
--- a/drivers/store/store_mirror.hpp
+++ b/drivers/store/store_mirror.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/boot_clock.hpp"
+#include "core/clock.hpp"
 #include "core/logger.hpp"
 #include "drivers/store/store_client.hpp"
 #include "servers/feed/key_copy.hpp"
@@ -10,6 +12,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -72,6 +75,13 @@
     [[nodiscard]] const key_copy& copy() const { return copy_; }
     /// Whether no watch has failed since the last reread.
     [[nodiscard]] bool is_current() const { return !must_read_; }
+    /// When the store last answered a read or watch of this mirror.
+    [[nodiscard]] steady_time answered_at() const { return answered_at_; }
+    /// The time up to which the copy is known to include the store's state;
+    /// absent if no call of this mirror was answered yet.
+    [[nodiscard]] std::optional<boot_clock::time_point> confirmed_at() const {
+        return confirmed_at_;
+    }
     [[nodiscard]] const std::string& prefix() const { return prefix_; }
 
 private:
@@ -79,6 +89,8 @@
     boost::asio::awaitable<bool> follow();
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds time);
     boost::asio::awaitable<void> pause();
+    /// The store answered a call, and the copy includes its state at this time.
+    void confirm(boot_clock::time_point time);
 
     store_client& client_;
     std::string prefix_;
@@ -91,6 +103,8 @@
     /// Cancelled to end a sleep or a watch in progress.
     boost::asio::steady_timer wake_;
     std::uint32_t failures_in_row_ = 0;
+    steady_time answered_at_{};
+    std::optional<boot_clock::time_point> confirmed_at_;
     std::chrono::milliseconds longest_pause_{800};
 };
 
--- a/servers/feed/feed_follower.cpp
+++ b/servers/feed/feed_follower.cpp
@@ -48,17 +48,18 @@
     return static_cast<std::size_t>(found - options_.prefixes.begin());
 }
 
-std::vector<std::string>
-feed_follower::on_heartbeat(const instance_id& feeder,
-                            const feed_heartbeat& heartbeat, steady_time now) {
+std::vector<std::string> feed_follower::on_heartbeat(
+    const instance_id& feeder, const feed_heartbeat& heartbeat, steady_time now,
+    std::optional<std::chrono::milliseconds> confirmed_at) {
     follow_newer_term(feeder, heartbeat.term);
     if (heartbeat.term != term_ ||
         heartbeat.numbers.size() != prefixes_.size()) {
         return {};
     }
     last_heard_ = now;
-    announcements_.push_back(
-        {.numbers = heartbeat.numbers, .contact = now - heartbeat.age});
+    announcements_.push_back({.numbers = heartbeat.numbers,
+                              .contact = now - heartbeat.age,
+                              .confirmed_at = confirmed_at});
     if (announcements_.size() > max_announcements) {
         announcements_.pop_front();
     }
@@ -99,7 +100,10 @@
         return true;
     };
     while (!announcements_.empty() && is_complete(announcements_.front())) {
-        last_contact_ = std::max(last_contact_, announcements_.front().contact);
+        const announcement& complete = announcements_.front();
+        last_contact_ = std::max(last_contact_, complete.contact);
+        // An absent time compares as the earliest.
+        confirmed_at_ = std::max(confirmed_at_, complete.confirmed_at);
         announcements_.pop_front();
     }
 }
--- a/servers/feed/feed_follower.hpp
+++ b/servers/feed/feed_follower.hpp
@@ -52,11 +52,14 @@
 public:
     explicit feed_follower(feed_follower_options options);
 
-    /// Processes a heartbeat. Returns the prefixes whose changes the caller
-    /// must request.
+    /// Processes a heartbeat. `confirmed_at` is the time, by the own boot
+    /// clock, up to which the feeder's copy of the first prefix included the
+    /// store's state; absent if unknown. Returns the prefixes whose changes the
+    /// caller must request.
     [[nodiscard]] std::vector<std::string>
     on_heartbeat(const instance_id& feeder, const feed_heartbeat& heartbeat,
-                 steady_time now);
+                 steady_time now,
+                 std::optional<std::chrono::milliseconds> confirmed_at = {});
 
     [[nodiscard]] push_action on_push(const instance_id& feeder,
                                       const feed_push& push, steady_time now);
@@ -80,6 +83,14 @@
     /// been applied.
     [[nodiscard]] steady_time last_contact() const { return last_contact_; }
 
+    /// The time, by the own boot clock, up to which the own copy of the first
+    /// prefix includes the store's state; absent if unknown. Doesn't depend on
+    /// which feeder is followed: copies never go back.
+    [[nodiscard]] std::optional<std::chrono::milliseconds>
+    confirmed_at() const {
+        return confirmed_at_;
+    }
+
     [[nodiscard]] const instance_id& feeder() const { return feeder_; }
 
     /// Changes that the feeder announced and this instance doesn't have.
@@ -116,6 +127,7 @@
         std::vector<std::uint64_t> numbers;
         /// When the feeder had last reached the store.
         steady_time contact{};
+        std::optional<std::chrono::milliseconds> confirmed_at;
     };
 
     void follow_newer_term(const instance_id& feeder, store_revision term);
@@ -129,6 +141,7 @@
     store_revision term_ = 0;
     steady_time last_contact_{};
     steady_time last_heard_{};
+    std::optional<std::chrono::milliseconds> confirmed_at_;
     std::vector<prefix_state> prefixes_;
     /// In the order of arrival.
     std::deque<announcement> announcements_;
--- a/servers/feed/feed_message.hpp
+++ b/servers/feed/feed_message.hpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -76,9 +77,17 @@
     std::vector<std::uint64_t> numbers;
     /// Sent by the root feeder to the feeder of another zone.
     bool is_between_zones = false;
+    /// Upper bound of the time since the feeder's copy of the first prefix
+    /// included the store's state; absent if unknown.
+    std::optional<std::chrono::milliseconds> confirmed_age;
+    /// The feeder's clock when this was sent; 0 from older builds.
+    std::chrono::milliseconds sent_at{0};
+    /// If sent in reply to a request: the `sent_at` of that request.
+    std::chrono::milliseconds request_sent_at{0};
 };
 BOOST_DESCRIBE_STRUCT(feed_heartbeat, (),
-                      (term, age, numbers, is_between_zones))
+                      (term, age, numbers, is_between_zones, confirmed_age,
+                       sent_at, request_sent_at))
 
 /// Requests the changes that the sender lacks under a prefix.
 struct feed_request {
@@ -90,8 +99,10 @@
     /// The sender's copy includes all changes up to this revision; 0 if it has
     /// no copy and needs a snapshot.
     store_revision revision = 0;
+    /// The sender's clock when this was sent; 0 from older builds.
+    std::chrono::milliseconds sent_at{0};
 };
 BOOST_DESCRIBE_STRUCT(feed_request, (),
-                      (prefix, is_between_zones, address, revision))
+                      (prefix, is_between_zones, address, revision, sent_at))
 
 } // namespace savorydock
--- a/tests/drivers/feed/store_feed_test.cpp
+++ b/tests/drivers/feed/store_feed_test.cpp
@@ -322,6 +322,40 @@
               bound);
 }
 
+// Guards against requests with keys that were removed: an instance that lacks a
+// change must not confirm that its copy is as new as the change.
+TEST_F(store_feed_short_bound_test,
+       confirmed_age_without_a_change_is_at_least_the_age_of_the_change) {
+    ASSERT_TRUE(wait([&] { return watchers() == 1; }, 5s));
+    for (const auto& [instance, one] : transport.members) {
+        if (one->feed.is_following()) {
+            transport.delays[instance] = 1'000ms;
+            break;
+        }
+    }
+    run_for(1'500ms);
+    for (const auto& one : members) {
+        ASSERT_TRUE(one->feed.find_view_age().confirmed_age);
+    }
+    fake.set_losing_watches(true);
+    fake.set_losing_ranges(true);
+    fake.put("op/config", "2");
+    const auto written_at = std::chrono::steady_clock::now();
+    wait(
+        [&] {
+            for (const auto& one : members) {
+                const auto view = one->feed.find_view_age();
+                const auto confirmed_at =
+                    std::chrono::steady_clock::now() - *view.confirmed_age;
+                // Both are rounded to milliseconds.
+                EXPECT_TRUE(one->data.values["op/config"] == "2" ||
+                            confirmed_at <= written_at + 2ms);
+            }
+            return HasFailure();
+        },
+        3'000ms);
+}
+
 // The local clock ends the lease while a renewal that succeeds is unanswered.
 TEST_F(store_feed_short_bound_test,
        late_renewal_of_the_feeder_leaves_its_followers_following) {
