--- a/tests/core/value_delta_test.cpp
+++ b/tests/core/value_delta_test.cpp
@@ -69,7 +69,8 @@
     static_cast<void>(decode_delta(bytes, base));
     std::string damaged = encode_delta("some value " + base, base);
     if (!damaged.empty() && !bytes.empty()) {
-        damaged[bytes.size() % damaged.size()] ^= bytes.front();
+        char& target = damaged[bytes.size() % damaged.size()];
+        target = static_cast<char>(target ^ bytes.front());
     }
     static_cast<void>(decode_delta(damaged, base));
 }
