Move the dating of a feeder's heartbeats out of the feed's driver

Cause: store_feed decided itself how old a heartbeat may be and when a request is due, next to its input and output.

--- a/drivers/feed/store_feed.cpp
+++ b/drivers/feed/store_feed.cpp
@@ -47,10 +47,6 @@
 /// calls counts as contact of the data: a watch may be lost without a sign.
 /// Together with a follower's limit of the age it must stay within 2 s.
 constexpr std::chrono::milliseconds max_unconfirmed_contact{600};
-/// A message of the feeder that took longer, as far as is known, is followed by
-/// a request for a better bound, at most this often.
-constexpr std::chrono::milliseconds max_known_transit{150};
-constexpr std::chrono::milliseconds clock_request_pause{1'000};
 /// Smallest `change_bound` with which changes may take two hops.
 constexpr std::chrono::milliseconds min_bound_for_root{3'000};
 /// Limits of the age of data with two hops. The difference leaves a feeder the
@@ -701,54 +697,24 @@
     source.mirror.apply_snapshot(std::move(values), push.revision);
 }
 
-std::optional<std::chrono::milliseconds>
-store_feed::correct_for_transit(feed_heartbeat& heartbeat,
-                                const instance_id& feeder) {
-    const bool is_from_root = heartbeat.is_between_zones;
-    remote_clock& clock =
-        is_from_root ? root_feeder_clock_ : zone_feeder_clock_;
-    store_revision& term = is_from_root ? root_clock_term_ : zone_clock_term_;
-    if (heartbeat.sent_at == std::chrono::milliseconds(0) ||
-        heartbeat.term < term) {
-        return std::nullopt;
-    }
-    if (heartbeat.term > term) {
-        term = heartbeat.term;
-        clock.reset();
-    }
-    if (heartbeat.request_sent_at > std::chrono::milliseconds(0)) {
-        clock.on_answer(heartbeat.request_sent_at, heartbeat.sent_at);
-    }
-    const auto now = boot_clock::reading();
-    const auto sent_at = clock.earliest_local(heartbeat.sent_at);
-    if (sent_at) {
-        heartbeat.age += std::max(now - *sent_at, std::chrono::milliseconds(0));
-    }
-    const bool is_well_known = sent_at && now - *sent_at <= max_known_transit;
-    const steady_time steady_now = std::chrono::steady_clock::now();
-    if (!is_well_known &&
-        steady_now >= clock_requested_at_ + clock_request_pause) {
-        clock_requested_at_ = steady_now;
-        request_changes(feeder, subscriptions_.front()->mirror.prefix(),
-                        is_from_root);
-    }
-    return sent_at && heartbeat.confirmed_age
-               ? std::optional(*sent_at - *heartbeat.confirmed_age)
-               : std::nullopt;
-}
-
 void store_feed::handle_heartbeat(const peer_message& message) {
     auto heartbeat = wire::decode<feed_heartbeat>(message.body);
     if (!heartbeat || !is_from_source(heartbeat->is_between_zones)) {
         return;
     }
-    const auto confirmed_at = correct_for_transit(*heartbeat, message.from);
-    feed_follower& follower =
-        heartbeat->is_between_zones ? root_follower_ : zone_follower_;
-    const auto stale_prefixes =
-        follower.on_heartbeat(message.from, *heartbeat,
-                              std::chrono::steady_clock::now(), confirmed_at);
-    request_changes(follower, stale_prefixes, heartbeat->is_between_zones);
+    const bool is_from_root = heartbeat->is_between_zones;
+    feeder_clock& clock = is_from_root ? root_clock_ : zone_clock_;
+    const auto timing = clock.on_heartbeat(*heartbeat, boot_clock::reading());
+    heartbeat->age += timing.transit.value_or(std::chrono::milliseconds(0));
+    if (timing.is_request_due) {
+        request_changes(message.from, subscriptions_.front()->mirror.prefix(),
+                        is_from_root);
+    }
+    feed_follower& follower = is_from_root ? root_follower_ : zone_follower_;
+    const auto stale_prefixes = follower.on_heartbeat(
+        message.from, *heartbeat, std::chrono::steady_clock::now(),
+        timing.confirmed_at);
+    request_changes(follower, stale_prefixes, is_from_root);
     update_mode();
 }
 
--- a/drivers/feed/store_feed.hpp
+++ b/drivers/feed/store_feed.hpp
@@ -7,8 +7,8 @@
 #include "drivers/store/store_mirror.hpp"
 #include "servers/feed/change_history.hpp"
 #include "servers/feed/feed_follower.hpp"
+#include "servers/feed/feeder_clock.hpp"
 #include "servers/feed/node_directory.hpp"
-#include "servers/feed/remote_clock.hpp"
 #include "servers/feed/root_feeder.hpp"
 #include "servers/feed/value_history.hpp"
 #include "servers/fleet/view_age.hpp"
@@ -183,12 +183,6 @@
     [[nodiscard]] subscription* find_subscription(const std::string& prefix);
     void handle_push(const peer_message& message);
     void handle_heartbeat(const peer_message& message);
-    /// Adds the time that the heartbeat was under way to its age, as far as
-    /// that is known. Returns the time, by the own boot clock, up to which the
-    /// feeder's copy of the first prefix included the store's state; nothing if
-    /// that isn't known.
-    [[nodiscard]] std::optional<std::chrono::milliseconds>
-    correct_for_transit(feed_heartbeat& heartbeat, const instance_id& feeder);
     [[nodiscard]] std::chrono::milliseconds since_outage() const;
     void send(const instance_id& to, peer_topic topic, std::string body);
     void send_to(const endpoint& address, const instance_id& to,
@@ -209,13 +203,8 @@
     std::vector<std::unique_ptr<subscription>> subscriptions_;
     feed_follower zone_follower_;
     feed_follower root_follower_;
-    remote_clock zone_feeder_clock_;
-    remote_clock root_feeder_clock_;
-    /// The terms that the clocks belong to, and when a request for a better
-    /// reading was last made.
-    store_revision zone_clock_term_ = 0;
-    store_revision root_clock_term_ = 0;
-    steady_time clock_requested_at_{};
+    feeder_clock zone_clock_;
+    feeder_clock root_clock_;
     boost::asio::io_context& context_;
     boost::asio::steady_timer heartbeat_timer_;
     boost::asio::steady_timer freshness_timer_;
