--- a/drivers/platform_kv/etcd_gateway_client.cpp
+++ b/drivers/platform_kv/etcd_gateway_client.cpp
@@ -70,10 +70,11 @@
 private:
     std::optional<answer_outcome> take_lines() {
         std::size_t end = 0;
-        while ((end = text_.find('\n')) != std::string::npos) {
+        while ((end = text_.find('\n', searched_)) != std::string::npos) {
             const auto frame =
                 decode_watch_frame(std::string_view(text_).substr(0, end));
             text_.erase(0, end + 1);
+            searched_ = 0;
             if (!frame) {
                 return frame.reason();
             }
@@ -86,11 +87,14 @@
                                "the store cancelled the watch"};
             }
         }
+        searched_ = text_.size();
         return {};
     }
 
     stream_pointer stream_;
     std::string text_;
+    /// Bytes at the beginning of `text_` that have no line end.
+    std::size_t searched_ = 0;
     store_revision revision_ = 0;
 };
 
