Place plain calls by their likely cost and the work left at each upstream

Cause: the choice of an upstream used one smoothed call time per upstream and counted all calls as equal. With calls of 25 and 200 ms on the same upstreams, small calls waited behind large ones, and instances that know only their own calls chose the same upstreams.

Change: servers/cost estimates a call's work from its route, organisation, sizes and stated tokens, keeps the work left, the speed and the errors of each upstream, and chooses the shortest expected completion, at random among nearly equal ones. Slow upstreams are probed with small calls. upstream_pool uses it only where the settings name the contract "pressure" or set placement.by_cost; otherwise its choice is the same as before. plain_caller passes the estimate on.

--- a/core/node_settings.hpp
+++ b/core/node_settings.hpp
@@ -66,6 +66,8 @@
     /// Memory and file descriptors of the process; 0 if not limited.
     std::size_t memory_bytes = 0;
     std::size_t max_descriptors = 0;
+    /// Upstreams are chosen by the likely cost of calls and the work left.
+    bool must_place_by_cost = false;
     /// Absent if the deployment has no such duties.
     std::optional<duty_settings> duties;
 };
--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/front/attempt_log.hpp"
 #include "drivers/front/leaving_notice.hpp"
+#include "drivers/front/placed_call.hpp"
 #include "drivers/front/request_limit.hpp"
 #include "platform/request_codec.hpp"
 #include "servers/delivery/request_fingerprint.hpp"
@@ -47,39 +48,6 @@
     return call.guard != nullptr && call.guard->is_blocked();
 }
 
-/// Records the end of a call in the upstream's counts, also if the coroutine is
-/// cancelled.
-class call_guard {
-public:
-    call_guard(upstream_pool& pool, upstream_id upstream)
-        : pool_(pool)
-        , upstream_(std::move(upstream))
-        , started_at_(std::chrono::steady_clock::now()) {
-        pool_.on_started(upstream_);
-    }
-    call_guard(const call_guard&) = delete;
-    call_guard& operator=(const call_guard&) = delete;
-    ~call_guard() { end(call_outcome::cancelled); }
-
-    void end(call_outcome how) {
-        if (has_ended_) {
-            return;
-        }
-        has_ended_ = true;
-        const steady_time now = std::chrono::steady_clock::now();
-        pool_.on_ended(upstream_, how,
-                       std::chrono::duration_cast<std::chrono::microseconds>(
-                           now - started_at_),
-                       now);
-    }
-
-private:
-    upstream_pool& pool_;
-    upstream_id upstream_;
-    steady_time started_at_;
-    bool has_ended_ = false;
-};
-
 } // namespace
 
 struct plain_caller::attempt_result {
@@ -122,14 +90,14 @@
 asio::awaitable<plain_caller::attempt_result>
 plain_caller::try_upstream(const plain_call_request& call,
                            const upstream_entry& upstream,
-                           steady_time deadline) {
+                           const call_cost* cost, steady_time deadline) {
     platform::forwarding_metadata metadata{.upstream = upstream.id};
     if (call.must_forward_deadline) {
         metadata.time_left =
             std::chrono::duration_cast<std::chrono::milliseconds>(
                 call.deadline - std::chrono::steady_clock::now());
     }
-    call_guard guard(fleet_.pool, upstream.id);
+    placed_call guard(fleet_.pool, upstream.id, cost);
     attempt_log attempt(fleet_, log_, "call", call.id, upstream.id);
     http_request request = platform::forward_request(call.request, metadata);
     call_options options{
@@ -177,7 +145,9 @@
             true, failure{result_code::failed_by_upstream,
                           "a success without the upstream's signature"});
     }
-    guard.end(call_outcome::answered);
+    guard.end(answer->status >= status_server_error
+                  ? call_outcome::answered_with_error
+                  : call_outcome::answered);
     attempt_result result{.answer = std::move(*answer), .may_have_run = true};
     co_return result;
 }
@@ -196,13 +166,14 @@
 
 std::optional<plain_caller::reserved_upstream> plain_caller::reserve_upstream(
     const plain_call_request& call, const service_name& service,
-    std::set<upstream_id>& tried, plain_call_result& result) {
+    const call_cost* cost, std::set<upstream_id>& tried,
+    plain_call_result& result) {
     const steady_time now = std::chrono::steady_clock::now();
-    auto upstream = fleet_.pool.choose(service, tried, now);
+    auto upstream = fleet_.pool.choose(service, tried, now, nullptr, cost);
     if (!upstream && call.route.kind == request_kind::idempotent &&
         result.attempts > 0) {
         tried.clear();
-        upstream = fleet_.pool.choose(service, tried, now);
+        upstream = fleet_.pool.choose(service, tried, now, nullptr, cost);
     }
     const steady_time end = end_of(call);
     if (!upstream || now >= end) {
@@ -233,13 +204,19 @@
     plain_call_result result{.reason = {result_code::not_run_no_upstream,
                                         "the service has no upstream"}};
     std::set<upstream_id> tried;
+    const auto estimate = estimate_cost(
+        fleet_.pool, service,
+        {.route = call.route.name, .organisation = call.organisation},
+        call.request);
+    const call_cost* const cost = estimate ? &*estimate : nullptr;
     for (std::uint32_t sends = 0; sends < max_sends; ++sends) {
         if (is_blocked(call)) {
             result.reason = {result_code::not_run_suspect_request,
                              "several upstreams crashed while they ran it"};
             break;
         }
-        const auto reserved = reserve_upstream(call, service, tried, result);
+        const auto reserved =
+            reserve_upstream(call, service, cost, tried, result);
         if (!reserved) {
             break;
         }
@@ -260,7 +237,7 @@
             attempt_deadline(call, upstream, max_attempts - result.attempts,
                              std::chrono::steady_clock::now());
         attempt_result attempt =
-            co_await try_upstream(call, upstream, attempt_end);
+            co_await try_upstream(call, upstream, cost, attempt_end);
         if (call.guard != nullptr && attempt.answer) {
             call.guard->on_answered();
         } else if (call.guard != nullptr) {
--- a/drivers/front/plain_caller.hpp
+++ b/drivers/front/plain_caller.hpp
@@ -95,11 +95,11 @@
     /// time; in the second case it says so in `result`.
     [[nodiscard]] std::optional<reserved_upstream>
     reserve_upstream(const plain_call_request& call,
-                     const service_name& service, std::set<upstream_id>& tried,
-                     plain_call_result& result);
+                     const service_name& service, const call_cost* cost,
+                     std::set<upstream_id>& tried, plain_call_result& result);
     boost::asio::awaitable<attempt_result>
     try_upstream(const plain_call_request& call, const upstream_entry& upstream,
-                 steady_time deadline);
+                 const call_cost* cost, steady_time deadline);
 
     http_client& client_;
     fleet_state& fleet_;
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -99,6 +99,14 @@
     return "savorydock/" + std::to_string(settings.internal_port);
 }
 
+/// Absent if calls aren't placed by cost.
+std::optional<placement_options> placement_of(const node_settings& settings) {
+    return settings.must_place_by_cost
+               ? std::optional(placement_options{
+                     .seed = stable_hash(settings.instance.text())})
+               : std::nullopt;
+}
+
 /// The port of tunnels, derived from the port for messages on all instances.
 std::uint16_t tunnel_port_of(std::uint16_t internal_port) {
     return static_cast<std::uint16_t>(internal_port + 1);
@@ -254,7 +262,8 @@
                                                double limit, steady_time now) {
                                             return part_of_limit(upstream,
                                                                  limit, now);
-                                        }})}
+                                        },
+                                    .by_cost = placement_of(settings_)})}
     , paths_({.self = settings_.instance, .zone = settings_.zone}, random_)
     , connector_(std::make_shared<path_connector>(
           context_, paths_,
--- a/servers/fleet/upstream_pool.cpp
+++ b/servers/fleet/upstream_pool.cpp
@@ -15,7 +15,11 @@
 
 upstream_pool::upstream_pool(upstream_pool_options options)
     : options_(std::move(options))
-    , limits_(options_.divide_limit) {}
+    , limits_(options_.divide_limit) {
+    if (options_.by_cost) {
+        by_cost_.emplace(*options_.by_cost);
+    }
+}
 
 void upstream_pool::set_upstreams(
     const std::vector<upstream_entry>& upstreams) {
@@ -26,6 +30,9 @@
         if (known.entry.started_at != entry.started_at) {
             known.consecutive_failures = 0;
             known.backoff_until = {};
+            if (by_cost_) {
+                by_cost_->work().on_restarted(entry.id);
+            }
         }
         known.entry = entry;
         known.entry.is_draining =
@@ -34,6 +41,9 @@
     std::erase_if(upstreams_,
                   [&](const auto& row) { return !listed.contains(row.first); });
     limits_.retain(listed);
+    if (by_cost_) {
+        by_cost_->work().retain(listed);
+    }
 }
 
 double upstream_pool::cost_of(const state& candidate,
@@ -56,10 +66,36 @@
            std::chrono::duration<double, std::micro>(wait).count();
 }
 
+std::chrono::microseconds
+upstream_pool::path_to(const state& candidate,
+                       steady_time::duration wait) const {
+    const auto hop = candidate.entry.zone == options_.zone
+                         ? std::chrono::microseconds(0)
+                         : options_.cross_zone_cost;
+    return hop + std::chrono::duration_cast<std::chrono::microseconds>(wait);
+}
+
+const upstream_pool::state*
+upstream_pool::choose_by_cost(const std::vector<const state*>& candidates,
+                              const call_cost& cost, steady_time now) {
+    std::vector<placement_candidate> placed;
+    placed.reserve(candidates.size());
+    for (const state* const candidate : candidates) {
+        const upstream_id& id = candidate->entry.id;
+        placed.push_back(
+            {.upstream = id,
+             .slots = candidate->entry.slots,
+             .path =
+                 path_to(*candidate, limits_.next_send_time(id, now) - now)});
+    }
+    return candidates[by_cost_->choose(placed, cost, now)];
+}
+
 std::optional<upstream_entry>
 upstream_pool::choose(const service_name& service,
                       const std::set<upstream_id>& tried, steady_time now,
-                      const software_version* software) const {
+                      const software_version* software, const call_cost* cost) {
+    std::vector<const state*> candidates;
     const state* best = nullptr;
     double best_cost = 0;
     const state* soonest = nullptr;
@@ -77,13 +113,20 @@
             }
             continue;
         }
-        const double cost =
+        if (by_cost_ && cost != nullptr) {
+            candidates.push_back(&candidate);
+            continue;
+        }
+        const double time =
             cost_of(candidate, limits_.next_send_time(id, now) - now);
-        if (best == nullptr || cost < best_cost) {
+        if (best == nullptr || time < best_cost) {
             best = &candidate;
-            best_cost = cost;
+            best_cost = time;
         }
     }
+    if (!candidates.empty()) {
+        best = choose_by_cost(candidates, *cost, now);
+    }
     best = best != nullptr ? best : soonest;
     return best == nullptr ? std::nullopt : std::optional(best->entry);
 }
@@ -133,7 +176,8 @@
     state& known = found->second;
     known.in_progress -= known.in_progress > 0 ? 1 : 0;
     switch (end) {
-    case call_outcome::answered: {
+    case call_outcome::answered:
+    case call_outcome::answered_with_error: {
         const auto sample = static_cast<double>(time.count());
         known.consecutive_failures = 0;
         known.smoothed_microseconds =
@@ -159,6 +203,22 @@
     }
 }
 
+std::uint64_t upstream_pool::on_started(const upstream_id& upstream,
+                                        const call_cost& cost,
+                                        steady_time now) {
+    on_started(upstream);
+    return upstreams_.contains(upstream)
+               ? by_cost_->on_started(upstream, cost, now)
+               : 0;
+}
+
+void upstream_pool::on_ended(const upstream_id& upstream, const call_cost& cost,
+                             std::uint64_t call, call_outcome end,
+                             std::chrono::microseconds time, steady_time now) {
+    on_ended(upstream, end, time, now);
+    by_cost_->on_ended(upstream, cost, call, end, time, now);
+}
+
 std::chrono::microseconds
 upstream_pool::smoothed_call_time(const upstream_id& upstream) const {
     const auto found = upstreams_.find(upstream);
--- a/servers/fleet/upstream_pool.hpp
+++ b/servers/fleet/upstream_pool.hpp
@@ -2,6 +2,8 @@
 
 #include "core/clock.hpp"
 #include "core/random_source.hpp"
+#include "servers/cost/placement.hpp"
+#include "servers/fleet/call_outcome.hpp"
 #include "servers/fleet/leaving_marks.hpp"
 #include "servers/fleet/upstream_entry.hpp"
 #include "servers/fleet/upstream_limits.hpp"
@@ -35,17 +37,9 @@
                                      steady_time) {
         return limit_part{.requests_per_second = limit, .burst = limit};
     };
-};
-
-/// How a call ended, as far as it is relevant to its upstream's health.
-enum class call_outcome : std::uint8_t {
-    answered,
-    /// The upstream reported that it did not run the call.
-    full,
-    /// The connection broke, the call timed out or the response was invalid.
-    failed,
-    /// The caller disconnected; says nothing about the upstream.
-    cancelled,
+    /// If present, the expected time is that of `placement` instead of the
+    /// smoothed call time.
+    std::optional<placement_options> by_cost;
 };
 
 /// Chooses an upstream for each call, for all services.
@@ -74,9 +68,19 @@
     /// Returns the upstream of the service with the shortest expected time
     /// that is neither in `tried` nor draining, or nothing if there is none. If
     /// `software` isn't null, only upstreams of that version are considered.
+    /// `cost` is the estimate for the call if calls are placed by cost.
     [[nodiscard]] std::optional<upstream_entry>
     choose(const service_name& service, const std::set<upstream_id>& tried,
-           steady_time now, const software_version* software = nullptr) const;
+           steady_time now, const software_version* software = nullptr,
+           const call_cost* cost = nullptr);
+
+    /// Null if calls are not placed by cost.
+    [[nodiscard]] placement* by_cost() {
+        return by_cost_ ? &*by_cost_ : nullptr;
+    }
+    [[nodiscard]] const placement* by_cost() const {
+        return by_cost_ ? &*by_cost_ : nullptr;
+    }
 
     /// The upstream said that it leaves. It counts as draining from now on,
     /// whatever the lists say. Returns false if that was known.
@@ -99,6 +103,14 @@
     void on_ended(const upstream_id& upstream, call_outcome end,
                   std::chrono::microseconds time, steady_time now);
 
+    /// The same for a call that was placed by cost. Returns its number for
+    /// `on_ended`. Precondition: `by_cost` isn't null.
+    std::uint64_t on_started(const upstream_id& upstream, const call_cost& cost,
+                             steady_time now);
+    void on_ended(const upstream_id& upstream, const call_cost& cost,
+                  std::uint64_t call, call_outcome end,
+                  std::chrono::microseconds time, steady_time now);
+
     /// Exponentially smoothed duration of calls to the upstream.
     [[nodiscard]] std::chrono::microseconds
     smoothed_call_time(const upstream_id& upstream) const;
@@ -121,11 +133,17 @@
 
     [[nodiscard]] double cost_of(const state& candidate,
                                  steady_time::duration wait) const;
+    [[nodiscard]] std::chrono::microseconds
+    path_to(const state& candidate, steady_time::duration wait) const;
+    [[nodiscard]] const state*
+    choose_by_cost(const std::vector<const state*>& candidates,
+                   const call_cost& cost, steady_time now);
 
     upstream_pool_options options_;
     std::map<upstream_id, state> upstreams_;
     upstream_limits limits_;
     leaving_marks leaving_;
+    std::optional<placement> by_cost_;
 };
 
 } // namespace savorydock
--- a/tests/drivers/front/plain_caller_test.cpp
+++ b/tests/drivers/front/plain_caller_test.cpp
@@ -292,3 +292,28 @@
     EXPECT_LE(static_cast<double>(arrived), 1.5 * limit * seconds + 5);
     EXPECT_GE(arrived, 2U);
 }
+
+// Guards against calls that stay counted at an upstream after their end, and
+// against server errors that are learned as cheap calls.
+TEST_F(plain_caller_test, placed_call_is_learned_once_it_is_answered) {
+    fleet.pool = upstream_pool({.by_cost = placement_options()});
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        while (true) {
+            const std::string request = connection.read_request();
+            const bool is_bad = request.find("/bad/") != std::string::npos;
+            if (request.empty() ||
+                !connection.write(is_bad ? answer("500 Error", "x", "", "")
+                                         : success("x"))) {
+                return;
+            }
+        }
+    });
+    use(upstream);
+    EXPECT_TRUE(call("x", "/bad/").answer);
+    EXPECT_EQ(fleet.pool.by_cost()->estimator().classes(), 0U);
+    EXPECT_TRUE(call("x").answer);
+    EXPECT_EQ(fleet.pool.by_cost()->estimator().classes(), 3U);
+    const auto now = std::chrono::steady_clock::now();
+    EXPECT_EQ(fleet.pool.by_cost()->work().own(upstream_id("u"), now).calls,
+              0U);
+}
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -186,6 +186,36 @@
     EXPECT_FALSE(decode_answer_metadata({}).request_limit);
 }
 
+// Guards against sizes in another form than expected that refuse a request or
+// count as 0.
+TEST(request_codec_test, unreadable_stated_size_is_left_out) {
+    const auto stated = decode_stated_size(
+        {{"Token-Usage", "120, 4096"}, {"Length-Hint", " long "}});
+    EXPECT_EQ(stated.prompt_tokens, 120U);
+    EXPECT_EQ(stated.max_output_tokens, 4096U);
+    EXPECT_EQ(stated.length_hint, "long");
+    for (const char* const text :
+         {"", ",", "-1,x", "1.5,", "a", "99999999999999999999"}) {
+        const auto unknown = decode_stated_size({{"Token-Usage", text}});
+        EXPECT_FALSE(unknown.prompt_tokens) << text;
+        EXPECT_FALSE(unknown.max_output_tokens) << text;
+    }
+}
+
+TEST(settings_test, placement_by_cost_follows_contract_unless_set) {
+    const std::string base(settings_text);
+    const auto places = [&](const std::string& top, const std::string& end) {
+        const auto settings = read_settings(top + base + end);
+        return settings && settings->must_place_by_cost;
+    };
+    EXPECT_FALSE(places("", ""));
+    EXPECT_FALSE(places("contracts = [\"other\", 3]\n", ""));
+    EXPECT_TRUE(places("contracts = [\"pressure\"]\n", ""));
+    EXPECT_FALSE(places("contracts = [\"pressure\"]\n",
+                        "\n[placement]\nby_cost = false\n"));
+    EXPECT_TRUE(places("", "\n[placement]\nby_cost = true\n"));
+}
+
 TEST_F(codec_test, calls_about_jobs_are_decoded) {
     http_request read{.target = "/savorydock/lots/j1?after=12",
                       .headers = {{"Wait-Ms", "1000"}}};
