--- a/drivers/front/front_service.cpp
+++ b/drivers/front/front_service.cpp
@@ -20,7 +20,6 @@
 
 namespace {
 
-constexpr unsigned status_ok = 200;
 constexpr unsigned status_accepted = 202;
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_not_found = 404;
@@ -37,8 +36,6 @@
 /// Limit for settling a submission whose outcome is unknown; its sender waits
 /// that long before it submits the job again.
 constexpr std::chrono::milliseconds max_accept_time{4'000};
-/// Maximum wait for results that a caller may request.
-constexpr std::chrono::milliseconds max_read_wait{1'000};
 /// Time limit for requests that state no deadline.
 constexpr std::chrono::milliseconds default_time_limit{30'000};
 /// Time before the exit for the answers to requests that still run. Calls to
@@ -91,26 +88,6 @@
     return "unlisted";
 }
 
-http_response make_json(std::string body) {
-    return {.status = status_ok,
-            .headers = {{"Content-Type", "application/json"}},
-            .body = std::move(body)};
-}
-
-http_response make_bytes(std::string body) {
-    return {.status = status_ok,
-            .headers = {{"Content-Type", "application/octet-stream"}},
-            .body = std::move(body)};
-}
-
-http_response answer_failure(const failure& reason) {
-    if (reason.code == result_code::not_found) {
-        return platform::make_local_response(status_not_found, "not found");
-    }
-    return platform::make_local_response(status_unavailable, "state unknown",
-                                         retry_after);
-}
-
 } // namespace
 
 front_service::front_service(fleet_state& fleet, plain_caller& plain,
@@ -124,7 +101,10 @@
     , suspects_(suspects)
     , metrics_(metrics)
     , log_(log)
-    , on_job_(std::move(on_job)) {}
+    , on_job_(std::move(on_job))
+    , job_calls_(
+          jobs, exit_, [this](const job_id& job) { notify_job_listener(job); },
+          log) {}
 
 void front_service::set_exit_time(steady_time time) {
     exit_.set_exit_time(time);
@@ -227,7 +207,7 @@
 asio::awaitable<void> front_service::serve(http_exchange& exchange) {
     const http_request& request = exchange.request();
     if (const auto job_call = platform::decode_job_call(request)) {
-        co_await handle_job_call(exchange, *job_call);
+        co_await job_calls_.handle(exchange, *job_call);
         co_return;
     }
     const auto call = platform::decode_call(request);
@@ -486,58 +466,4 @@
     }
 }
 
-asio::awaitable<void> front_service::handle_job_call(http_exchange& exchange,
-                                                     platform::job_call call) {
-    http_response response = co_await std::visit(
-        [this](auto& one) { return answer_job_call(std::move(one)); }, call);
-    if (response.status != status_ok) {
-        log_.write(log_event::request_refused,
-                   "target=" + exchange.request().target +
-                       " status=" + std::to_string(response.status));
-    }
-    co_await exchange.respond(std::move(response));
-}
-
-asio::awaitable<http_response>
-front_service::answer_job_call(platform::read_results_call call) {
-    const steady_time begin = now();
-    const steady_time end =
-        exit_.answer_by(begin + std::min(call.wait, max_read_wait));
-    const auto wait = std::max(
-        std::chrono::duration_cast<std::chrono::milliseconds>(end - begin),
-        std::chrono::milliseconds(0));
-    const auto page =
-        co_await jobs_.read_results(job_id(call.job), call.first, wait);
-    if (!page) {
-        co_return answer_failure(page.reason());
-    }
-    co_return make_json(platform::encode_result_page(
-        page->total, page->next_position, page->rows));
-}
-
-asio::awaitable<http_response>
-front_service::answer_job_call(platform::read_item_call call) {
-    auto body = co_await jobs_.read_item(job_id(call.job), item_id(call.item));
-    if (!body) {
-        co_return answer_failure(body.reason());
-    }
-    co_return make_bytes(std::move(*body));
-}
-
-asio::awaitable<http_response>
-front_service::answer_job_call(platform::end_job_call call) {
-    const job_id job(call.job);
-    const auto ended = co_await jobs_.end(job);
-    if (!ended) {
-        // The store did not answer, so the end may still take effect.
-        co_return ended.reason().code == result_code::store_unanswered
-            ? platform::make_local_response(status_gateway_timeout,
-                                            "the end may take effect")
-            : answer_failure(ended.reason());
-    }
-    log_.write(log_event::job_ended, "job=" + job.text());
-    notify_job_listener(job);
-    co_return make_json("{}");
-}
-
 } // namespace savorydock
--- a/drivers/front/front_service.hpp
+++ b/drivers/front/front_service.hpp
@@ -3,6 +3,7 @@
 #include "core/logger.hpp"
 #include "core/metrics_registry.hpp"
 #include "drivers/batch/job_store.hpp"
+#include "drivers/front/job_call_handler.hpp"
 #include "drivers/front/plain_caller.hpp"
 #include "drivers/front/stream_forwarder.hpp"
 #include "drivers/http/http_server.hpp"
@@ -65,14 +66,6 @@
     boost::asio::awaitable<void> wait_for_exit(http_exchange& exchange);
     boost::asio::awaitable<void> answer_at_exit(http_exchange& exchange);
     void notify_job_listener(const job_id& job);
-    boost::asio::awaitable<void> handle_job_call(http_exchange& exchange,
-                                                 platform::job_call call);
-    boost::asio::awaitable<http_response>
-    answer_job_call(platform::read_results_call call);
-    boost::asio::awaitable<http_response>
-    answer_job_call(platform::read_item_call call);
-    boost::asio::awaitable<http_response>
-    answer_job_call(platform::end_job_call call);
     boost::asio::awaitable<void> accept_job(http_exchange& exchange,
                                             const route_rule& route,
                                             const platform::caller_call& call);
@@ -105,6 +98,7 @@
     logger& log_;
     job_listener on_job_;
     exit_admission exit_;
+    job_call_handler job_calls_;
     /// When requests that still run are answered. Cancelled when it changes.
     steady_time last_answer_at_ = steady_time::max();
     std::optional<boost::asio::steady_timer> exit_timer_;
