--- a/drivers/front/front_service.hpp
+++ b/drivers/front/front_service.hpp
@@ -3,6 +3,8 @@
 #include "core/logger.hpp"
 #include "core/metrics_registry.hpp"
 #include "drivers/batch/job_store.hpp"
+#include "drivers/front/caller_authenticator.hpp"
+#include "drivers/front/job_call_handler.hpp"
 #include "drivers/front/plain_caller.hpp"
 #include "drivers/front/stream_forwarder.hpp"
 #include "drivers/http/http_server.hpp"
@@ -57,7 +59,16 @@
     /// answered as possibly run; streams that have begun go on.
     void set_exit_time(steady_time time);
 
+    /// Requests with a removed key must not run after this time; absent if keys
+    /// follow the configuration like routes.
+    void set_revocation_bound(std::optional<std::chrono::milliseconds> bound) {
+        authenticator_.set_revocation_bound(bound);
+    }
+
     [[nodiscard]] const front_counters& counters() const { return counters_; }
+    [[nodiscard]] const identity_counters& identities() const {
+        return authenticator_.counters();
+    }
 
 private:
     boost::asio::awaitable<void> serve(http_exchange& exchange);
@@ -65,23 +76,18 @@
     boost::asio::awaitable<void> wait_for_exit(http_exchange& exchange);
     boost::asio::awaitable<void> answer_at_exit(http_exchange& exchange);
     void notify_job_listener(const job_id& job);
-    boost::asio::awaitable<void> handle_job_call(http_exchange& exchange,
-                                                 platform::job_call call);
-    boost::asio::awaitable<http_response>
-    answer_job_call(platform::read_results_call call);
-    boost::asio::awaitable<http_response>
-    answer_job_call(platform::read_item_call call);
-    boost::asio::awaitable<http_response>
-    answer_job_call(platform::end_job_call call);
     boost::asio::awaitable<void> accept_job(http_exchange& exchange,
                                             const route_rule& route,
-                                            const platform::caller_call& call);
+                                            const platform::caller_call& call,
+                                            const authenticated_caller& caller);
     boost::asio::awaitable<void> forward(http_exchange& exchange,
                                          const route_rule& route,
-                                         const platform::caller_call& call);
+                                         const platform::caller_call& call,
+                                         const authenticated_caller& caller);
     boost::asio::awaitable<void>
     forward_stream(http_exchange& exchange, const route_rule& route,
-                   const platform::caller_call& call);
+                   const platform::caller_call& call,
+                   const authenticated_caller& caller);
     boost::asio::awaitable<void> refuse(http_exchange& exchange,
                                         const std::string& request,
                                         unsigned status,
@@ -105,6 +111,8 @@
     logger& log_;
     job_listener on_job_;
     exit_admission exit_;
+    caller_authenticator authenticator_;
+    job_call_handler job_calls_;
     /// When requests that still run are answered. Cancelled when it changes.
     steady_time last_answer_at_ = steady_time::max();
     std::optional<boost::asio::steady_timer> exit_timer_;
