Report the usage of organisations to the platform

Cause: the settings may ask for a report of the requests that upstreams began to run, by organisation and window of true time, and no part of the code made one.

Change: plain calls and streams tell when an upstream began to run them. Each instance counts them by window and sends cumulative counts to the holder of the scope ~duty and to one more instance, which forwards them if the holder changes. The holder stores a window's report under its term, then sends it until it is answered. The newest record stays, so that a successor knows the next window; answered ones are removed in the transaction of the next one, so each window costs one write and one call. A successor sends what it finds, unchanged. Calls are made only while the term is held, with a deadline before its end. Window numbers come from a clock that ignores jumps of the time of day for a minute.

Ruled out: a mark after each answer, which would cost a second write for each window; a successor repeats one identical report instead.

The organisation of requests is filled in elsewhere.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -214,6 +214,33 @@
                     "a store machine is empty and can be removed"},
     log_event_entry{log_lines_dropped, warning, "log_lines_dropped",
                     "log lines were dropped to limit the log volume"},
+    log_event_entry{duty_platform_unreachable, warning,
+                    "duty_platform_unreachable",
+                    "the platform's interface for duties doesn't answer"},
+    log_event_entry{duty_platform_reachable, info, "duty_platform_reachable",
+                    "the platform's interface for duties answers again"},
+    log_event_entry{duty_fenced_off, error, "duty_fenced_off",
+                    "the platform knows a later holder of a duty; this one "
+                    "makes no more calls in its term"},
+    log_event_entry{duty_call_refused, error, "duty_call_refused",
+                    "the platform refused a call of a duty, which isn't "
+                    "repeated"},
+    log_event_entry{duty_message_undecodable, warning,
+                    "duty_message_undecodable",
+                    "a message about a duty could not be decoded"},
+    log_event_entry{usage_taken_over, info, "usage_taken_over",
+                    "this instance reports usage and has read the records"},
+    log_event_entry{usage_recorded, info, "usage_recorded",
+                    "the usage report of a window is stored durably"},
+    log_event_entry{usage_reported, info, "usage_reported",
+                    "the platform took the usage report of a window"},
+    log_event_entry{system_clock_jumped, warning, "system_clock_jumped",
+                    "the time of day jumped; the time before the jump is used "
+                    "until it has lasted"},
+    log_event_entry{workers_ordered, info, "workers_ordered",
+                    "the platform took an order for a number of upstreams"},
+    log_event_entry{workers_unavailable, warning, "workers_unavailable",
+                    "the platform has no such upstreams available now"},
 };
 
 } // namespace
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -110,6 +110,18 @@
     settings_reloaded = 3600,
     store_machine_emptied = 3601,
     log_lines_dropped = 3602,
+
+    duty_platform_unreachable = 3700,
+    duty_platform_reachable = 3701,
+    duty_fenced_off = 3702,
+    duty_call_refused = 3703,
+    duty_message_undecodable = 3704,
+    usage_taken_over = 3710,
+    usage_recorded = 3711,
+    usage_reported = 3712,
+    system_clock_jumped = 3713,
+    workers_ordered = 3720,
+    workers_unavailable = 3721,
 };
 
 /// The severity of an event.
--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -6,6 +6,8 @@
 #include "platform/request_codec.hpp"
 #include "servers/delivery/request_fingerprint.hpp"
 
+#include <boost/asio/this_coro.hpp>
+
 #include <algorithm>
 #include <set>
 
@@ -121,8 +123,8 @@
 
 asio::awaitable<plain_caller::attempt_result>
 plain_caller::try_upstream(const plain_call_request& call,
-                           const upstream_entry& upstream,
-                           steady_time deadline) {
+                           const upstream_entry& upstream, steady_time deadline,
+                           run_notice& notice) {
     platform::forwarding_metadata metadata{.upstream = upstream.id};
     if (call.must_forward_deadline) {
         metadata.time_left =
@@ -137,7 +139,13 @@
                    ? connection_use::reuse
                    : connection_use::fresh,
         .may_write =
-            [this, &upstream] { return fleet_.pool.is_available(upstream.id); },
+            [this, &upstream, &notice] {
+                const bool may_write = fleet_.pool.is_available(upstream.id);
+                if (may_write) {
+                    notice.on_written();
+                }
+                return may_write;
+            },
         .is_own_answer =
             [&call](const http_headers& headers) {
                 return platform::may_answer(
@@ -233,6 +241,8 @@
     plain_call_result result{.reason = {result_code::not_run_no_upstream,
                                         "the service has no upstream"}};
     std::set<upstream_id> tried;
+    run_notice notice(fleet_, call.organisation,
+                      co_await asio::this_coro::executor);
     for (std::uint32_t sends = 0; sends < max_sends; ++sends) {
         if (is_blocked(call)) {
             result.reason = {result_code::not_run_suspect_request,
@@ -260,7 +270,8 @@
             attempt_deadline(call, upstream, max_attempts - result.attempts,
                              std::chrono::steady_clock::now());
         attempt_result attempt =
-            co_await try_upstream(call, upstream, attempt_end);
+            co_await try_upstream(call, upstream, attempt_end, notice);
+        notice.on_outcome(attempt.may_have_run);
         if (call.guard != nullptr && attempt.answer) {
             call.guard->on_answered();
         } else if (call.guard != nullptr) {
--- a/drivers/front/plain_caller.hpp
+++ b/drivers/front/plain_caller.hpp
@@ -4,6 +4,7 @@
 #include "core/logger.hpp"
 #include "core/random_source.hpp"
 #include "drivers/front/crash_guard.hpp"
+#include "drivers/front/run_notice.hpp"
 #include "drivers/http/http_client.hpp"
 #include "servers/admission/exit_admission.hpp"
 #include "servers/fleet/fleet_state.hpp"
@@ -99,7 +100,7 @@
                      plain_call_result& result);
     boost::asio::awaitable<attempt_result>
     try_upstream(const plain_call_request& call, const upstream_entry& upstream,
-                 steady_time deadline);
+                 steady_time deadline, run_notice& notice);
 
     http_client& client_;
     fleet_state& fleet_;
--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -63,6 +63,9 @@
     std::uint32_t attempts = 0;
     bool has_begun = false;
     bool may_have_run = false;
+    /// The start of the run was reported, or is that of an earlier attempt of
+    /// the caller.
+    bool is_start_reported = false;
 };
 
 stream_forwarder::stream_forwarder(fleet_state& fleet, http_client& client,
@@ -94,6 +97,7 @@
         state.result.is_invalid = true;
         co_return std::move(state.result);
     }
+    state.is_start_reported = is_taken_up || request.organisation.is_empty();
     if (!is_taken_up) {
         state.service = pick_service(request.route, random_);
     } else if (!co_await find_origin(request, state)) {
@@ -437,6 +441,10 @@
             result.last_event = number.value_or(result.last_event);
             complete_events += *event;
         }
+        if (!state.is_start_reported && !complete_events.empty()) {
+            state.is_start_reported = true;
+            fleet_.on_run_began(request.organisation, now());
+        }
         if (!co_await request.exchange.write_chunk(
                 std::move(complete_events))) {
             result.end = stream_end::caller_gone;
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -7,6 +7,7 @@
 #include "drivers/batch/job_store.hpp"
 #include "drivers/batch/result_exchange.hpp"
 #include "drivers/caf_runtime/control_mailbox.hpp"
+#include "drivers/duties/duty_driver.hpp"
 #include "drivers/feed/node_registration.hpp"
 #include "drivers/feed/peer_store_relay.hpp"
 #include "drivers/feed/store_feed.hpp"
@@ -225,6 +226,8 @@
     node_registration registration_;
     scope_term fleet_term_;
     stream_duty stream_duty_;
+    /// Null if the deployment has no duties towards the platform.
+    std::unique_ptr<duty_driver> duties_;
     stream_ledger stream_ledger_;
     stream_forwarder streams_;
     front_service front_;
@@ -377,6 +380,12 @@
         report_limit(upstream, limit);
     };
     fleet_.find_view_age = [this] { return feed_.find_view_age(); };
+    if (settings_.duties) {
+        duties_ = std::make_unique<duty_driver>(
+            context_, store_, peers_, directory_, fleet_, fleet_term_,
+            [this] { return find_scope_holder(control_keys(), fleet_scope); },
+            settings_, random_seed(), log_);
+    }
     store_.use_relay(relay_);
     jobs_.use_result_source(results_);
     if (auto text = read_text_file(settings_file_)) {
@@ -471,6 +480,9 @@
     asio::co_spawn(context_, fleet_term_.run(), asio::detached);
     asio::co_spawn(context_, suspect_publisher_.run(), asio::detached);
     asio::co_spawn(context_, check_settings(), asio::detached);
+    if (duties_) {
+        duties_->start();
+    }
 }
 
 void node_instance::impl::on_fleet_update() {
@@ -845,6 +857,13 @@
     case peer_topic::result_reply:
         results_.on_message(message);
         break;
+    case peer_topic::usage_counts:
+    case peer_topic::usage_receipt:
+    case peer_topic::worker_demand:
+        if (duties_) {
+            duties_->on_message(message);
+        }
+        break;
     default:
         break;
     }
@@ -950,6 +969,9 @@
             now >= begin + rotation_exit_time - report_delivery_time;
         if (!reported_at && ((!has_runs && is_due) || now >= last)) {
             host_.stop_all();
+            if (duties_) {
+                duties_->flush();
+            }
             // Doesn't wait: the store may not answer, and the entry's lease
             // expires anyway.
             asio::co_spawn(context_, registration_.retire(), asio::detached);
@@ -961,6 +983,9 @@
             // Must not suspend before this call: a request that arrived on an
             // open connection meanwhile would be cut off.
             caller_server_->stop_accepting();
+            if (duties_) {
+                duties_->flush();
+            }
             log_.write(log_event::drain_finished,
                        "requests_cut=" +
                            std::to_string(caller_server_->active_requests()));
@@ -1044,6 +1069,7 @@
          .runs = host_.statistics(),
          .attempts = fleet_.attempts,
          .engines = engines});
+    text += duties_ ? duties_->write_metrics() : std::string();
     http_response response =
         make_text_answer(std::move(text) + metrics_.write_text());
     co_await exchange.respond(std::move(response));
--- a/drivers/store/scope_term.hpp
+++ b/drivers/store/scope_term.hpp
@@ -96,6 +96,12 @@
         return term_ && boot_clock::now() < lease_until_;
     }
 
+    /// When the term ends unless its lease is renewed. Precondition: there is a
+    /// term.
+    [[nodiscard]] boot_clock::time_point held_until() const {
+        return lease_until_;
+    }
+
 private:
     boost::asio::awaitable<void> claim();
     boost::asio::awaitable<void> keep_renewed();
--- a/servers/batch/job_keys.hpp
+++ b/servers/batch/job_keys.hpp
@@ -18,7 +18,8 @@
 /// p/JOB/TERM-NUMBER  saved parts of the texts of unfinished items
 /// r/JOB/POSITION     results from this position on, one encoded row per line
 ///
-/// Keys of callers' streams are in `servers/streams/stream_keys.hpp`.
+/// Keys of callers' streams are in `servers/streams/stream_keys.hpp`, those of
+/// usage reports in `servers/duties/usage_ledger.hpp`.
 ///
 /// All functions are thread safe.
 /// @{
--- a/tests/drivers/front/plain_caller_test.cpp
+++ b/tests/drivers/front/plain_caller_test.cpp
@@ -2,6 +2,7 @@
 #include "tests/fakes/raw_upstream.hpp"
 #include "tests/fakes/run_call.hpp"
 
+#include <boost/asio/steady_timer.hpp>
 #include <gtest/gtest.h>
 
 using namespace savorydock;
@@ -32,6 +33,7 @@
         plain_call_request request{.route = route,
                                    .request = content,
                                    .id = id,
+                                   .organisation = organisation,
                                    .deadline =
                                        std::chrono::steady_clock::now() + time,
                                    .guard = &guard};
@@ -44,6 +46,17 @@
                                    .address = upstream.address()}});
     }
 
+    /// Counts the starts of runs, for callers of an organisation.
+    void count_starts() {
+        organisation = organisation_id("red");
+        fleet.on_run_began = [this](const organisation_id& name, steady_time) {
+            EXPECT_EQ(name, organisation);
+            ++starts;
+        };
+    }
+
+    organisation_id organisation;
+    int starts = 0;
     asio::io_context context;
     null_logger log;
     http_client client{context, unframed_answer::accept};
@@ -131,6 +144,51 @@
     EXPECT_FALSE(result.may_have_run);
 }
 
+// Guards against usage that counts refused requests, or retried ones twice.
+TEST_F(plain_caller_test, only_the_first_attempt_that_may_run_counts_as_start) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        while (true) {
+            const std::string request = connection.read_request();
+            const std::string id = header_of(request, "Request-Id");
+            const std::string reply =
+                id == "refused" ? answer("503 Service Unavailable", id,
+                                         "Not-Executed: 1\r\n", "")
+                : id == "fails" ? answer("500 Error", id, "", "")
+                                : success(id);
+            if (request.empty() || !connection.write(reply)) {
+                return;
+            }
+        }
+    });
+    use(upstream);
+    count_starts();
+    route.max_attempts = 3;
+    call("refused");
+    EXPECT_EQ(starts, 0);
+    call("fails");
+    EXPECT_EQ(starts, 1);
+    call("works");
+    EXPECT_EQ(starts, 2);
+}
+
+// Guards against usage that is counted only when a long call has ended.
+TEST_F(plain_caller_test, attempt_without_an_answer_counts_as_start_soon) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.read_request();
+    });
+    use(upstream);
+    count_starts();
+    int starts_before_the_end = 0;
+    asio::steady_timer timer(context, run_notice::refusal_time * 2);
+    timer.async_wait([&](const boost::system::error_code&) {
+        starts_before_the_end = starts;
+    });
+    call("a", "/a/", run_notice::refusal_time * 4);
+    EXPECT_EQ(starts_before_the_end, 1);
+    EXPECT_EQ(starts, 1);
+}
+
 TEST_F(plain_caller_test, unfinished_head_of_an_answer_is_no_success) {
     for (const char* const head :
          {"HTTP/1.1 200 OK\r\n",
