--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -7,6 +7,8 @@
 #include "platform/request_codec.hpp"
 #include "servers/delivery/request_fingerprint.hpp"
 
+#include <boost/asio/this_coro.hpp>
+
 #include <algorithm>
 #include <set>
 
@@ -91,10 +93,9 @@
     return std::min(end_of(call), now + attempt_time);
 }
 
-asio::awaitable<plain_caller::attempt_result>
-plain_caller::try_upstream(const plain_call_request& call,
-                           const upstream_entry& upstream,
-                           const call_cost* cost, steady_time deadline) {
+asio::awaitable<plain_caller::attempt_result> plain_caller::try_upstream(
+    const plain_call_request& call, const upstream_entry& upstream,
+    const call_cost* cost, steady_time deadline, run_notice& notice) {
     platform::forwarding_metadata metadata{.upstream = upstream.id,
                                            .organisation = call.organisation,
                                            .strips_credentials =
@@ -107,21 +108,25 @@
     placed_call guard(fleet_.pool, upstream.id, cost);
     attempt_log attempt(fleet_, log_, "call", call.id, upstream.id);
     http_request request = platform::forward_request(call.request, metadata);
-    call_options options{.use = call.route.kind == request_kind::idempotent
-                                    ? connection_use::reuse
-                                    : connection_use::fresh,
-                         .may_write =
-                             [this, &call, &upstream] {
-                                 return fleet_.pool.is_available(upstream.id) &&
-                                        is_allowed(call);
-                             },
-                         .is_own_answer =
-                             [&call](const http_headers& headers) {
-                                 return platform::may_answer(
-                                     call.id,
-                                     platform::decode_answer_metadata(headers));
-                             },
-                         .trace = attempt.trace()};
+    call_options options{
+        .use = call.route.kind == request_kind::idempotent
+                   ? connection_use::reuse
+                   : connection_use::fresh,
+        .may_write =
+            [this, &call, &upstream, &notice] {
+                const bool may_write =
+                    fleet_.pool.is_available(upstream.id) && is_allowed(call);
+                if (may_write) {
+                    notice.on_written();
+                }
+                return may_write;
+            },
+        .is_own_answer =
+            [&call](const http_headers& headers) {
+                return platform::may_answer(
+                    call.id, platform::decode_answer_metadata(headers));
+            },
+        .trace = attempt.trace()};
     auto answer = co_await client_.call(upstream.address, std::move(request),
                                         deadline, std::move(options));
     if (!answer) {
@@ -219,6 +224,8 @@
         {.route = call.route.name, .organisation = call.organisation},
         call.request);
     const call_cost* const cost = estimate ? &*estimate : nullptr;
+    run_notice notice(fleet_, call.organisation,
+                      co_await asio::this_coro::executor);
     for (std::uint32_t sends = 0; sends < max_sends; ++sends) {
         if (is_blocked(call)) {
             result.reason = {result_code::not_run_suspect_request,
@@ -252,7 +259,8 @@
             attempt_deadline(call, upstream, max_attempts - result.attempts,
                              std::chrono::steady_clock::now());
         attempt_result attempt =
-            co_await try_upstream(call, upstream, cost, attempt_end);
+            co_await try_upstream(call, upstream, cost, attempt_end, notice);
+        notice.on_outcome(attempt.may_have_run);
         if (call.guard != nullptr && attempt.answer) {
             call.guard->on_answered();
         } else if (call.guard != nullptr) {
