Identify callers by the keys of their organisations

Cause: a configuration may list organisations with keys. Their callers must be identified, their requests must reach upstreams with the organisation's name instead of the key, and jobs must be readable only by their organisation. The calls about jobs are checked as well; without a configuration they get 503. - Attempts of plain calls, of streams and of items carry Tenant and no credentials. In strict deployments the key is confirmed again before each send until an upstream may have run the request. - Records of jobs name the organisation. A submission whose id belongs to a job of another organisation, and calls about such a job, get the 404 of an unknown job. Credentials in the headers of items are removed before the submission is stored. Jobs of a public route that were submitted without a key can be read without one. - The organisation's priority comes before the route's for its jobs.

--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -3,6 +3,7 @@
 #include "core/wire_codec.hpp"
 #include "drivers/front/attempt_log.hpp"
 #include "platform/order_codec.hpp"
+#include "platform/request_codec.hpp"
 #include "servers/batch/job_keys.hpp"
 #include "servers/batch/message_parts.hpp"
 #include "servers/fleet/limit_sharing.hpp"
@@ -301,7 +302,9 @@
         settings.target = route.batch_target;
         settings.time_to_live = route.batch_time_to_live;
         settings.max_attempts = std::max<std::uint32_t>(1, route.max_attempts);
-        settings.priority = route.priority;
+        settings.priority = fleet_.routes->keys()
+                                .rank_of(record.organisation)
+                                .value_or(route.priority);
         settings.is_single_version = route.is_single_version;
     }
     return settings;
@@ -505,7 +508,17 @@
                   .versions = command.progress.versions,
                   .origin = command.progress.origin,
                   .max_events = command.max_events};
-    for (const http_header& header : item.headers) {
+    if (const auto record = jobs_.records().find(task.job);
+        record != jobs_.records().end()) {
+        task.organisation = record->second.organisation;
+    }
+    const bool strips_credentials =
+        !task.organisation.is_empty() ||
+        (fleet_.routes && fleet_.routes->keys().has_organisations());
+    const http_headers headers =
+        strips_credentials ? platform::without_credentials(item.headers)
+                           : item.headers;
+    for (const http_header& header : headers) {
         task.headers.push_back({header.name, header.value});
     }
     return task;
--- a/drivers/batch/item_runner.cpp
+++ b/drivers/batch/item_runner.cpp
@@ -133,7 +133,13 @@
 
 asio::awaitable<run_end> item_runner::run(std::shared_ptr<const run_task> task,
                                           std::shared_ptr<run_record> record) {
-    platform::forwarding_metadata marks{.upstream = task->upstream};
+    // Planners of the previous build pass on credentials in items' headers.
+    platform::forwarding_metadata marks{
+        .upstream = task->upstream,
+        .organisation = task->organisation,
+        .strips_credentials =
+            !task->organisation.is_empty() ||
+            (fleet_.routes && fleet_.routes->keys().has_organisations())};
     if (record->progress.events > 0) {
         marks.last_event = record->progress.events;
     }
--- a/drivers/batch/job_store.cpp
+++ b/drivers/batch/job_store.cpp
@@ -61,6 +61,29 @@
     text.versions = part.versions;
 }
 
+/// How a submission ends whose job has a record already.
+accept_end end_of_repetition(const job_record& stored,
+                             const job_record& submitted) {
+    const bool is_foreign = !stored.organisation.is_empty() &&
+                            !submitted.organisation.is_empty() &&
+                            stored.organisation != submitted.organisation;
+    return is_foreign ? accept_end::foreign : accept_end::accepted;
+}
+
+/// Returns the record because of which a transaction failed, if one was found.
+std::optional<job_record> stored_record(const transaction_result& result) {
+    const auto* const conflict = std::get_if<transaction_conflict>(&result);
+    if (conflict == nullptr) {
+        return std::nullopt;
+    }
+    for (const stored_value& value : conflict->current) {
+        if (auto record = decode_job_record(value.key, value.value)) {
+            return *record;
+        }
+    }
+    return std::nullopt;
+}
+
 /// The item to which an encoded result belongs.
 item_id item_of(const std::string& row) {
     return platform::decode_result_item(row);
@@ -82,8 +105,14 @@
     // Job notices and watches may arrive out of order, so an older record must
     // not reopen an ended job.
     const auto known = records_.find(job);
-    if (known == records_.end() || !known->second.is_ended) {
-        records_[job] = std::move(*record);
+    if (known == records_.end()) {
+        records_.emplace(job, std::move(*record));
+    } else if (!known->second.is_ended) {
+        // The previous build drops the organisation when it ends a job.
+        if (record->organisation.is_empty()) {
+            record->organisation = known->second.organisation;
+        }
+        known->second = std::move(*record);
     }
 }
 
@@ -99,8 +128,8 @@
 asio::awaitable<accept_end> job_store::accept(job_record record,
                                               std::string submission,
                                               steady_time deadline) {
-    if (records_.contains(record.id)) {
-        co_return accept_end::accepted;
+    if (const auto known = records_.find(record.id); known != records_.end()) {
+        co_return end_of_repetition(known->second, record);
     }
     const std::size_t part_bytes = client_.limits().max_value_bytes *
                                    part_share_numerator /
@@ -123,9 +152,10 @@
         const auto result = co_await client_.commit(transaction);
         if (result) {
             // A failed condition means that the job is stored already, so it
-            // counts as accepted too.
-            records_.try_emplace(record.id, record);
-            co_return accept_end::accepted;
+            // counts as accepted too, unless another organisation stored it.
+            const job_record stored = stored_record(*result).value_or(record);
+            records_.try_emplace(record.id, stored);
+            co_return end_of_repetition(stored, record);
         }
         effect =
             combine(effect, result.reason().code == result_code::store_refused
--- a/drivers/batch/job_store.hpp
+++ b/drivers/batch/job_store.hpp
@@ -30,6 +30,8 @@
     accepted,
     /// The job is not stored and won't be.
     refused,
+    /// A job of another organisation has the id.
+    foreign,
     /// The store did not answer, so the job may be stored or not.
     unknown,
 };
@@ -82,6 +84,10 @@
         return records_;
     }
 
+    /// Returns the record of a job. Reads the store if this instance doesn't
+    /// know it.
+    boost::asio::awaitable<outcome<job_record>> find_record(job_id job);
+
     /// Stores a job durably. Repeats an unanswered write until `deadline`,
     /// because such a write may have taken effect and can't be undone.
     boost::asio::awaitable<accept_end>
@@ -141,7 +147,6 @@
         bool can_resume_watch = false;
     };
 
-    boost::asio::awaitable<outcome<job_record>> find_record(job_id job);
     boost::asio::awaitable<outcome<done>> read_new_results(job_id job);
     boost::asio::awaitable<outcome<std::shared_ptr<const batch_job>>>
     read_submission(job_record record);
--- a/drivers/front/front_service.cpp
+++ b/drivers/front/front_service.cpp
@@ -102,9 +102,10 @@
     , metrics_(metrics)
     , log_(log)
     , on_job_(std::move(on_job))
+    , authenticator_(fleet, log)
     , job_calls_(
-          jobs, exit_, [this](const job_id& job) { notify_job_listener(job); },
-          log) {}
+          fleet, authenticator_, jobs, exit_,
+          [this](const job_id& job) { notify_job_listener(job); }, log) {}
 
 void front_service::set_exit_time(steady_time time) {
     exit_.set_exit_time(time);
@@ -224,17 +225,25 @@
         co_await refuse_unknown_route(exchange, call.id.text());
         co_return;
     }
+    const authenticated_caller caller =
+        authenticator_.authenticate(request, *routes, route->is_public);
+    if (!caller.identity.is_admitted()) {
+        ++counters_.refused;
+        http_response response = authenticator_.refuse(caller, call.id.text());
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
     switch (route->kind) {
     case request_kind::idempotent:
     case request_kind::at_most_once:
-        co_await forward(exchange, *route, call);
+        co_await forward(exchange, *route, call, caller);
         break;
     case request_kind::stream:
-        co_await forward_stream(exchange, *route, call);
+        co_await forward_stream(exchange, *route, call, caller);
         break;
     case request_kind::batch:
     case request_kind::sample_batch:
-        co_await accept_job(exchange, *route, call);
+        co_await accept_job(exchange, *route, call, caller);
         break;
     }
 }
@@ -251,7 +260,8 @@
 
 asio::awaitable<void>
 front_service::forward(http_exchange& exchange, const route_rule& route,
-                       const platform::caller_call& call) {
+                       const platform::caller_call& call,
+                       const authenticated_caller& caller) {
     const steady_time begin = now();
     const auto time_limit =
         std::min(call.max_wait.value_or(default_time_limit), route.timeout);
@@ -262,9 +272,12 @@
     plain_call_request plain{.route = route,
                              .request = exchange.request(),
                              .id = call.id.text(),
+                             .organisation = caller.identity.organisation,
+                             .strips_credentials = caller.strips_credentials,
                              .deadline = begin + time_limit,
                              .guard = &guard,
-                             .exit = &exit_};
+                             .exit = &exit_,
+                             .is_allowed = caller.is_allowed};
     auto outcome = co_await (plain_caller_.call(std::move(plain)) ||
                              exchange.wait_for_disconnect());
     const auto cancellation = co_await asio::this_coro::cancellation_state;
@@ -288,9 +301,11 @@
                      elapsed);
     if (result.answer) {
         ++counters_.answered;
+        authenticator_.on_served(caller.identity.organisation);
         log_.write(
             log_event::request_finished,
             "request=" + call.id.text() + " route=" + route.name +
+                organisation_field(caller.identity.organisation) +
                 " outcome=answered status=" +
                 std::to_string(result.answer->status) + " attempts=" +
                 std::to_string(result.attempts) + " milliseconds=" +
@@ -332,7 +347,8 @@
 
 asio::awaitable<void>
 front_service::forward_stream(http_exchange& exchange, const route_rule& route,
-                              const platform::caller_call& call) {
+                              const platform::caller_call& call,
+                              const authenticated_caller& caller) {
     const steady_time deadline =
         now() +
         std::min(call.max_wait.value_or(default_time_limit), route.timeout);
@@ -341,7 +357,10 @@
                            .route = route,
                            .call = call,
                            .guard = guard,
-                           .deadline = deadline};
+                           .deadline = deadline,
+                           .organisation = caller.identity.organisation,
+                           .strips_credentials = caller.strips_credentials,
+                           .is_allowed = caller.is_allowed};
     stream_result result = co_await streams_.forward(std::move(request));
     const auto cancellation = co_await asio::this_coro::cancellation_state;
     if (cancellation.cancelled() != asio::cancellation_type::none) {
@@ -349,11 +368,13 @@
     }
     log_.write(log_event::stream_ended,
                "request=" + call.id.text() + " route=" + route.name +
+                   organisation_field(caller.identity.organisation) +
                    " outcome=" + to_word(result.end) +
                    " last_event=" + std::to_string(result.last_event));
     switch (result.end) {
     case stream_end::complete:
         ++counters_.answered;
+        authenticator_.on_served(caller.identity.organisation);
         break;
     case stream_end::caller_gone:
         ++counters_.callers_gone;
@@ -393,7 +414,8 @@
 
 asio::awaitable<void>
 front_service::accept_job(http_exchange& exchange, const route_rule& route,
-                          const platform::caller_call& call) {
+                          const platform::caller_call& call,
+                          const authenticated_caller& caller) {
     const steady_time begin = now();
     const job_id id(call.id.text());
     if (id.is_empty()) {
@@ -419,6 +441,7 @@
                                      ? service_name()
                                      : route.services.front().service,
                       .total = static_cast<std::uint32_t>(job->items.size()),
+                      .organisation = caller.identity.organisation,
                       .accepted_at = wall_milliseconds()};
     const auto time_limit =
         std::min(call.max_wait.value_or(max_accept_time), max_accept_time);
@@ -430,16 +453,22 @@
                         "the instance exits");
         co_return;
     }
-    const accept_end end = co_await jobs_.accept(
-        record, exchange.request().body, exit_.answer_by(deadline));
+    std::string submission = exchange.request().body;
+    if (caller.strips_credentials) {
+        submission = platform::strip_credentials(*job, std::move(submission));
+    }
+    const accept_end end = co_await jobs_.accept(record, std::move(submission),
+                                                 exit_.answer_by(deadline));
     const std::string detail =
         "job=" + id.text() + " route=" + route.name +
+        organisation_field(caller.identity.organisation) +
         " items=" + std::to_string(job->items.size()) + " milliseconds=" +
         std::to_string(
             std::chrono::duration_cast<std::chrono::milliseconds>(now() - begin)
                 .count());
     if (end == accept_end::accepted) {
         ++counters_.jobs_accepted;
+        authenticator_.on_served(caller.identity.organisation);
         log_.write(log_event::job_accepted, detail);
         notify_job_listener(id);
         http_response response{.status = status_accepted};
@@ -447,6 +476,14 @@
         co_return;
     }
     ++counters_.jobs_refused;
+    if (end == accept_end::foreign) {
+        authenticator_.on_foreign_job();
+        log_.write(log_event::job_refused, detail + " outcome=foreign");
+        http_response response =
+            platform::make_local_response(status_not_found, "not found");
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
     const bool is_refused = end == accept_end::refused;
     log_.write(log_event::job_refused,
                detail + " outcome=" + (is_refused ? "refused" : "unknown"));
--- a/drivers/front/front_service.hpp
+++ b/drivers/front/front_service.hpp
@@ -3,6 +3,7 @@
 #include "core/logger.hpp"
 #include "core/metrics_registry.hpp"
 #include "drivers/batch/job_store.hpp"
+#include "drivers/front/caller_authenticator.hpp"
 #include "drivers/front/job_call_handler.hpp"
 #include "drivers/front/plain_caller.hpp"
 #include "drivers/front/stream_forwarder.hpp"
@@ -58,7 +59,16 @@
     /// answered as possibly run; streams that have begun go on.
     void set_exit_time(steady_time time);
 
+    /// Requests with a removed key must not run after this time; absent if keys
+    /// follow the configuration like routes.
+    void set_revocation_bound(std::optional<std::chrono::milliseconds> bound) {
+        authenticator_.set_revocation_bound(bound);
+    }
+
     [[nodiscard]] const front_counters& counters() const { return counters_; }
+    [[nodiscard]] const identity_counters& identities() const {
+        return authenticator_.counters();
+    }
 
 private:
     boost::asio::awaitable<void> serve(http_exchange& exchange);
@@ -68,13 +78,16 @@
     void notify_job_listener(const job_id& job);
     boost::asio::awaitable<void> accept_job(http_exchange& exchange,
                                             const route_rule& route,
-                                            const platform::caller_call& call);
+                                            const platform::caller_call& call,
+                                            const authenticated_caller& caller);
     boost::asio::awaitable<void> forward(http_exchange& exchange,
                                          const route_rule& route,
-                                         const platform::caller_call& call);
+                                         const platform::caller_call& call,
+                                         const authenticated_caller& caller);
     boost::asio::awaitable<void>
     forward_stream(http_exchange& exchange, const route_rule& route,
-                   const platform::caller_call& call);
+                   const platform::caller_call& call,
+                   const authenticated_caller& caller);
     boost::asio::awaitable<void> refuse(http_exchange& exchange,
                                         const std::string& request,
                                         unsigned status,
@@ -98,6 +111,7 @@
     logger& log_;
     job_listener on_job_;
     exit_admission exit_;
+    caller_authenticator authenticator_;
     job_call_handler job_calls_;
     /// When requests that still run are answered. Cancelled when it changes.
     steady_time last_answer_at_ = steady_time::max();
--- a/drivers/front/job_call_handler.cpp
+++ b/drivers/front/job_call_handler.cpp
@@ -43,17 +43,48 @@
                                          retry_after);
 }
 
+bool is_batch(const route_rule& route) {
+    return route.kind == request_kind::batch ||
+           route.kind == request_kind::sample_batch;
+}
+
+bool has_public_batch_route(const route_table& routes) {
+    const auto& rules = routes.configuration().routes;
+    return std::any_of(rules.begin(), rules.end(), [](const route_rule& rule) {
+        return rule.is_public && is_batch(rule);
+    });
+}
+
+/// Whether jobs of the route need no key. `name` is the route's.
+bool is_public_route(const route_table& routes, const std::string& name) {
+    const auto& rules = routes.configuration().routes;
+    return std::any_of(rules.begin(), rules.end(), [&](const route_rule& rule) {
+        return rule.is_public && is_batch(rule) && rule.name == name;
+    });
+}
+
 } // namespace
 
-job_call_handler::job_call_handler(job_store& jobs, const exit_admission& exit,
+job_call_handler::job_call_handler(const fleet_state& fleet,
+                                   caller_authenticator& authenticator,
+                                   job_store& jobs, const exit_admission& exit,
                                    end_listener on_ended, logger& log)
-    : jobs_(jobs)
+    : fleet_(fleet)
+    , authenticator_(authenticator)
+    , jobs_(jobs)
     , exit_(exit)
     , on_ended_(std::move(on_ended))
     , log_(log) {}
 
 asio::awaitable<void> job_call_handler::handle(http_exchange& exchange,
                                                platform::job_call call) {
+    job_id job(std::visit([](const auto& one) { return one.job; }, call));
+    auto refusal = co_await check_caller(exchange.request(), std::move(job));
+    if (refusal) {
+        http_response response = std::move(*refusal);
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
     http_response response = co_await std::visit(
         [this](auto& one) { return answer(std::move(one)); }, call);
     if (response.status != status_ok) {
@@ -64,6 +95,55 @@
     co_await exchange.respond(std::move(response));
 }
 
+asio::awaitable<std::optional<http_response>>
+job_call_handler::check_caller(const http_request& request, job_id job) {
+    // Keeps the routes alive: a new configuration may replace them during the
+    // read of the record.
+    const auto routes = fleet_.routes;
+    if (!routes) {
+        // The configuration may require keys.
+        log_.write(log_event::request_refused,
+                   "job=" + job.text() + " reason=\"no configuration yet\"");
+        co_return platform::make_local_response(
+            status_unavailable, "no configuration yet", retry_after);
+    }
+    if (!routes->keys().has_organisations()) {
+        co_return std::nullopt;
+    }
+    const authenticated_caller caller =
+        authenticator_.authenticate(request, *routes, false);
+    const bool is_admitted = caller.identity.is_admitted();
+    if (!is_admitted && !has_public_batch_route(*routes)) {
+        co_return authenticator_.refuse(caller, job.text());
+    }
+    const auto record = co_await jobs_.find_record(job);
+    if (!is_admitted) {
+        if (record && record->organisation.is_empty() &&
+            is_public_route(*routes, record->route)) {
+            co_return std::nullopt;
+        }
+        co_return authenticator_.refuse(caller, job.text());
+    }
+    const bool is_foreign =
+        record && !record->organisation.is_empty() &&
+        record->organisation != caller.identity.organisation;
+    if (!is_foreign && record) {
+        co_return std::nullopt;
+    }
+    if (is_foreign) {
+        authenticator_.on_foreign_job();
+    }
+    http_response response = answer_failure(
+        is_foreign ? failure{result_code::not_found, "no such job"}
+                   : record.reason());
+    log_.write(log_event::request_refused,
+               "job=" + job.text() +
+                   organisation_field(caller.identity.organisation) +
+                   " status=" + std::to_string(response.status) +
+                   " reason=" + (is_foreign ? "foreign_job" : "unknown_job"));
+    co_return response;
+}
+
 asio::awaitable<http_response>
 job_call_handler::answer(platform::read_results_call call) {
     const steady_time begin = std::chrono::steady_clock::now();
--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -47,6 +47,10 @@
     return call.guard != nullptr && call.guard->is_blocked();
 }
 
+bool is_allowed(const plain_call_request& call) {
+    return !call.is_allowed || call.is_allowed();
+}
+
 /// Records the end of a call in the upstream's counts, also if the coroutine is
 /// cancelled.
 class call_guard {
@@ -123,7 +127,10 @@
 plain_caller::try_upstream(const plain_call_request& call,
                            const upstream_entry& upstream,
                            steady_time deadline) {
-    platform::forwarding_metadata metadata{.upstream = upstream.id};
+    platform::forwarding_metadata metadata{.upstream = upstream.id,
+                                           .organisation = call.organisation,
+                                           .strips_credentials =
+                                               call.strips_credentials};
     if (call.must_forward_deadline) {
         metadata.time_left =
             std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -132,18 +139,21 @@
     call_guard guard(fleet_.pool, upstream.id);
     attempt_log attempt(fleet_, log_, "call", call.id, upstream.id);
     http_request request = platform::forward_request(call.request, metadata);
-    call_options options{
-        .use = call.route.kind == request_kind::idempotent
-                   ? connection_use::reuse
-                   : connection_use::fresh,
-        .may_write =
-            [this, &upstream] { return fleet_.pool.is_available(upstream.id); },
-        .is_own_answer =
-            [&call](const http_headers& headers) {
-                return platform::may_answer(
-                    call.id, platform::decode_answer_metadata(headers));
-            },
-        .trace = attempt.trace()};
+    call_options options{.use = call.route.kind == request_kind::idempotent
+                                    ? connection_use::reuse
+                                    : connection_use::fresh,
+                         .may_write =
+                             [this, &call, &upstream] {
+                                 return fleet_.pool.is_available(upstream.id) &&
+                                        is_allowed(call);
+                             },
+                         .is_own_answer =
+                             [&call](const http_headers& headers) {
+                                 return platform::may_answer(
+                                     call.id,
+                                     platform::decode_answer_metadata(headers));
+                             },
+                         .trace = attempt.trace()};
     auto answer = co_await client_.call(upstream.address, std::move(request),
                                         deadline, std::move(options));
     if (!answer) {
@@ -249,6 +259,11 @@
         if (!fleet_.pool.is_available(upstream.id) || is_blocked(call)) {
             continue;
         }
+        if (!is_allowed(call)) {
+            result.reason = {result_code::not_run_unauthorized,
+                             "the key can't be confirmed now"};
+            break;
+        }
         if (!may_send(call, upstream)) {
             result.reason = {result_code::not_run_draining,
                              "the instance exits before it would be answered"};
@@ -268,6 +283,9 @@
         }
         result.may_have_run = result.may_have_run || attempt.may_have_run;
         result.attempts += attempt.may_have_run ? 1 : 0;
+        if (attempt.may_have_run) {
+            call.is_allowed = nullptr;
+        }
         result.reason = attempt.reason;
         if (attempt.answer) {
             const bool is_failure =
--- a/drivers/front/plain_caller.hpp
+++ b/drivers/front/plain_caller.hpp
@@ -44,6 +44,9 @@
     /// Refuses the request if the instance exits too soon; null if it must not
     /// be refused. Must stay valid during the call.
     const exit_admission* exit = nullptr;
+    /// Asked before each send until an upstream may have run the request: it
+    /// isn't sent if this returns false. Always allowed if empty.
+    std::function<bool()> is_allowed;
 };
 
 struct plain_call_result {
--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -51,6 +51,12 @@
            find_header(answer.headers(), "Content-Encoding").empty();
 }
 
+/// Whether the stream may be sent to an upstream. One that may have begun in
+/// time is continued.
+bool may_run(const stream_request& request, bool may_have_begun) {
+    return may_have_begun || !request.is_allowed || request.is_allowed();
+}
+
 } // namespace
 
 struct stream_forwarder::progress {
@@ -124,6 +130,10 @@
         if (!fleet_.pool.is_available(upstream->id)) {
             continue;
         }
+        if (!may_run(request, state.may_have_run)) {
+            state.result.reason = "the key can't be confirmed now";
+            break;
+        }
         state.tried.insert(upstream->id);
         if (co_await try_upstream(request, *upstream, state) ==
             attempt_end::finished) {
@@ -235,23 +245,28 @@
     platform::forwarding_metadata marks{
         .upstream = upstream.id,
         .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
-            request.deadline - now())};
+            request.deadline - now()),
+        .organisation = request.organisation,
+        .strips_credentials = request.strips_credentials};
     if (state.has_begun) {
         marks.last_event = state.result.last_event;
     }
     http_request forwarded =
         platform::forward_request(request.exchange.request(), marks);
     attempt_log attempt(fleet_, log_, "stream", call.id.text(), upstream.id);
-    call_options options{
-        .use = connection_use::fresh,
-        .may_write =
-            [this, &upstream] { return fleet_.pool.is_available(upstream.id); },
-        .is_own_answer =
-            [&call](const http_headers& headers) {
-                return platform::may_answer(
-                    call.id.text(), platform::decode_answer_metadata(headers));
-            },
-        .trace = attempt.trace()};
+    call_options options{.use = connection_use::fresh,
+                         .may_write =
+                             [this, &request, &upstream, &state] {
+                                 return fleet_.pool.is_available(upstream.id) &&
+                                        may_run(request, state.may_have_run);
+                             },
+                         .is_own_answer =
+                             [&call](const http_headers& headers) {
+                                 return platform::may_answer(
+                                     call.id.text(),
+                                     platform::decode_answer_metadata(headers));
+                             },
+                         .trace = attempt.trace()};
     log_.write(log_event::stream_sent,
                "request=" + call.id.text() + " route=" + request.route.name +
                    " upstream=" + upstream.id.text() +
--- a/drivers/front/stream_forwarder.hpp
+++ b/drivers/front/stream_forwarder.hpp
@@ -14,6 +14,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -59,6 +60,9 @@
     organisation_id organisation;
     /// The caller's own credentials and organisation header aren't passed on.
     bool strips_credentials = false;
+    /// Asked before each send until an upstream may have run the request: it
+    /// isn't sent if this returns false. Always allowed if empty.
+    std::function<bool()> is_allowed;
 };
 
 /// Passes the stream of an upstream to a caller. If it breaks, continues it at
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -377,6 +377,7 @@
         report_limit(upstream, limit);
     };
     fleet_.find_view_age = [this] { return feed_.find_view_age(); };
+    front_.set_revocation_bound(settings_.revocation_bound);
     store_.use_relay(relay_);
     jobs_.use_result_source(results_);
     if (auto text = read_text_file(settings_file_)) {
--- a/servers/fleet/route_table.cpp
+++ b/servers/fleet/route_table.cpp
@@ -20,7 +20,8 @@
 
 route_table::route_table(
     std::shared_ptr<const fleet_configuration> configuration)
-    : configuration_(std::move(configuration)) {
+    : configuration_(std::move(configuration))
+    , keys_(configuration_->organisations) {
     for (const route_rule& route : configuration_->routes) {
         by_host_[route.host].push_back(&route);
     }
--- a/servers/fleet/route_table.hpp
+++ b/servers/fleet/route_table.hpp
@@ -2,6 +2,7 @@
 
 #include "core/random_source.hpp"
 #include "servers/fleet/fleet_configuration.hpp"
+#include "servers/identity/key_table.hpp"
 
 #include <memory>
 #include <string>
@@ -36,8 +37,12 @@
         return *configuration_;
     }
 
+    /// The keys of the configuration's organisations.
+    [[nodiscard]] const key_table& keys() const { return keys_; }
+
 private:
     std::shared_ptr<const fleet_configuration> configuration_;
+    key_table keys_;
     /// Routes by host, sorted by descending length of their prefix.
     std::unordered_map<std::string, std::vector<const route_rule*>> by_host_;
 };
