--- a/drivers/node/fleet_mirror.cpp
+++ b/drivers/node/fleet_mirror.cpp
@@ -60,6 +60,8 @@
                "version=" + std::to_string(configuration->version) +
                    " revision=" + std::to_string(value.modified) +
                    " routes=" + std::to_string(configuration->routes.size()) +
+                   " organisations=" +
+                   std::to_string(configuration->organisations.size()) +
                    " bytes=" + std::to_string(value.value.size()) + ' ' +
                    to_text(fleet_.find_view_age()));
     fleet_.routes = std::make_shared<const route_table>(
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -1029,6 +1029,7 @@
     }
     std::string text = write_node_metrics(
         {.front = front_.counters(),
+         .identities = front_.identities(),
          .store = store_.counters(),
          .is_store_reachable = store_.is_reachable(),
          .configuration_version =
--- a/drivers/node/node_metrics.cpp
+++ b/drivers/node/node_metrics.cpp
@@ -1,6 +1,8 @@
 #include "drivers/node/node_metrics.hpp"
 
+#include <iomanip>
 #include <sstream>
+#include <utility>
 
 namespace savorydock {
 
@@ -10,6 +12,24 @@
     return std::chrono::duration<double>(time).count();
 }
 
+void write_identities(std::ostream& out, const identity_counters& counters) {
+    const std::pair<std::string_view, std::uint64_t> refused[] = {
+        {"missing_key", counters.missing_keys},
+        {"unknown_key", counters.unknown_keys},
+        {"uncertain", counters.uncertain_keys},
+        {"foreign_job", counters.foreign_jobs}};
+    for (const auto& [reason, count] : refused) {
+        out << "savorydock_callers_refused_total{reason=\"" << reason << "\"} "
+            << count << '\n';
+    }
+    for (const auto& [organisation, count] : counters.served) {
+        const std::string name =
+            organisation.is_empty() ? "others" : organisation.text();
+        out << "savorydock_requests_served_total{organisation="
+            << std::quoted(name) << "} " << count << '\n';
+    }
+}
+
 } // namespace
 
 std::string write_node_metrics(const node_statistics& statistics) {
@@ -25,6 +45,7 @@
     write("requests_blocked_total", statistics.front.suspects_refused);
     write("jobs_accepted_total", statistics.front.jobs_accepted);
     write("jobs_refused_total", statistics.front.jobs_refused);
+    write_identities(out, statistics.identities);
     write("store_calls_total", statistics.store.calls);
     for (std::size_t kind = 0; kind < store_call_kind_count; ++kind) {
         const auto name = name_of(static_cast<store_call_kind>(kind));
@@ -44,6 +65,10 @@
     if (statistics.view.age) {
         write("view_age_seconds", to_seconds(*statistics.view.age));
     }
+    if (statistics.view.confirmed_age) {
+        write("view_confirmed_age_seconds",
+              to_seconds(*statistics.view.confirmed_age));
+    }
     write("view_missing_seconds", to_seconds(statistics.view.missing_for));
     write("peer_messages_dropped_total", statistics.peers.dropped);
     write("peer_messages_lost_total", statistics.peers.lost);
--- a/drivers/node/node_metrics.hpp
+++ b/drivers/node/node_metrics.hpp
@@ -16,6 +16,7 @@
 /// The values that an instance exports as metrics.
 struct node_statistics {
     front_counters front;
+    identity_counters identities;
     store_counters store;
     bool is_store_reachable = true;
     std::uint64_t configuration_version = 0;
--- a/tests/drivers/batch/engine_driver_test.cpp
+++ b/tests/drivers/batch/engine_driver_test.cpp
@@ -128,12 +128,14 @@
         gain_term();
     }
 
-    job_record accept(const std::string& id, const std::string& items) {
+    job_record accept(const std::string& id, const std::string& items,
+                      const std::string& organisation = {}) {
         job_record record{.id = job_id(id),
                           .route = "r",
                           .host = "h",
                           .service = service_name("e"),
                           .total = 2,
+                          .organisation = organisation_id(organisation),
                           .accepted_at = wall_milliseconds()};
         EXPECT_EQ(
             run_call(context,
@@ -253,3 +255,86 @@
     EXPECT_TRUE(wait([&] { return transport.tasks_of("near").size() == 4; }));
     EXPECT_LT(std::chrono::steady_clock::now() - begin, 1s);
 }
+
+// Guards against keys that reach another instance, and items that run without
+// the organisation of their job. A record without one is of an older build.
+TEST_F(engine_driver_test, runs_name_the_organisation_and_hold_no_key) {
+    for (const char* const organisation : {"a", ""}) {
+        auto configuration = std::make_shared<fleet_configuration>();
+        configuration->organisations = {{.name = organisation_id("a")}};
+        fleet.routes = std::make_shared<const route_table>(configuration);
+        const std::string id = std::string("j") + organisation;
+        const job_record record =
+            accept(id,
+                   R"({"id":"i","path":"/p","body":"","headers":)"
+                   R"({"authorization":"Bearer k","Tenant":"forged","X":"y"}})",
+                   organisation);
+        driver.on_jobs_changed();
+        ASSERT_TRUE(wait([&] { return !transport.tasks_of("near").empty(); }));
+        for (const run_task& task : transport.tasks_of("near")) {
+            EXPECT_EQ(task.organisation.text(), organisation);
+            ASSERT_EQ(task.headers.size(), 1U);
+            EXPECT_EQ(task.headers[0].name, "X");
+        }
+        end(record);
+        transport.orders.clear();
+    }
+}
+
+// Guards against access to a job by a submission with its id, here at an
+// instance that doesn't know the job yet.
+TEST_F(engine_driver_test, id_of_a_job_of_another_organisation_is_taken) {
+    job_record record = accept("j", two_items, "a");
+    job_store other(store, log);
+    const auto submit = [&](const char* organisation) {
+        record.organisation = organisation_id(organisation);
+        return run_call(
+            context,
+            other.accept(record, "{}", std::chrono::steady_clock::now() + 1s));
+    };
+    EXPECT_EQ(submit("b"), accept_end::foreign);
+    EXPECT_EQ(other.records().at(record.id).organisation, organisation_id("a"));
+    EXPECT_EQ(submit("a"), accept_end::accepted);
+    // The previous build ends the job.
+    record.organisation = organisation_id();
+    record.is_ended = true;
+    other.on_record(record.id, record);
+    EXPECT_TRUE(other.records().at(record.id).is_ended);
+    EXPECT_EQ(submit("b"), accept_end::foreign);
+}
+
+// Guards against an organisation whose jobs wait behind those of a route with a
+// better priority.
+TEST_F(engine_driver_test, priority_of_an_organisation_precedes_its_routes) {
+    auto configuration = std::make_shared<fleet_configuration>();
+    configuration->organisations = {
+        {.name = organisation_id("first"), .priority = 0},
+        {.name = organisation_id("last"), .priority = 9}};
+    configuration->routes = {{.name = "r",
+                              .host = "h",
+                              .prefix = "/",
+                              .kind = request_kind::batch,
+                              .priority = 5,
+                              .services = {{.service = service_name("e")}}}};
+    fleet.routes = std::make_shared<const route_table>(configuration);
+    accept("running", two_items, "first");
+    driver.on_jobs_changed();
+    ASSERT_TRUE(wait([&] { return transport.tasks_of("near").size() == 2; }));
+    accept("a", two_items, "last");
+    accept("b", two_items);
+    accept("c", two_items, "first");
+    driver.on_jobs_changed();
+    run(300ms);
+    runner_update ends{.service = service_name("e")};
+    for (const run_task& task : transport.tasks_of("near")) {
+        ends.ends.push_back({.ticket = task.ticket,
+                             .end = run_end::invalid_item,
+                             .last_delta = {.ticket = task.ticket}});
+    }
+    transport.orders.clear();
+    driver.on_run_update(instance_id("near"), ends);
+    ASSERT_TRUE(wait([&] { return transport.tasks_of("near").size() == 2; }));
+    for (const run_task& task : transport.tasks_of("near")) {
+        EXPECT_EQ(task.job, job_id("c"));
+    }
+}
--- a/tests/drivers/front/front_service_test.cpp
+++ b/tests/drivers/front/front_service_test.cpp
@@ -223,3 +223,67 @@
     ASSERT_TRUE(answer);
     EXPECT_THAT(answer->status, ::testing::AnyOf(502U, 504U));
 }
+
+class front_service_identity_test : public front_service_kinds_test {
+public:
+    front_service_identity_test() {
+        auto configuration = std::make_shared<fleet_configuration>(
+            fleet.routes->configuration());
+        configuration->organisations = {
+            {.name = organisation_id("a"), .keys = {"k"}}};
+        fleet.routes = std::make_shared<const route_table>(configuration);
+        front.set_revocation_bound(5s);
+        replace_upstream();
+    }
+
+    http_response send_with(const std::string& key) {
+        auto answer = call_blocking(address,
+                                    {.target = GetParam(),
+                                     .headers = {{"Host", "h"},
+                                                 {"Request-Id", "i"},
+                                                 {"Authorization", key}}},
+                                    2s);
+        return answer ? *answer : http_response{.status = 0};
+    }
+};
+
+// Guards against 401 for keys that are new, and against answers that tell
+// unknown keys from other credentials.
+TEST_P(front_service_identity_test, unknown_key_is_refused_by_a_current_view) {
+    std::atomic<bool> is_current = true;
+    fleet.find_view_age = [&] {
+        return view_age{.is_current = is_current, .confirmed_age = 1s};
+    };
+    const http_response unknown = send_with("Bearer x");
+    EXPECT_EQ(unknown.status, 401U);
+    EXPECT_EQ(send_with("Basic k").body, unknown.body);
+    is_current = false;
+    const http_response uncertain = send_with("Bearer x");
+    EXPECT_EQ(uncertain.status, 503U);
+    EXPECT_FALSE(uncertain.header("Retry-After").empty());
+    EXPECT_EQ(runs, 0U);
+    EXPECT_EQ(front.identities().unknown_keys, 2U);
+    EXPECT_EQ(front.identities().uncertain_keys, 1U);
+}
+
+// Guards against requests that are sent after a wait in which their key may
+// have been removed.
+TEST_P(front_service_identity_test, key_is_confirmed_again_before_the_send) {
+    for (const std::size_t young_views : {1U, 2U}) {
+        std::atomic<std::size_t> looks = 0;
+        fleet.find_view_age = [&] {
+            const auto age = ++looks <= young_views ? 1s : 4s;
+            return view_age{.confirmed_age = age};
+        };
+        const http_response refused = send_with("Bearer k");
+        EXPECT_EQ(refused.status, 503U) << young_views;
+        EXPECT_FALSE(refused.header("Retry-After").empty());
+        EXPECT_EQ(runs, 0U);
+    }
+    fleet.find_view_age = [] { return view_age{.confirmed_age = 1s}; };
+    EXPECT_EQ(send_with("Bearer k").status, 502U) << "the upstream crashes";
+    EXPECT_EQ(runs, 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(kinds, front_service_identity_test,
+                         ::testing::Values("/plain/a", "/stream/a"));
--- a/tests/main/identity_process_test.cpp
+++ b/tests/main/identity_process_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -22,7 +23,7 @@
 protected:
     identity_process_test() {
         std::filesystem::create_directories(folder_);
-        configure(R"("a1", "a2")");
+        configure(R"("key-a1", "key-a2")");
         store_.put("servers/u", R"({"service": "s", "address": ")" +
                                     to_text(upstream_.address()) +
                                     R"(", "zone": "z", "version": "v1",
@@ -42,9 +43,10 @@
             << "value_bytes = 1048576\nttl_min_ms = 1000\n";
         const auto path = folder_ / "settings.toml";
         ::setenv("SAVORYDOCK_SETTINGS", path.c_str(), 1);
-        instance_.emplace(std::string(SAVORYDOCK_BINARY_DIR) + "/bin",
-                          "savorydock-node", std::vector<std::string>{"entry"});
-        EXPECT_TRUE(wait_for_status("a1", 200)) << "no request is served";
+        instance_.emplace(
+            std::string(SAVORYDOCK_BINARY_DIR) + "/bin", "savorydock-node",
+            std::vector<std::string>{"--log_level=debug", "entry"});
+        EXPECT_TRUE(wait_for_status("key-a1", 200)) << "no request is served";
     }
 
     ~identity_process_test() override {
@@ -58,7 +60,7 @@
                                     R"(, "tenants": [
             {"name": "a", "api_keys": [)" +
                                     keys + R"(]},
-            {"name": "b", "api_keys": ["b1"]}], "routes": [
+            {"name": "b", "api_keys": ["key-b1"]}], "routes": [
             {"name": "plain", "host": "h", "prefix": "/plain/",
              "route_type": "safe", "service": "s", "max_attempts": 2},
             {"name": "open", "host": "h", "prefix": "/open/", "public": true,
@@ -150,10 +152,10 @@
         unsigned status;
         const char* organisation;
     };
-    for (const expectation& one : {expectation{"/plain/x", "a1", 200, "a"},
-                                   expectation{"/plain/x", "b1", 200, "b"},
-                                   expectation{"/stream/x", "a2", 200, "a"},
-                                   expectation{"/open/x", "b1", 200, "b"},
+    for (const expectation& one : {expectation{"/plain/x", "key-a1", 200, "a"},
+                                   expectation{"/plain/x", "key-b1", 200, "b"},
+                                   expectation{"/stream/x", "key-a2", 200, "a"},
+                                   expectation{"/open/x", "key-b1", 200, "b"},
                                    expectation{"/open/x", "wrong", 200, ""},
                                    expectation{"/open/x", "", 200, ""},
                                    expectation{"/plain/x", "wrong", 401, ""},
@@ -172,47 +174,52 @@
 TEST_F(identity_process_test, job_belongs_to_its_organisation) {
     const std::string items =
         R"({"items": [{"id": "i", "path": "/p", "headers":
-            {"Authorization": "Bearer a1", "Tenant": "forged"},
+            {"Authorization": "Bearer key-a1", "Tenant": "forged"},
             "body": "Ym9keQ==", "tokens": 1}]})";
     EXPECT_EQ(call("POST", "/job/", "", "j", items).status, 401U);
-    ASSERT_EQ(call("POST", "/job/", "a1", "j", items).status, 202U);
-    EXPECT_EQ(call("POST", "/job/", "b1", "j", items).status, 404U);
+    ASSERT_EQ(call("POST", "/job/", "key-a1", "j", items).status, 202U);
+    EXPECT_EQ(call("POST", "/job/", "key-b1", "j", items).status, 404U);
     for (const char* const path : {"/savorydock/lots/", "/savorydock/items/"}) {
         const std::string query = "?id=i";
-        EXPECT_EQ(call("GET", path + ("j" + query), "a2", "r").status, 200U);
-        const auto foreign = call("GET", path + ("j" + query), "b1", "r");
-        const auto unknown = call("GET", path + ("x" + query), "b1", "r");
+        EXPECT_EQ(call("GET", path + ("j" + query), "key-a2", "r").status,
+                  200U);
+        const auto foreign = call("GET", path + ("j" + query), "key-b1", "r");
+        const auto unknown = call("GET", path + ("x" + query), "key-b1", "r");
         EXPECT_EQ(foreign.status, 404U);
         EXPECT_EQ(foreign.status, unknown.status);
         EXPECT_EQ(foreign.body, unknown.body);
         EXPECT_EQ(call("GET", path + ("j" + query), "", "r").status, 401U);
     }
-    EXPECT_EQ(call("DELETE", "/savorydock/lots/j", "b1", "r").status, 404U);
-    EXPECT_EQ(call("DELETE", "/savorydock/lots/j", "a2", "r").status, 200U);
+    EXPECT_EQ(call("DELETE", "/savorydock/lots/j", "key-b1", "r").status, 404U);
+    EXPECT_EQ(call("DELETE", "/savorydock/lots/j", "key-a2", "r").status, 200U);
     for (const auto& [key, value] : store_.values()) {
         EXPECT_TRUE(key == "op/config" ||
-                    value.value.find("Bearer") == std::string::npos)
+                    value.value.find("key-") == std::string::npos)
             << key << ": " << value.value;
     }
     // A record that an older build wrote.
     store_.put("c/job/old", R"({"route": "job", "host": "h", "service": "e",
         "total": 1, "parts": 1, "accepted_at": 1, "ended": true,
         "complete": false})");
-    EXPECT_EQ(call("GET", "/savorydock/lots/old", "b1", "r").status, 200U);
+    EXPECT_EQ(call("GET", "/savorydock/lots/old", "key-b1", "r").status, 200U);
     EXPECT_EQ(call("GET", "/savorydock/lots/old", "x", "r").status, 401U);
+    instance_->send(SIGTERM);
+    const std::string log = instance_->read_all();
+    EXPECT_NE(log.find("organisation=a"), std::string::npos);
+    EXPECT_EQ(log.find("key-"), std::string::npos) << "a key is logged";
 }
 
 // Guards against keys that work after their removal, also while the store is
 // away.
 TEST_F(identity_process_test, removed_key_is_refused) {
-    configure(R"("a2", "a3")");
-    EXPECT_TRUE(wait_for_status("a1", 401));
-    EXPECT_EQ(call("GET", "/plain/x", "a3", "x").status, 200U);
+    configure(R"("key-a2", "key-a3")");
+    EXPECT_TRUE(wait_for_status("key-a1", 401));
+    EXPECT_EQ(call("GET", "/plain/x", "key-a3", "x").status, 200U);
     store_.set_refusing(true);
-    EXPECT_TRUE(wait_for_status("a3", 503)) << "the view is too old";
-    EXPECT_EQ(call("GET", "/open/x", "a3", "y").status, 200U);
+    EXPECT_TRUE(wait_for_status("key-a3", 503)) << "the view is too old";
+    EXPECT_EQ(call("GET", "/open/x", "key-a3", "y").status, 200U);
     EXPECT_FALSE(head_of("y").empty());
     EXPECT_EQ(header_of(head_of("y"), "Tenant"), "");
     store_.set_refusing(false);
-    EXPECT_TRUE(wait_for_status("a3", 200));
+    EXPECT_TRUE(wait_for_status("key-a3", 200));
 }
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -5,8 +5,11 @@
 #include "platform/settings_file.hpp"
 #include "platform/store_codec.hpp"
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace savorydock;
 using namespace savorydock::platform;
 using namespace std::chrono_literals;
@@ -505,3 +508,52 @@
     EXPECT_EQ((*pair)->key, "\xf0\x9f\x98\x80"
                             "A\\ud800");
 }
+
+// Guards against keys that reach an upstream, and organisations that callers
+// name themselves.
+TEST_F(codec_test, credentials_of_callers_are_replaced_by_the_organisation) {
+    const http_headers headers{
+        {"authorization", "Bearer k"}, {"TENANT", "forged"}, {"X", "y"}};
+    const auto count = [](const http_request& request, std::string_view name) {
+        return std::count_if(request.headers.begin(), request.headers.end(),
+                             [&](const http_header& header) {
+                                 return boost::algorithm::iequals(header.name,
+                                                                  name);
+                             });
+    };
+    for (const std::string& name : {std::string(), std::string("a")}) {
+        const forwarding_metadata metadata{.upstream = upstream_id("u"),
+                                           .organisation =
+                                               organisation_id(name),
+                                           .strips_credentials = true};
+        for (const http_request& request :
+             {forward_request({.headers = headers}, metadata),
+              make_item_request("i", "h", "/p", headers, "", metadata)}) {
+            EXPECT_EQ(count(request, "Authorization"), 0);
+            EXPECT_EQ(count(request, "Tenant"), name.empty() ? 0 : 1);
+            EXPECT_EQ(request.header("Tenant"), name);
+            EXPECT_EQ(request.header("X"), "y");
+        }
+    }
+    const http_request unchanged =
+        forward_request({.headers = headers}, {.upstream = upstream_id("u")});
+    EXPECT_EQ(unchanged.header("Authorization"), "Bearer k");
+    EXPECT_EQ(unchanged.header("Tenant"), "forged");
+}
+
+TEST_F(codec_test, key_of_a_caller_is_one_bearer_token) {
+    const auto key_in = [](http_headers headers) {
+        const http_request request{.headers = std::move(headers)};
+        const auto key = decode_key(request);
+        return key ? std::optional<std::string>(*key) : std::nullopt;
+    };
+    EXPECT_EQ(key_in({{"Authorization", "Bearer k"}}), "k");
+    EXPECT_EQ(key_in({{"authorization", "bearer  k"}}), "k");
+    EXPECT_EQ(key_in({}), std::nullopt);
+    for (const char* const value : {"k", "Basic k", "Bearer", "Bearer "}) {
+        EXPECT_EQ(key_in({{"Authorization", value}}), "") << value;
+    }
+    EXPECT_EQ(
+        key_in({{"Authorization", "Bearer k"}, {"Authorization", "Bearer l"}}),
+        "");
+}
--- a/tests/servers/batch/job_keys_test.cpp
+++ b/tests/servers/batch/job_keys_test.cpp
@@ -30,3 +30,17 @@
     EXPECT_FALSE(decode_job_record(key, std::string(1U << 20U, '[')));
     EXPECT_FALSE(decode_job_record("x", make_record("1")));
 }
+
+// Guards against a job that loses its organisation, and records of the previous
+// build that can't be read.
+TEST(job_keys_test, record_names_the_organisation_of_its_job) {
+    const std::string key = job_key(job_id("j"));
+    auto record = decode_job_record(key, make_record("1"));
+    ASSERT_TRUE(record);
+    EXPECT_TRUE(record->organisation.is_empty());
+    EXPECT_EQ(encode_job_record(*record), make_record("1"));
+    record->organisation = organisation_id("a");
+    const auto read = decode_job_record(key, encode_job_record(*record));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->organisation, organisation_id("a"));
+}
--- a/tests/servers/batch/run_message_test.cpp
+++ b/tests/servers/batch/run_message_test.cpp
@@ -45,3 +45,16 @@
     EXPECT_EQ(parts->at(0).origin.first_run, 7U);
     EXPECT_EQ(parts->at(0).failures, 0U);
 }
+
+// Laid out like an order of an instance before the member `organisation`.
+TEST(run_message_test, order_without_an_organisation_is_read) {
+    const auto order = wire::decode<runner_command>(
+        "\x87\x61"
+        "e\x81\x92\x07\xf4\x61j\x61i\x61h\x62/p\x80\x60\x61u\x61"
+        "a\x01\xf4\x02\x61t\x81\x01\x00\x82\x62v1\x07\x05\x80\x09\xf4\x80"
+        "\xf4"s);
+    ASSERT_TRUE(order);
+    ASSERT_EQ(order->tasks.size(), 1U);
+    EXPECT_EQ(order->tasks[0].max_events, 5U);
+    EXPECT_TRUE(order->tasks[0].organisation.is_empty());
+}
