--- a/tests/servers/identity/key_table_test.cpp
+++ b/tests/servers/identity/key_table_test.cpp
@@ -32,8 +32,9 @@
 // of two organisations that give access to one of them. Few different keys make
 // shared ones frequent.
 RC_GTEST_PROP(key_table_test,
-              key_belongs_to_the_only_organisation_that_lists_it,
-              (const std::vector<std::vector<std::uint8_t>>& lists)) {
+              key_belongs_to_the_only_organisation_that_lists_it, ()) {
+    const auto lists =
+        *rc::gen::arbitrary<std::vector<std::vector<std::uint8_t>>>();
     std::vector<organisation_rule> organisations;
     std::map<std::string, std::set<organisation_id>> owners;
     for (std::size_t index = 0; index < lists.size(); ++index) {
@@ -51,7 +52,9 @@
         const std::string key = "k" + std::to_string(number);
         const key_table::owner* const found = table.find(key);
         RC_ASSERT((found != nullptr) == (owners[key].size() == 1));
-        RC_ASSERT(found == nullptr ||
-                  found->organisation == *owners[key].begin());
+        // The macro would evaluate both sides of a disjunction.
+        if (found != nullptr) {
+            RC_ASSERT(found->organisation == *owners[key].begin());
+        }
     }
 }
