Move the order of jobs out of the item planner

The order moves to job_order as it is, apart from its arguments.

Behaviour is unchanged: servers_tests, item_planner* and item_software*, 47 tests passed.

--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -1,6 +1,7 @@
 #include "servers/batch/item_planner.hpp"
 
 #include "servers/batch/item_ranking.hpp"
+#include "servers/batch/job_order.hpp"
 
 #include <algorithm>
 
@@ -706,19 +707,17 @@
 }
 
 std::vector<item_planner::job_state*> item_planner::jobs_by_urgency() {
-    std::vector<job_state*> order;
+    std::vector<job_state*> jobs;
+    std::vector<open_job> open_jobs;
     for (auto& [id, job] : jobs_) {
-        order.push_back(&job);
-    }
-    std::stable_sort(order.begin(), order.end(),
-                     [](const job_state* left, const job_state* right) {
-                         const auto key = [](const job_state* job) {
-                             return std::pair(job->settings.priority,
-                                              job->accepted_at +
-                                                  job->settings.target);
-                         };
-                         return key(left) < key(right);
-                     });
+        jobs.push_back(&job);
+        open_jobs.push_back({.priority = job.settings.priority,
+                             .due = job.accepted_at + job.settings.target});
+    }
+    std::vector<job_state*> order;
+    for (const std::size_t at : order_by_urgency(open_jobs)) {
+        order.push_back(jobs[at]);
+    }
     return order;
 }
 
