Share engines among organisations, and let late jobs yield

Jobs were placed by priority and due time only. A large organisation whose jobs are due first starved small ones, and in an overload a job that could not be complete in time any more delayed those that could.

If the configuration has organisations and a job names one: - If a job of a priority would be late in the order of due times, the organisation that received the least estimated tokens lately comes first, item by item (organisation_shares, job_round). - A job whose needed groups take longer than its time left, at the measured speed of all slots, yields within its priority, and so does one whose trainer has its share of groups. Changes are logged as job_standing_changed and engines_shared.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -100,6 +100,12 @@
                     "engine can continue its text"},
     log_event_entry{item_stalled, info, "item_stalled",
                     "a run made no progress for too long and is stopped"},
+    log_event_entry{job_standing_changed, info, "job_standing_changed",
+                    "a job yields to others of its priority or no longer does; "
+                    "the detail says why"},
+    log_event_entry{engines_shared, info, "engines_shared",
+                    "organisations begin or cease to share engines, because "
+                    "jobs would be late"},
     log_event_entry{configuration_in_force, info, "configuration_in_force",
                     "a revision of a service's configuration took effect"},
     log_event_entry{configuration_refused, error, "configuration_refused",
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -53,6 +53,8 @@
     runner_found = 2220,
     item_text_discarded = 2221,
     item_stalled = 2222,
+    job_standing_changed = 2230,
+    engines_shared = 2231,
 
     configuration_in_force = 3000,
     configuration_refused = 3001,
--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -304,6 +304,7 @@
         settings.priority = route.priority;
         settings.is_single_version = route.is_single_version;
     }
+    settings.has_organisations = fleet_.routes->has_organisations();
     return settings;
 }
 
@@ -585,6 +586,12 @@
                    " events=" + std::to_string(command.events));
 }
 
+void engine_driver::execute_one(order_change& change) {
+    log_.write(change.job.is_empty() ? log_event::engines_shared
+                                     : log_event::job_standing_changed,
+               "service=" + options_.service.text() + " " + to_text(change));
+}
+
 void engine_driver::send_orders() {
     std::map<instance_id, runner_command> orders;
     orders.swap(orders_);
--- a/drivers/batch/engine_driver.hpp
+++ b/drivers/batch/engine_driver.hpp
@@ -98,6 +98,7 @@
     void execute_one(start_scoring& command);
     void execute_one(commit_results& command);
     void execute_one(discard_text& command);
+    void execute_one(order_change& change);
     /// Releases the term when another instance should plan.
     boost::asio::awaitable<void> hand_over_if_outranked();
     void send_orders();
--- a/servers/batch/engine_roster.cpp
+++ b/servers/batch/engine_roster.cpp
@@ -124,6 +124,27 @@
     });
 }
 
+service_speed engine_roster::speed(std::uint64_t tokens_per_event) const {
+    constexpr double milliseconds_per_second = 1'000;
+    service_speed total;
+    for (const auto& [id, engine] : engines_) {
+        const double event_milliseconds = engine.event_milliseconds > 0
+                                              ? engine.event_milliseconds
+                                              : typical_milliseconds_;
+        if (engine.listed_upstream.is_draining || event_milliseconds <= 0) {
+            continue;
+        }
+        const double slot_speed = milliseconds_per_second *
+                                  static_cast<double>(tokens_per_event) /
+                                  event_milliseconds;
+        total.tokens_per_second +=
+            slot_speed * static_cast<double>(engine.listed_upstream.slots);
+        total.slot_tokens_per_second =
+            std::max(total.slot_tokens_per_second, slot_speed);
+    }
+    return total;
+}
+
 const roster_entry* engine_roster::find(const upstream_id& id) const {
     const auto found = engines_.find(id);
     return found == engines_.end() ? nullptr : &found->second;
--- a/servers/batch/engine_roster.hpp
+++ b/servers/batch/engine_roster.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.hpp"
+#include "servers/batch/job_demand.hpp"
 #include "servers/fleet/upstream_entry.hpp"
 #include "servers/fleet/upstream_limits.hpp"
 
@@ -104,6 +105,9 @@
     [[nodiscard]] double typical_event_milliseconds() const {
         return typical_milliseconds_;
     }
+    /// The speed of all listed engines together; that of an engine which isn't
+    /// measured counts as the typical one.
+    [[nodiscard]] service_speed speed(std::uint64_t tokens_per_event) const;
     [[nodiscard]] bool is_loading(const upstream_id& id,
                                   const std::string& model,
                                   steady_time now) const {
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -1,7 +1,7 @@
 #include "servers/batch/item_planner.hpp"
 
 #include "servers/batch/item_ranking.hpp"
-#include "servers/batch/job_order.hpp"
+#include "servers/batch/job_demand.hpp"
 
 #include <algorithm>
 
@@ -11,6 +11,7 @@
                            run_ticket first_ticket, loading_check is_loading)
     : options_(options)
     , roster_(options.engines, std::move(is_loading))
+    , job_order_(options.order)
     , next_ticket_(first_ticket) {}
 
 void item_planner::on_term(bool is_held) {
@@ -706,19 +707,65 @@
     }
 }
 
-std::vector<item_planner::job_state*> item_planner::jobs_by_urgency() {
-    std::vector<job_state*> jobs;
-    std::vector<open_job> open_jobs;
-    for (auto& [id, job] : jobs_) {
-        jobs.push_back(&job);
-        open_jobs.push_back({.priority = job.settings.priority,
-                             .due = job.accepted_at + job.settings.target});
+std::uint64_t
+item_planner::generated_tokens(const item_progress& progress) const {
+    return progress.events * engine_settings_.tokens_per_event;
+}
+
+std::vector<std::uint64_t>
+item_planner::tokens_left_of(const job_state& job) const {
+    const std::vector<batch_item>& items = job.submission->items;
+    std::vector<std::uint64_t> left(job.items.size(), 0);
+    for (std::size_t at = 0; at < left.size(); ++at) {
+        if (job.items[at].phase == item_phase::waiting) {
+            left[at] = estimated_tokens_left(
+                items[at], generated_tokens(job.items[at].progress));
+        }
+    }
+    for (const auto& [ticket, run] : runs_) {
+        if (run.job == job.record.id) {
+            left[run.item] = estimated_tokens_left(
+                items[run.item], generated_tokens(run.progress));
+        }
+    }
+    return left;
+}
+
+void item_planner::rank_again(job_state& job, job_standing standing) {
+    const std::vector<std::size_t> ranks =
+        standing == job_standing::in_time
+            ? item_ranks(*job.submission)
+            : item_ranks_by_group(*job.submission, tokens_left_of(job));
+    std::set<std::pair<std::size_t, std::size_t>> waiting;
+    for (const auto& [rank, index] : job.waiting) {
+        waiting.emplace(ranks[index], index);
+    }
+    for (std::size_t at = 0; at < ranks.size(); ++at) {
+        job.items[at].rank = ranks[at];
+    }
+    job.waiting = std::move(waiting);
+}
+
+void item_planner::refresh_job_order(const std::vector<job_state*>& jobs,
+                                     const std::vector<open_job>& open_jobs,
+                                     steady_time now, planner_commands& out) {
+    if (!job_order_.needs_refresh(open_jobs, now)) {
+        return;
     }
-    std::vector<job_state*> order;
-    for (const std::size_t at : order_by_urgency(open_jobs)) {
-        order.push_back(jobs[at]);
+    std::vector<job_demand> demands;
+    demands.reserve(jobs.size());
+    for (const job_state* const job : jobs) {
+        demands.push_back(demand_of(*job->submission, tokens_left_of(*job)));
+    }
+    const service_speed speed =
+        roster_.speed(engine_settings_.tokens_per_event);
+    for (order_change& change :
+         job_order_.refresh(open_jobs, demands, speed, now)) {
+        if (const auto job = jobs_.find(change.job); job != jobs_.end()) {
+            rank_again(job->second, change.standing);
+        }
+        out.emplace_back(std::move(change));
     }
-    return order;
 }
 
 std::uint64_t
@@ -781,20 +828,54 @@
     if (!may_place_items(now)) {
         return;
     }
-    for (job_state* const job : jobs_by_urgency()) {
-        if (!job->is_confirmed) {
-            continue;
+    std::vector<job_state*> jobs;
+    std::vector<open_job> open_jobs;
+    for (auto& [id, job] : jobs_) {
+        if (job.is_confirmed) {
+            jobs.push_back(&job);
+            open_jobs.push_back(
+                {.record = &job.record,
+                 .priority = job.settings.priority,
+                 .due = job.accepted_at + job.settings.target,
+                 .has_organisations = job.settings.has_organisations});
         }
-        // Placing an item removes it from the waiting ones.
-        for (auto next = job->waiting.begin(); next != job->waiting.end();) {
-            const std::size_t index = (next++)->second;
-            const bool is_tied = job->items[index].progress.events > 0;
-            // An item that waits for certain engines doesn't hold up others.
-            if (!place_item(*job, index, now, out) && !is_tied) {
-                break;
-            }
+    }
+    refresh_job_order(jobs, open_jobs, now, out);
+    std::vector<waiting_items_position> positions;
+    positions.reserve(jobs.size());
+    for (job_state* const job : jobs) {
+        positions.push_back(job->waiting.begin());
+    }
+    job_round round = job_order_.begin_round(open_jobs);
+    while (const auto at = round.next()) {
+        const auto tokens = place_next(*jobs[*at], positions[*at], now, out);
+        if (tokens) {
+            round.on_placed(*at, *tokens);
+        } else {
+            round.on_exhausted(*at);
+        }
+    }
+}
+
+std::optional<std::uint64_t>
+item_planner::place_next(job_state& job, waiting_items_position& next,
+                         steady_time now, planner_commands& out) {
+    // Placing an item removes it from the waiting ones.
+    while (next != job.waiting.end()) {
+        const std::size_t index = (next++)->second;
+        const item_progress& progress = job.items[index].progress;
+        const bool is_tied = progress.events > 0;
+        const std::uint64_t tokens = estimated_tokens_left(
+            job.submission->items[index], generated_tokens(progress));
+        if (place_item(job, index, now, out)) {
+            return tokens;
+        }
+        // An item that waits for certain engines doesn't hold up others.
+        if (!is_tied) {
+            break;
         }
     }
+    return std::nullopt;
 }
 
 bool item_planner::place_item(job_state& job, std::size_t index,
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -3,6 +3,7 @@
 #include "core/clock.hpp"
 #include "servers/batch/batch_job.hpp"
 #include "servers/batch/engine_roster.hpp"
+#include "servers/batch/job_order.hpp"
 #include "servers/fleet/upstream_entry.hpp"
 
 #include <boost/describe/class.hpp>
@@ -207,7 +208,7 @@
 
 using planner_command =
     std::variant<start_run, stop_run, release_run, start_scoring,
-                 commit_results, save_progress, discard_text>;
+                 commit_results, save_progress, discard_text, order_change>;
 using planner_commands = std::vector<planner_command>;
 
 /// Settings of a job that come from its route.
@@ -217,6 +218,9 @@
     std::uint32_t max_attempts = 1;
     std::uint32_t priority = 5;
     bool is_single_version = false;
+    /// The configuration has organisations, so jobs compete as `job_order`
+    /// describes.
+    bool has_organisations = false;
 };
 
 /// Settings of an engine service, apart from its upstreams.
@@ -292,6 +296,7 @@
     /// predecessor: a few round trips, and the transfer of the texts over a
     /// slow link.
     std::chrono::milliseconds adoption_timeout{350};
+    job_order_options order;
 };
 
 /// Decides which batch items of one service run next, and on which engine.
@@ -494,6 +499,9 @@
         bool is_confirmed = false;
     };
 
+    using waiting_items_position =
+        std::set<std::pair<std::size_t, std::size_t>>::iterator;
+
     struct run_state {
         job_id job;
         std::size_t item = 0;
@@ -532,6 +540,12 @@
 
     void add_items(job_state& job);
     void place_items(steady_time now, planner_commands& out);
+    /// Places the first item after `next` that an engine has room for. Returns
+    /// its estimated tokens, or nothing if the job can't place one now.
+    std::optional<std::uint64_t> place_next(job_state& job,
+                                            waiting_items_position& next,
+                                            steady_time now,
+                                            planner_commands& out);
     /// Places the item if an engine has room.
     bool place_item(job_state& job, std::size_t item, steady_time now,
                     planner_commands& out);
@@ -606,11 +620,23 @@
     /// count anew.
     void save_failures(planner_commands& out);
     void give_up(job_state& job, std::size_t item);
-    /// Sorted by the priority of the route, then by the target time.
-    [[nodiscard]] std::vector<job_state*> jobs_by_urgency();
+    /// Updates the order of the jobs if that is due. One entry in `open_jobs`
+    /// per job.
+    void refresh_job_order(const std::vector<job_state*>& jobs,
+                           const std::vector<open_job>& open_jobs,
+                           steady_time now, planner_commands& out);
+    /// Estimated tokens that each item still needs from an engine.
+    [[nodiscard]] std::vector<std::uint64_t>
+    tokens_left_of(const job_state& job) const;
+    /// Number of tokens of the text.
+    [[nodiscard]] std::uint64_t
+    generated_tokens(const item_progress& progress) const;
+    /// Changes the order in which the job's waiting items start.
+    void rank_again(job_state& job, job_standing standing);
 
     item_planner_options options_;
     engine_roster roster_;
+    job_order job_order_;
     bool has_term_ = false;
     bool is_starting_ = true;
     bool is_fleet_data_current_ = true;
--- a/servers/batch/item_ranking.cpp
+++ b/servers/batch/item_ranking.cpp
@@ -5,6 +5,8 @@
 #include <numeric>
 #include <set>
 #include <string>
+#include <string_view>
+#include <tuple>
 
 namespace savorydock {
 
@@ -67,4 +69,46 @@
     return items;
 }
 
+std::vector<std::size_t> item_ranks(const batch_job& job) {
+    std::vector<std::size_t> ranks;
+    for (const ranked_item& item : rank_items(job)) {
+        ranks.push_back(item.rank);
+    }
+    return ranks;
+}
+
+std::vector<std::size_t>
+item_ranks_by_group(const batch_job& job,
+                    const std::vector<std::uint64_t>& tokens_left) {
+    struct group_state {
+        bool is_begun = false;
+        std::uint64_t tokens_left = 0;
+    };
+    std::map<std::string_view, group_state> groups;
+    for (std::size_t at = 0; at < tokens_left.size(); ++at) {
+        group_state& group = groups[job.items[at].group];
+        group.is_begun =
+            group.is_begun || tokens_left[at] < expected_tokens(job.items[at]);
+        group.tokens_left += tokens_left[at];
+    }
+    const auto key = [&](std::size_t at) {
+        const std::string_view name = job.items[at].group;
+        const group_state& group = groups.at(name);
+        return std::tuple(!group.is_begun, group.tokens_left, name);
+    };
+    std::vector<std::size_t> order(tokens_left.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::stable_sort(order.begin(), order.end(), [&](auto left, auto right) {
+        const auto left_key = key(left);
+        const auto right_key = key(right);
+        return left_key != right_key ? left_key < right_key
+                                     : tokens_left[left] > tokens_left[right];
+    });
+    std::vector<std::size_t> ranks(order.size());
+    for (std::size_t rank = 0; rank < order.size(); ++rank) {
+        ranks[order[rank]] = rank;
+    }
+    return ranks;
+}
+
 } // namespace savorydock
--- a/servers/batch/item_ranking.hpp
+++ b/servers/batch/item_ranking.hpp
@@ -28,4 +28,20 @@
 /// Thread safe.
 [[nodiscard]] std::vector<ranked_item> rank_items(const batch_job& job);
 
+/// Returns only the ranks. Thread safe.
+[[nodiscard]] std::vector<std::size_t> item_ranks(const batch_job& job);
+
+/// Returns the ranks of the items for a job that gets engines only now and
+/// then, one entry per item. `tokens_left` has one entry per item, 0 for
+/// finished ones.
+///
+/// Load pattern: a job yields to others, and few of its items run at a time. It
+/// completes one group after the other: those that are partly finished first,
+/// and among them the ones with the least work left.
+///
+/// Thread safe.
+[[nodiscard]] std::vector<std::size_t>
+item_ranks_by_group(const batch_job& job,
+                    const std::vector<std::uint64_t>& tokens_left);
+
 } // namespace savorydock
--- a/servers/fleet/route_table.hpp
+++ b/servers/fleet/route_table.hpp
@@ -31,6 +31,10 @@
     /// Whether callers send single requests, or batches, to the service.
     [[nodiscard]] bool has_direct_route(const service_name& service) const;
     [[nodiscard]] bool has_batch_route(const service_name& service) const;
+    /// Whether the configuration has organisations.
+    [[nodiscard]] bool has_organisations() const {
+        return !configuration_->organisations.empty();
+    }
 
     [[nodiscard]] const fleet_configuration& configuration() const {
         return *configuration_;
--- a/tests/servers/batch/item_planner_test.cpp
+++ b/tests/servers/batch/item_planner_test.cpp
@@ -949,3 +949,40 @@
         step();
     }
 }
+
+// Guards against a job that can't be in time any more and takes the engines
+// from one that can, and against spare capacity that begins new groups while
+// others lack one item.
+TEST_F(item_planner_test, hopeless_job_yields_and_completes_begun_groups) {
+    set_engines(1, 2);
+    const auto add = [&](const std::string& id, steady_time accepted_at,
+                         std::vector<std::vector<std::uint64_t>> events) {
+        const auto job = make_job(id, 0, events);
+        planner.on_job({.id = job->id, .organisation = organisation_id("x")},
+                       job, {.time_to_live = 1h, .has_organisations = true}, {},
+                       {}, accepted_at, now, commands);
+        step();
+    };
+    const auto started_items = [&] {
+        std::vector<std::string> items;
+        for (const start_run& run : take_commands<start_run>()) {
+            items.push_back(run.job->id.text() +
+                            run.job->items[run.item].id.text());
+        }
+        return items;
+    };
+    add("late", now, {{4}, {30, 2}, {40, 8}});
+    EXPECT_EQ(started_items(),
+              (std::vector<std::string>{"lateg2i0", "lateg1i0"}));
+    now += 8s;
+    progress(1, 0, 1);
+    progress(2, 0, 1);
+    step();
+    EXPECT_EQ(take_commands<order_change>().size(), 1U);
+    add("new", now, {{10}});
+    report(1, 1, 40, run_end::complete);
+    EXPECT_EQ(started_items(), std::vector<std::string>{"newg0i0"});
+    report(2, 1, 30, run_end::complete);
+    EXPECT_EQ(started_items(), std::vector<std::string>{"lateg1i1"})
+        << "the item that completes a begun group soonest";
+}
