Check a configuration of the users' platform before it is written

The command could check service files only. A platform configuration with a contradiction was accepted by the decoder, which replaces unusable members by defaults, and took effect at once.

Exit codes: 0, 1 warnings, 2 errors.

--- a/drivers/operator_http/operator_command.cpp
+++ b/drivers/operator_http/operator_command.cpp
@@ -6,6 +6,7 @@
 #include "drivers/http/http_client.hpp"
 #include "drivers/operator_http/command_result.hpp"
 #include "drivers/operator_http/explain_text.hpp"
+#include "drivers/operator_http/platform_check.hpp"
 #include "drivers/operator_http/publish_command.hpp"
 
 #include <boost/json.hpp>
@@ -166,6 +167,8 @@
 std::string operator_usage() {
     return "publishes services and inspects instances\n\n"
            "  savorydock check FILE...        check service files\n"
+           "  savorydock check --platform_form FILE\n"
+           "                                  check a platform configuration\n"
            "  savorydock diff FILE...         show what publish would change\n"
            "  savorydock publish FILE...      publish service files\n"
            "  savorydock delete SERVICE       remove a service\n"
@@ -180,13 +183,17 @@
            "others "
            "need\n--operator_address and --operator_key. --json prints JSON. "
            "Exit codes: 0 success,\n1 failed, 2 usage, 3 invalid document, 4 "
-           "conflict, 5 outcome unknown,\n6 unreachable, 7 not found.";
+           "conflict, 5 outcome unknown,\n6 unreachable, 7 not found. "
+           "check --platform_form: 1 warnings, 2 errors.";
 }
 
 int run_operator_command(const operator_command_line& line) {
     if (line.arguments.empty()) {
         return static_cast<int>(fail_usage("expected a subcommand"));
     }
+    if (line.is_platform_form && line.arguments.front() == "check") {
+        return run_platform_check(line);
+    }
     const auto found = subcommands().find(line.arguments.front());
     if (found == subcommands().end()) {
         return static_cast<int>(
--- a/drivers/operator_http/operator_command.hpp
+++ b/drivers/operator_http/operator_command.hpp
@@ -16,6 +16,10 @@
     std::string operator_name;
     bool is_json = false;
     bool is_waiting = false;
+    /// `check` reads a configuration of the users' platform.
+    bool is_platform_form = false;
+    /// File with the configuration to compare with; may be empty.
+    std::string against;
     std::chrono::seconds timeout{30};
 };
 
--- a/main/savorydock.cpp
+++ b/main/savorydock.cpp
@@ -13,6 +13,10 @@
 DEFINE_bool(json, false, "Print JSON instead of text");
 DEFINE_bool(wait, false,
             "publish: wait until the instances use the published files");
+DEFINE_bool(platform_form, false,
+            "check: the file is a configuration of the users' platform");
+DEFINE_string(against, "",
+              "check --platform_form: file with the configuration in force");
 DEFINE_int32(timeout_s, 30, "Timeout of a command, in seconds");
 
 int main(int argc, char** argv) {
@@ -27,6 +31,8 @@
         .operator_name = FLAGS_operator_name,
         .is_json = FLAGS_json,
         .is_waiting = FLAGS_wait,
+        .is_platform_form = FLAGS_platform_form,
+        .against = FLAGS_against,
         .timeout = std::chrono::seconds(FLAGS_timeout_s),
     });
 }
