--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -57,6 +57,7 @@
         state.settings = settings;
         state.accepted_at = accepted_at;
         add_items(state);
+        job_order_.forget(record.id);
         for (const auto& [item, progress] : saved) {
             if (item < state.items.size() && is_reusable(progress, state) &&
                 !is_oversized(state.submission->items[item], progress)) {
--- a/servers/batch/job_order.hpp
+++ b/servers/batch/job_order.hpp
@@ -71,6 +71,9 @@
                                       const service_speed& speed,
                                       steady_time now);
 
+    /// Drops the standing of a job, which is added anew.
+    void forget(const job_id& job) { standings_.erase(job); }
+
     /// Begins to place items. `jobs` and this object must outlive the round.
     [[nodiscard]] job_round begin_round(const std::vector<open_job>& jobs);
 
