Ignore small differences of the measured speed, and prefer the best upstream

Cause: measured speeds above the usual one, which mostly were empty queues, drew calls to an upstream until it was the slowest, and choices within 15 % of the best gave away more than their spreading gained.

Change: only slowness beyond a factor of 1.1 counts, and upstreams within 5 % of the best are equal. The simulation's busy instances send half of the small calls. upstream_work can take and use sums for an exchange, which nothing calls yet.

--- a/servers/cost/placement.cpp
+++ b/servers/cost/placement.cpp
@@ -27,7 +27,8 @@
     const own_work own = work_.own(candidate.upstream, now);
     const double slots = std::max<std::uint32_t>(1, candidate.slots);
     double wait = (to_micros(own.left) +
-                   to_micros(work_.reported(candidate.upstream, now))) /
+                   options_.report_weight *
+                       to_micros(work_.reported(candidate.upstream, now))) /
                   slots;
     if (cost.is_large) {
         // Large calls spread out, so that each upstream keeps slots for small
@@ -55,13 +56,14 @@
                   const call_cost& cost, steady_time now) {
     std::vector<std::size_t> drawn(candidates.size());
     std::iota(drawn.begin(), drawn.end(), std::size_t{0});
-    if (options_.choices > 0) {
-        for (std::size_t index = 0;
-             index < std::min(options_.choices, drawn.size()); ++index) {
+    const std::size_t choices = options_.choices;
+    if (choices > 0) {
+        for (std::size_t index = 0; index < std::min(choices, drawn.size());
+             ++index) {
             std::swap(drawn[index],
                       drawn[index + random_.below(drawn.size() - index)]);
         }
-        drawn.resize(std::min(options_.choices, drawn.size()));
+        drawn.resize(std::min(choices, drawn.size()));
     }
     std::vector<double> times;
     times.reserve(drawn.size());
--- a/servers/cost/placement.hpp
+++ b/servers/cost/placement.hpp
@@ -18,11 +18,13 @@
     upstream_work_options work;
     /// How many candidates are drawn at random and compared; 0 for all.
     std::size_t choices = 0;
+    /// What reported work counts relative to own work.
+    double report_weight = 0;
     /// Large calls count this much more for each other.
     double large_spread = 1;
     /// Candidates whose completion is expected within this fraction of the
     /// call's cost above the best count as equal.
-    double tie_width = 0.15;
+    double tie_width = 0.05;
     /// A slow upstream gets a cheap call if it had none for this time.
     std::chrono::milliseconds probe_interval{1'000};
     /// Instances with different seeds spread equal choices differently.
--- a/servers/cost/upstream_work.cpp
+++ b/servers/cost/upstream_work.cpp
@@ -14,6 +14,15 @@
 /// An overdue call still has at least this part of its work left.
 constexpr double min_part_left = 0.25;
 
+/// Work left of a call on average over its time.
+constexpr double mean_part_left = 0.5;
+constexpr double thousandths = 1'000;
+/// Reported slowness counts from this value, a factor of 1.8, and with this
+/// many samples. Smaller values are due to queues; as all instances learn of
+/// them at once and late, they would move their calls from one upstream to the
+/// next.
+constexpr double queue_slowness = 0.6;
+constexpr double min_reported_samples = 3;
 constexpr double error_weight = 0.2;
 constexpr double max_error_share = 0.9;
 
@@ -70,6 +79,8 @@
     }
     const double time = to_micros(now - ended->second.started_at);
     const double expected = ended->second.expected;
+    known.work_time +=
+        time_in_period(ended->second, now) * expected * mean_part_left;
     known.calls.erase(ended);
     const bool is_answered = end == call_outcome::answered;
     if (is_answered || end == call_outcome::answered_with_error ||
@@ -87,17 +98,56 @@
     }
     const double sample = std::clamp(std::log(std::max(1.0, time) / expected),
                                      -max_slowness, max_slowness);
+    ++known.samples;
+    known.slowness_sum += sample;
     const double before = decayed_slowness(known, now);
     known.slowness = before + options_.sample_weight * (sample - before);
     known.sampled_at = now;
 }
 
-void upstream_work::on_report(const upstream_id& upstream,
-                              std::chrono::microseconds work,
+double upstream_work::time_in_period(const active_call& active,
+                                     steady_time now) const {
+    return to_micros(now - std::max(active.started_at, sums_taken_at_));
+}
+
+std::vector<upstream_sum> upstream_work::take_sums(steady_time now) {
+    const double period = std::max(1.0, to_micros(now - sums_taken_at_));
+    std::vector<upstream_sum> sums;
+    for (auto& [id, known] : upstreams_) {
+        for (const auto& [number, active] : known.calls) {
+            known.work_time +=
+                time_in_period(active, now) * active.expected * mean_part_left;
+        }
+        if (known.work_time > 0 || known.samples > 0) {
+            sums.push_back(
+                {.upstream = id,
+                 .work = static_cast<std::uint64_t>(known.work_time / period),
+                 .samples = known.samples,
+                 .slowness = std::llround(known.slowness_sum * thousandths)});
+        }
+        known.work_time = 0;
+        known.samples = 0;
+        known.slowness_sum = 0;
+    }
+    sums_taken_at_ = now;
+    return sums;
+}
+
+void upstream_work::on_report(const upstream_sum& others,
                               std::chrono::milliseconds age, steady_time now) {
-    state& known = upstreams_[upstream];
-    known.reported = static_cast<double>(work.count());
+    state& known = upstreams_[others.upstream];
+    known.reported = static_cast<double>(others.work);
     known.reported_at = now - age;
+    const auto samples = static_cast<double>(others.samples);
+    const double mean =
+        others.samples == 0
+            ? 0
+            : static_cast<double>(others.slowness) / thousandths / samples;
+    // One sample may be a single long call.
+    known.reported_slowness =
+        samples < min_reported_samples
+            ? 0
+            : std::clamp(mean - queue_slowness, 0.0, max_slowness);
 }
 
 own_work upstream_work::own(const upstream_id& upstream,
@@ -126,9 +176,14 @@
     if (found == upstreams_.end()) {
         return std::chrono::microseconds(0);
     }
-    const double age = to_micros(now - found->second.reported_at) /
+    return to_duration(found->second.reported *
+                       report_weight(found->second, now));
+}
+
+double upstream_work::report_weight(const state& known, steady_time now) const {
+    const double age = to_micros(now - known.reported_at) /
                        to_micros(options_.report_lifetime);
-    return to_duration(found->second.reported * std::clamp(1 - age, 0.0, 1.0));
+    return std::clamp(1 - age, 0.0, 1.0);
 }
 
 double upstream_work::decayed(double value, steady_time sampled_at,
@@ -139,7 +194,9 @@
 }
 
 double upstream_work::slowness(const state& known, steady_time now) const {
-    double value = decayed_slowness(known, now);
+    double value = std::max(
+        std::max(0.0, decayed_slowness(known, now) - options_.ignored_slowness),
+        known.reported_slowness * report_weight(known, now));
     for (const auto& [number, active] : known.calls) {
         const double ratio =
             to_micros(now - active.started_at) / active.expected;
--- a/servers/cost/upstream_work.hpp
+++ b/servers/cost/upstream_work.hpp
@@ -4,20 +4,39 @@
 #include "core/ids.hpp"
 #include "servers/fleet/call_outcome.hpp"
 
+#include <boost/describe/class.hpp>
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
+#include <vector>
 
 namespace savorydock {
 
+/// What instances learned about one upstream in a period of their reports.
+struct upstream_sum {
+    upstream_id upstream;
+    /// Mean work left of their calls, in microseconds.
+    std::uint64_t work = 0;
+    /// Answered or overdue calls, and the sum of their slowness in thousandths
+    /// of the natural logarithm of measured by expected time.
+    std::uint64_t samples = 0;
+    std::int64_t slowness = 0;
+};
+BOOST_DESCRIBE_STRUCT(upstream_sum, (), (upstream, work, samples, slowness))
+
 struct upstream_work_options {
     /// Weight of a new sample in the measured slowness.
     double sample_weight = 0.3;
     /// Time in which half of what is known about an upstream's speed is
     /// forgotten without new samples.
     std::chrono::milliseconds speed_half_life{2'000};
+    /// Slowness up to this value, a factor of 1.1, is due to chance and queues
+    /// and doesn't count. Values below 0 don't either: they would attract calls
+    /// to the upstream until it is the slowest.
+    double ignored_slowness = 0.1;
     /// A reported sum counts less with its age, and not at all from this age.
     std::chrono::milliseconds report_lifetime{2'000};
 };
@@ -57,10 +76,13 @@
     void on_ended(const upstream_id& upstream, std::uint64_t call,
                   call_outcome end, steady_time now);
 
-    /// Records the work of other instances at the upstream, as it was `age`
-    /// ago.
-    void on_report(const upstream_id& upstream, std::chrono::microseconds work,
-                   std::chrono::milliseconds age, steady_time now);
+    /// Returns what this instance's calls showed since the last call of this
+    /// method; only upstreams with calls.
+    [[nodiscard]] std::vector<upstream_sum> take_sums(steady_time now);
+
+    /// Records what other instances reported about an upstream `age` ago.
+    void on_report(const upstream_sum& others, std::chrono::milliseconds age,
+                   steady_time now);
 
     [[nodiscard]] own_work own(const upstream_id& upstream,
                                steady_time now) const;
@@ -91,7 +113,13 @@
         steady_time sampled_at{};
         double error_share = 0;
         steady_time error_sampled_at{};
+        /// Since the last sums were taken: work left times time, and samples.
+        double work_time = 0;
+        std::uint64_t samples = 0;
+        double slowness_sum = 0;
+        /// What others reported: work, and slowness beyond what queues explain.
         double reported = 0;
+        double reported_slowness = 0;
         steady_time reported_at{};
     };
 
@@ -103,8 +131,16 @@
         return decayed(known.slowness, known.sampled_at, now);
     }
     [[nodiscard]] double slowness(const state& known, steady_time now) const;
+    /// What a report counts for by its age, from 1 down to 0.
+    [[nodiscard]] double report_weight(const state& known,
+                                       steady_time now) const;
+
+    /// Time since the sums were last taken, or since the call started.
+    [[nodiscard]] double time_in_period(const active_call& active,
+                                        steady_time now) const;
 
     upstream_work_options options_;
+    steady_time sums_taken_at_{};
     std::map<upstream_id, state> upstreams_;
     std::uint64_t last_call_ = 0;
 };
--- a/tests/servers/cost/load_simulation.hpp
+++ b/tests/servers/cost/load_simulation.hpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <queue>
@@ -30,6 +31,8 @@
     double large_work = 0.6;
     /// Large calls that a busy instance sends at once.
     std::size_t burst = 8;
+    /// Part of the small calls that the busy instances send.
+    double busy_small = 0.5;
     double tail_share = 0.01;
     /// Speed of the upstreams of each zone.
     std::vector<double> zone_speeds{1, 1, 1, 1};
@@ -178,16 +181,23 @@
         const double work = capacity * load_.utilisation / mean_tail;
         const double small_rate =
             work * (1 - load_.large_work) /
-            std::chrono::duration<double>(load_.small_time).count() /
-            static_cast<double>(load_.instances);
+            std::chrono::duration<double>(load_.small_time).count();
         const double burst_rate =
             work * load_.large_work /
             std::chrono::duration<double>(load_.large_time).count() /
             static_cast<double>(load_.busy_instances * load_.burst);
         for (std::size_t index = 0; index < load_.instances; ++index) {
-            at(random_time(1 / small_rate),
-               [this, index, small_rate] { send_small(index, small_rate); });
-            if (index < load_.busy_instances && load_.large_work > 0) {
+            const bool is_busy = index < load_.busy_instances;
+            const double rate =
+                small_rate *
+                (is_busy ? load_.busy_small /
+                               static_cast<double>(load_.busy_instances)
+                         : (1 - load_.busy_small) /
+                               static_cast<double>(load_.instances -
+                                                   load_.busy_instances));
+            at(random_time(1 / rate),
+               [this, index, rate] { send_small(index, rate); });
+            if (is_busy && load_.large_work > 0) {
                 at(random_time(1 / burst_rate), [this, index, burst_rate] {
                     send_burst(index, burst_rate);
                 });
@@ -232,25 +242,36 @@
         at(random_time(1 / load_.slow_phases), [this] { slow_down(); });
     }
 
-    /// Gives each instance the sum of the others' work in its zone.
+    /// Gives each instance the sums of the others in its zone.
     void exchange() {
         if (has_ended()) {
             return;
         }
         const std::size_t zones = load_.zone_speeds.size();
-        for (const upstream& each : upstreams_) {
-            std::vector<std::chrono::microseconds> sums(zones);
-            for (std::size_t index = 0; index < pools_.size(); ++index) {
-                sums[index % zones] +=
-                    pools_[index]->by_cost()->work().own(each.id, now_).left;
+        std::vector<std::map<upstream_id, upstream_sum>> totals(zones);
+        std::vector<std::map<upstream_id, upstream_sum>> own(pools_.size());
+        for (std::size_t index = 0; index < pools_.size(); ++index) {
+            for (const upstream_sum& sum :
+                 pools_[index]->by_cost()->work().take_sums(now_)) {
+                upstream_sum& total = totals[index % zones][sum.upstream];
+                total.work += sum.work;
+                total.samples += sum.samples;
+                total.slowness += sum.slowness;
+                own[index][sum.upstream] = sum;
             }
-            for (std::size_t index = 0; index < pools_.size(); ++index) {
-                auto& work = pools_[index]->by_cost()->work();
+        }
+        for (std::size_t index = 0; index < pools_.size(); ++index) {
+            auto& work = pools_[index]->by_cost()->work();
+            for (const auto& [id, total] : totals[index % zones]) {
+                const upstream_sum& sent = own[index][id];
+                const upstream_sum others{
+                    .upstream = id,
+                    .work = total.work - sent.work,
+                    .samples = total.samples - sent.samples,
+                    .slowness = total.slowness - sent.slowness};
                 // The heartbeat comes half a period later.
-                const auto others =
-                    sums[index % zones] - work.own(each.id, now_).left;
-                at(load_.exchange / 2, [this, &work, id = each.id, others] {
-                    work.on_report(id, others, load_.exchange / 2, now_);
+                at(load_.exchange / 2, [this, &work, others] {
+                    work.on_report(others, load_.exchange / 2, now_);
                 });
             }
         }
--- a/tests/servers/cost/placement_test.cpp
+++ b/tests/servers/cost/placement_test.cpp
@@ -107,7 +107,8 @@
 }
 
 TEST_F(placement_test, reported_work_counts_until_it_is_two_seconds_old) {
-    placed.work().on_report(ids[0], 6s, 500ms, now);
+    placed.work().on_report({.upstream = ids[0], .work = 6'000'000}, 500ms,
+                            now);
     EXPECT_EQ(placed.work().reported(ids[0], now), 4'500ms);
     EXPECT_EQ(choose_often(small).count(0), 0U);
     now += 1'500ms;
