--- a/tests/fakes/raw_upstream.cpp
+++ b/tests/fakes/raw_upstream.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <sys/socket.h>
 
@@ -42,6 +43,22 @@
     return {};
 }
 
+bool raw_connection::skip(std::size_t count) {
+    std::array<char, 65'536> bytes{};
+    const std::size_t known = std::min(count, read_ahead_.size());
+    read_ahead_.erase(0, known);
+    count -= known;
+    while (count > 0 && !is_stopped_) {
+        const auto received = ::recv(socket_.native_handle(), bytes.data(),
+                                     std::min(count, bytes.size()), 0);
+        if (received == 0 || (received < 0 && errno != EAGAIN)) {
+            return false;
+        }
+        count -= received > 0 ? static_cast<std::size_t>(received) : 0;
+    }
+    return count == 0;
+}
+
 bool raw_connection::write(std::string_view bytes) {
     while (!bytes.empty() && !is_stopped_) {
         const auto count = ::send(socket_.native_handle(), bytes.data(),
--- a/tests/fakes/raw_upstream.hpp
+++ b/tests/fakes/raw_upstream.hpp
@@ -25,10 +25,14 @@
         , is_stopped_(is_stopped) {}
 
     /// Reads up to the end of the next request's header, which it returns.
-    /// Returns an empty string if the peer has closed the connection. The
-    /// requests of these tests have no bodies.
+    /// Returns an empty string if the peer has closed the connection. A body
+    /// must be read with `skip`.
     std::string read_request();
 
+    /// Reads that many bytes and drops them; returns false once the peer has
+    /// closed the connection or the upstream is being destroyed.
+    bool skip(std::size_t count);
+
     /// Writes bytes as they are; returns false once the peer has closed the
     /// connection or the upstream is being destroyed.
     bool write(std::string_view bytes);
