Bound the memory and connections that callers can take

Cause: bodies, trailers and chunk extensions were read into buffers without a common limit, answers waited for their callers uncounted, and connections were accepted up to a fixed number, whatever the machine.

Change: caller_memory divides 45 % of limits.memory_mb among the connections. A quarter is for requests and answers up to 64 KiB; one body may use the rest, and yields when others need it: of the address that holds the most, the connection with the most bytes for the longest time without progress goes first. Requests without memory get 503, result 100 and Retry-After. Trailers and each chunk extension count against max_header_bytes. A head must be complete header_timeout_ms after its first byte, and a body or a large answer must gain 16 KiB in that time. Refused callers' bytes are dropped unread. Of max_fds less 200, callers get two thirds; refused and idle connections are closed first. The ports for readiness and metrics have small limits of their own. An idle connection no longer keeps a read buffer. Budgets for answers (48 MB) and cached results (48 MB) shrink to 20 % and 10 % of memory_mb on small machines.

--- a/core/instance_settings.hpp
+++ b/core/instance_settings.hpp
@@ -26,6 +26,9 @@
     std::uint32_t max_body_bytes = 8'388'608;
     /// How long one read from or write to a caller may take.
     std::chrono::milliseconds io_timeout{15'000};
+    /// How long the head of a request may take from its first byte, and one
+    /// step of progress of a large body or answer.
+    std::chrono::milliseconds header_timeout{15'000};
 };
 
 /// Time limits for orders to upstreams. All instances must have the same
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -23,6 +23,9 @@
                     "the settings file is invalid"},
     log_event_entry{listener_failed, error, "listener_failed",
                     "the instance could not listen on an address"},
+    log_event_entry{caller_limited, warning, "caller_limited",
+                    "a caller's request was refused, or its connection closed, "
+                    "because of a limit; at most one line a second"},
     log_event_entry{request_finished, debug, "request_finished",
                     "a request ended; the detail has its result code"},
     log_event_entry{request_refused, info, "request_refused",
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -16,6 +16,7 @@
     drain_finished = 1003,
     settings_invalid = 1004,
     listener_failed = 1005,
+    caller_limited = 1006,
 
     request_finished = 2000,
     request_refused = 2001,
--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -1,5 +1,10 @@
 #include "drivers/http/http_server.hpp"
 
+#include "drivers/http/connection_exchange.hpp"
+#include "drivers/http/http_connection.hpp"
+#include "drivers/http/request_assembler.hpp"
+#include "servers/admission/caller_memory.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -7,17 +12,19 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/core/error.hpp>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
+#include <optional>
 #include <sys/socket.h>
+#include <vector>
 
 namespace savorydock {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = beast::http;
 using tcp = asio::ip::tcp;
 
 namespace {
@@ -29,143 +36,26 @@
 constexpr std::string_view limits_retry_after = "0.250";
 constexpr std::string_view draining_body =
     R"({"code":108,"name":"not_run_draining","detail":"the instance exits"})";
+constexpr std::string_view overloaded_body =
+    R"({"code":100,"name":"not_run_overloaded","detail":"out of memory"})";
 constexpr std::string_view too_large_body =
     R"({"code":113,"name":"not_run_too_large","detail":"over the limit"})";
 
 /// When a caller should retry elsewhere, in seconds.
 constexpr std::string_view stopped_retry_after = "0.25";
-/// Size of the first read of a request.
-constexpr std::size_t first_read_bytes = 16'384;
-
-using string_request = http::request<http::string_body>;
-
-http_request convert(string_request&& source) {
-    http_request request{
-        .method = std::string(source.method_string()),
-        .target = std::string(source.target()),
-        .body = std::move(source.body()),
-    };
-    for (const auto& field : source) {
-        request.headers.push_back(
-            {std::string(field.name_string()), std::string(field.value())});
-    }
-    return request;
-}
-
-bool is_over_limit(const beast::error_code& error) {
-    return error == http::error::body_limit ||
-           error == http::error::header_limit;
-}
-
-/// One request and its response on a connection.
-class connection_exchange final : public http_exchange {
-public:
-    connection_exchange(beast::tcp_stream& stream, string_request&& request,
-                        std::size_t worker, std::chrono::milliseconds timeout,
-                        const std::atomic<bool>& is_closing)
-        : stream_(stream)
-        , is_closing_(is_closing)
-        , is_keep_alive_(request.keep_alive())
-        , request_(convert(std::move(request)))
-        , worker_(worker)
-        , timeout_(timeout) {}
-
-    const http_request& request() const override { return request_; }
-    std::size_t worker() const override { return worker_; }
-    bool has_begun() const override { return has_begun_; }
-
-    /// Whether the connection may carry another request.
-    bool is_reusable() const { return is_complete_ && is_keep_alive_; }
-    bool is_complete() const { return is_complete_; }
-    void forbid_reuse() { is_keep_alive_ = false; }
-    void close_after_answer() override { is_keep_alive_ = false; }
-
-    asio::awaitable<void> wait_for_disconnect() override {
-        const auto [error] =
-            co_await stream_.socket().async_wait(tcp::socket::wait_read, await);
-        if (error || is_caller_disconnected()) {
-            co_return;
-        }
-        // The caller is still connected: it has already sent its next
-        // request. Waits until the await is cancelled.
-        asio::steady_timer never(stream_.get_executor());
-        never.expires_at(asio::steady_timer::time_point::max());
-        co_await never.async_wait(await);
-    }
-
-    bool is_caller_disconnected() override {
-        char byte = 0;
-        const auto received = ::recv(stream_.socket().native_handle(), &byte, 1,
-                                     MSG_PEEK | MSG_DONTWAIT);
-        return received == 0 || (received < 0 && errno != EAGAIN);
-    }
-
-    asio::awaitable<bool> respond(http_response response) override {
-        has_begun_ = true;
-        http::response<http::string_body> message(
-            static_cast<http::status>(response.status), 11);
-        set_headers(message, response.headers);
-        message.body() = std::move(response.body);
-        message.prepare_payload();
-        stream_.expires_after(timeout_);
-        const auto [error, size] =
-            co_await http::async_write(stream_, message, await);
-        is_complete_ = !error;
-        co_return is_complete_;
-    }
-
-    asio::awaitable<bool> begin_stream(unsigned status,
-                                       http_headers headers) override {
-        has_begun_ = true;
-        http::response<http::empty_body> message(
-            static_cast<http::status>(status), 11);
-        set_headers(message, headers);
-        message.chunked(true);
-        http::response_serializer<http::empty_body> serializer(message);
-        stream_.expires_after(timeout_);
-        const auto [error, size] =
-            co_await http::async_write_header(stream_, serializer, await);
-        co_return !error;
-    }
-
-    asio::awaitable<bool> write_chunk(std::string chunk) override {
-        if (chunk.empty()) {
-            co_return true;
-        }
-        stream_.expires_after(timeout_);
-        const auto [error, size] = co_await asio::async_write(
-            stream_, http::make_chunk(asio::buffer(chunk)), await);
-        co_return !error;
-    }
-
-    asio::awaitable<bool> end_stream() override {
-        stream_.expires_after(timeout_);
-        const auto [error, size] =
-            co_await asio::async_write(stream_, http::make_chunk_last(), await);
-        is_complete_ = !error;
-        co_return is_complete_;
-    }
-
-private:
-    template <class Message>
-    void set_headers(Message& message, const http_headers& headers) {
-        for (const http_header& header : headers) {
-            message.set(header.name, header.value);
-        }
-        is_keep_alive_ = is_keep_alive_ && !is_closing_;
-        message.keep_alive(is_keep_alive_);
-    }
-
-    beast::tcp_stream& stream_;
-    /// Whether the server closes its connections after their next answers.
-    const std::atomic<bool>& is_closing_;
-    bool is_keep_alive_;
-    http_request request_;
-    std::size_t worker_;
-    std::chrono::milliseconds timeout_;
-    bool has_begun_ = false;
-    bool is_complete_ = false;
-};
+/// When to retry a request for which there was no memory.
+constexpr std::string_view memory_retry_after = "0.5";
+/// Growth of a body that counts as progress.
+constexpr std::size_t progress_bytes = 16'384;
+/// After a larger body, the bytes that the system reads ahead are bounded anew.
+constexpr std::size_t large_body_bytes = 65'536;
+/// Pause after a failed accept.
+constexpr std::chrono::milliseconds accept_retry_delay{100};
+/// Limit on lines about refused requests and closed connections.
+constexpr std::chrono::milliseconds log_interval{1'000};
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_too_large = 413;
+constexpr unsigned status_unavailable = 503;
 
 /// Counts a request while it is received and handled.
 class active_guard {
@@ -182,48 +72,94 @@
     std::atomic<std::size_t>& count_;
 };
 
-/// Closes with a reset, so that a truncated response never looks complete.
-void reset_connection(beast::tcp_stream& stream) {
-    beast::error_code ignored;
-    stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-    stream.socket().close(ignored);
-}
+/// Bytes that one read takes. Each traffic thread has one buffer for them, so
+/// that connections that wait hold none.
+thread_local std::array<char, 65'536> received_bytes;
 
 } // namespace
 
 struct http_server::state : std::enable_shared_from_this<state> {
+    using connection_pointer = std::shared_ptr<http_connection>;
+
+    /// What belongs to one traffic thread.
+    struct worker_state {
+        std::shared_ptr<caller_memory> memory;
+        connection_list waiting;
+        http_server_counters counters;
+        steady_time logged_at{};
+        std::uint64_t unlogged = 0;
+    };
+
     state(traffic_pool& used_pool, caller_limits used_limits,
-          http_handler used_handler)
+          http_handler used_handler, http_server_options used_options)
         : pool(used_pool)
         , limits(used_limits)
         , handler(std::move(used_handler))
-        , acceptor(used_pool.context(0)) {}
+        , options(std::move(used_options))
+        , acceptor(used_pool.context(0))
+        , workers(used_pool.size()) {
+        for (worker_state& worker : workers) {
+            worker.memory =
+                std::make_shared<caller_memory>(caller_memory_options{
+                    .max_bytes = options.memory_bytes / workers.size()});
+        }
+    }
 
     asio::awaitable<void> accept_all();
     asio::awaitable<void> serve(tcp::socket socket, std::size_t worker);
-    asio::awaitable<bool> serve_request(beast::tcp_stream& stream,
-                                        beast::flat_buffer& buffer,
+    asio::awaitable<bool> serve_request(http_connection& connection,
                                         std::size_t worker);
     asio::awaitable<void> handle(connection_exchange& exchange);
     /// Waits for the first bytes of a request. The limits in force when these
     /// arrive apply to it, not those at the end of the request before.
-    asio::awaitable<bool> await_request(beast::tcp_stream& stream,
-                                        beast::flat_buffer& buffer);
-    asio::awaitable<void> answer_parse_error(beast::tcp_stream& stream,
-                                             beast::error_code error);
-    asio::awaitable<void> refuse_after_stop(beast::tcp_stream& stream);
+    asio::awaitable<bool> await_request(http_connection& connection,
+                                        std::size_t worker);
+    /// Returns nothing if the connection ended, or made no progress.
+    asio::awaitable<std::optional<request_state>>
+    read_request(http_connection& connection, request_assembler& assembler,
+                 caller_limits bounds, std::size_t worker);
+    asio::awaitable<void> refuse(http_connection& connection,
+                                 request_state reason, std::size_t worker);
+    asio::awaitable<void> refuse_after_stop(http_connection& connection,
+                                            std::size_t worker);
+    asio::awaitable<void> write_refusal(http_connection& connection,
+                                        http_response refusal,
+                                        std::size_t worker);
+    void record(std::uint64_t http_server_counters::*counter,
+                std::string_view reason, std::size_t worker);
 
     traffic_pool& pool;
     caller_limits limits;
     http_handler handler;
+    http_server_options options;
     std::function<bool()> are_limits_current = [] { return true; };
     tcp::acceptor acceptor;
+    std::vector<worker_state> workers;
     std::atomic<bool> is_stopping{false};
     std::atomic<bool> is_closing{false};
     std::atomic<std::size_t> active{0};
     std::atomic<std::size_t> connections{0};
 };
 
+void http_server::state::record(std::uint64_t http_server_counters::*counter,
+                                std::string_view reason, std::size_t worker) {
+    worker_state& own = workers[worker];
+    ++(own.counters.*counter);
+    const auto now = std::chrono::steady_clock::now();
+    if (options.log == nullptr || now < own.logged_at + log_interval) {
+        ++own.unlogged;
+        return;
+    }
+    options.log->write(log_event::caller_limited,
+                       "server=" + options.name +
+                           " reason=" + std::string(reason) + " memory_bytes=" +
+                           std::to_string(own.memory->counters().used_bytes) +
+                           " connections=" + std::to_string(connections) +
+                           " unlogged=" + std::to_string(own.unlogged));
+    own.logged_at = now;
+    own.unlogged = 0;
+}
+
 asio::awaitable<void> http_server::state::accept_all() {
     const auto self = shared_from_this();
     for (std::size_t next = 0; !is_stopping; ++next) {
@@ -233,7 +169,11 @@
         if (error == asio::error::operation_aborted || is_stopping) {
             co_return;
         }
-        if (error || connections >= limits.max_connections) {
+        if (error) {
+            // Usually out of file descriptors.
+            asio::steady_timer timer(acceptor.get_executor(),
+                                     accept_retry_delay);
+            co_await timer.async_wait(await);
             continue;
         }
         ++connections;
@@ -246,57 +186,148 @@
 asio::awaitable<void> http_server::state::serve(tcp::socket socket,
                                                 std::size_t worker) {
     const auto self = shared_from_this();
-    beast::tcp_stream stream(std::move(socket));
+    worker_state& own = workers[worker];
+    if (connections > limits.max_connections) {
+        if (!own.waiting.close_one()) {
+            record(&http_server_counters::not_accepted, "connections", worker);
+            co_return;
+        }
+        record(&http_server_counters::closed_for_room, "connections", worker);
+    }
+    const auto connection =
+        std::make_shared<http_connection>(std::move(socket), own.memory);
     beast::error_code ignored;
-    stream.socket().set_option(tcp::no_delay(true), ignored);
-    beast::flat_buffer buffer;
+    connection->socket().set_option(tcp::no_delay(true), ignored);
     bool is_open = true;
     while (is_open && !is_stopping) {
-        is_open = co_await serve_request(stream, buffer, worker);
+        is_open = co_await serve_request(*connection, worker);
     }
-    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    connection->socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
 asio::awaitable<bool>
-http_server::state::await_request(beast::tcp_stream& stream,
-                                  beast::flat_buffer& buffer) {
-    if (buffer.size() > 0) {
+http_server::state::await_request(http_connection& connection,
+                                  std::size_t worker) {
+    if (connection.input().size() > 0) {
         co_return true;
     }
-    stream.expires_after(limits.io_timeout);
-    const auto [error, size] = co_await stream.async_read_some(
-        buffer.prepare(first_read_bytes), await);
-    buffer.commit(size);
+    connection_list& waiting = workers[worker].waiting;
+    waiting.set_phase(connection, connection_phase::idle);
+    connection.set_deadline(std::chrono::steady_clock::now() +
+                            limits.io_timeout);
+    const auto [error] =
+        co_await connection.socket().async_wait(tcp::socket::wait_read, await);
+    waiting.set_phase(connection, connection_phase::busy);
+    connection.set_deadline(steady_time::max());
     co_return !error;
 }
 
-asio::awaitable<bool> http_server::state::serve_request(
-    beast::tcp_stream& stream, beast::flat_buffer& buffer, std::size_t worker) {
-    if (!co_await await_request(stream, buffer)) {
+asio::awaitable<std::optional<request_state>>
+http_server::state::read_request(http_connection& connection,
+                                 request_assembler& assembler,
+                                 caller_limits bounds, std::size_t worker) {
+    steady_time now = std::chrono::steady_clock::now();
+    const steady_time begin = now;
+    // The next time by which the head is complete, or the body has grown.
+    steady_time progress_end = begin + bounds.header_timeout;
+    std::size_t marked_bytes = 0;
+    bool was_head = true;
+    request_state progress = request_state::incomplete;
+    if (connection.input().size() > 0) {
+        progress = assembler.add({}, now);
+    }
+    for (bool is_first = connection.input().size() == 0;
+         progress == request_state::incomplete; is_first = false) {
+        if (!is_first) {
+            workers[worker].waiting.set_phase(connection,
+                                              assembler.is_head_complete()
+                                                  ? connection_phase::busy
+                                                  : connection_phase::head);
+            connection.set_deadline(
+                std::min(begin + bounds.io_timeout, progress_end));
+            const auto [error] = co_await connection.socket().async_wait(
+                tcp::socket::wait_read, await);
+            if (connection.memory().is_revoked()) {
+                co_return request_state::overloaded;
+            }
+            if (error) {
+                if (connection.is_expired()) {
+                    record(&http_server_counters::too_slow, "slow_request",
+                           worker);
+                }
+                co_return std::nullopt;
+            }
+        }
+        const auto size =
+            ::recv(connection.socket().native_handle(), received_bytes.data(),
+                   received_bytes.size(), MSG_DONTWAIT);
+        if (size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR)) {
+            co_return std::nullopt;
+        }
+        now = std::chrono::steady_clock::now();
+        progress = assembler.add(
+            {received_bytes.data(),
+             size > 0 ? static_cast<std::size_t>(size) : std::size_t{0}},
+            now);
+        const bool is_head = !assembler.is_head_complete();
+        if (is_head != was_head ||
+            assembler.body_bytes() >= marked_bytes + progress_bytes) {
+            was_head = is_head;
+            marked_bytes = assembler.body_bytes();
+            progress_end = now + bounds.header_timeout;
+        }
+    }
+    workers[worker].waiting.set_phase(connection, connection_phase::busy);
+    connection.set_deadline(steady_time::max());
+    co_return progress;
+}
+
+asio::awaitable<bool>
+http_server::state::serve_request(http_connection& connection,
+                                  std::size_t worker) {
+    connection.memory().reset();
+    if (!co_await await_request(connection, worker)) {
         co_return false;
     }
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(limits.max_header_bytes);
-    parser.body_limit(limits.max_body_bytes);
-    const std::chrono::milliseconds io_timeout = limits.io_timeout;
-    stream.expires_after(io_timeout);
+    const caller_limits bounds = limits;
+    std::optional<request_assembler> assembler(
+        std::in_place, connection.input(), connection.memory(), bounds);
     const active_guard guard(active);
-    const auto [error, size] =
-        co_await http::async_read(stream, buffer, parser, await);
-    if (error) {
-        co_await answer_parse_error(stream, error);
+    const auto read =
+        co_await read_request(connection, *assembler, bounds, worker);
+    if (!read) {
+        co_return false;
+    }
+    if (*read != request_state::complete) {
+        assembler.reset();
+        co_await refuse(connection, *read, worker);
         co_return false;
     }
     if (is_stopping) {
-        co_await refuse_after_stop(stream);
+        co_await refuse_after_stop(connection, worker);
         co_return false;
     }
-    stream.expires_never();
-    connection_exchange exchange(stream, parser.release(), worker, io_timeout,
-                                 is_closing);
+    connection.memory().set_revocable(false);
+    if (assembler->body_bytes() > large_body_bytes) {
+        connection.limit_received_bytes();
+    }
+    const bool is_keep_alive = assembler->is_keep_alive();
+    http_request request = assembler->take_request();
+    assembler.reset();
+    connection_exchange exchange(
+        connection, std::move(request), is_keep_alive, worker,
+        exchange_limits{.write_timeout = bounds.io_timeout,
+                        .progress_timeout = bounds.header_timeout},
+        is_closing);
     co_await handle(exchange);
     if (!exchange.is_complete()) {
-        reset_connection(stream);
+        if (exchange.is_dropped()) {
+            record(&http_server_counters::answers_dropped, "answer_memory",
+                   worker);
+        } else if (connection.is_expired()) {
+            record(&http_server_counters::too_slow, "slow_reader", worker);
+        }
+        connection.reset();
         co_return false;
     }
     co_return exchange.is_reusable();
@@ -318,52 +349,92 @@
 }
 
 asio::awaitable<void>
-http_server::state::refuse_after_stop(beast::tcp_stream& stream) {
-    http::response<http::string_body> message(http::status::service_unavailable,
-                                              11);
-    message.set(http::field::content_type, "application/json");
-    message.set(http::field::retry_after, stopped_retry_after);
-    message.set("Savorydock-Result", "108");
-    message.keep_alive(false);
-    message.body() = draining_body;
-    message.prepare_payload();
-    stream.expires_after(limits.io_timeout);
-    co_await http::async_write(stream, message, await);
+http_server::state::refuse_after_stop(http_connection& connection,
+                                      std::size_t worker) {
+    http_response refusal{
+        .status = status_unavailable,
+        .headers = {{"Content-Type", "application/json"},
+                    {"Retry-After", std::string(stopped_retry_after)},
+                    {"Savorydock-Result", "108"}},
+        .body = std::string(draining_body)};
+    co_await write_refusal(connection, std::move(refusal), worker);
+}
+
+asio::awaitable<void> http_server::state::refuse(http_connection& connection,
+                                                 request_state reason,
+                                                 std::size_t worker) {
+    http_response refusal{.status = status_bad_request,
+                          .body = std::string(bad_request_body)};
+    std::string result = "104";
+    if (reason == request_state::overloaded) {
+        record(&http_server_counters::overloaded, "request_memory", worker);
+        refusal.status = status_unavailable;
+        refusal.headers.push_back(
+            {"Retry-After", std::string(memory_retry_after)});
+        refusal.body = overloaded_body;
+        result = "100";
+    } else if (reason == request_state::too_large) {
+        record(&http_server_counters::too_large, "too_large", worker);
+        refusal.status = status_too_large;
+        if (!are_limits_current()) {
+            refusal.status = status_unavailable;
+            refusal.headers.push_back(
+                {"Retry-After", std::string(limits_retry_after)});
+        }
+        refusal.body = too_large_body;
+        result = "113";
+    } else {
+        record(&http_server_counters::malformed, "malformed", worker);
+    }
+    refusal.headers.push_back({"Content-Type", "application/json"});
+    refusal.headers.push_back({"Savorydock-Result", result});
+    co_await write_refusal(connection, std::move(refusal), worker);
 }
 
 asio::awaitable<void>
-http_server::state::answer_parse_error(beast::tcp_stream& stream,
-                                       beast::error_code error) {
-    const bool is_malformed =
-        error.category() ==
-            make_error_code(http::error::bad_method).category() &&
-        error != http::error::end_of_stream &&
-        error != http::error::partial_message;
-    if (!is_malformed) {
+http_server::state::write_refusal(http_connection& connection,
+                                  http_response refusal, std::size_t worker) {
+    connection.memory().reset();
+    connection.input().clear();
+    connection.input().shrink_to_fit();
+    connection_exchange exchange(
+        connection, http_request{}, false, worker,
+        exchange_limits{.write_timeout = limits.header_timeout,
+                        .progress_timeout = limits.header_timeout},
+        is_closing);
+    if (!co_await exchange.respond(std::move(refusal))) {
         co_return;
     }
-    const bool is_too_large = is_over_limit(error);
-    const bool is_final = !is_too_large || are_limits_current();
-    http::response<http::string_body> message(
-        !is_final      ? http::status::service_unavailable
-        : is_too_large ? http::status::payload_too_large
-                       : http::status::bad_request,
-        11);
-    if (!is_final) {
-        message.set(http::field::retry_after, limits_retry_after);
+    // A caller that is still sending sees the answer only if its bytes are
+    // read: the system resets a connection that is closed with unread bytes.
+    beast::error_code ignored;
+    connection.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    workers[worker].waiting.set_phase(connection, connection_phase::closing);
+    connection.set_deadline(std::chrono::steady_clock::now() +
+                            limits.header_timeout);
+    std::size_t dropped = 0;
+    while (dropped <= limits.max_body_bytes) {
+        const auto [error] = co_await connection.socket().async_wait(
+            tcp::socket::wait_read, await);
+        if (error) {
+            break;
+        }
+        const auto size =
+            ::recv(connection.socket().native_handle(), received_bytes.data(),
+                   received_bytes.size(), MSG_DONTWAIT | MSG_TRUNC);
+        if (size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR)) {
+            break;
+        }
+        dropped += size > 0 ? static_cast<std::size_t>(size) : 0;
     }
-    message.set(http::field::content_type, "application/json");
-    message.set("Savorydock-Result", is_too_large ? "113" : "104");
-    message.keep_alive(false);
-    message.body() = is_too_large ? too_large_body : bad_request_body;
-    message.prepare_payload();
-    stream.expires_after(limits.io_timeout);
-    co_await http::async_write(stream, message, await);
+    workers[worker].waiting.set_phase(connection, connection_phase::busy);
+    connection.set_deadline(steady_time::max());
 }
 
 http_server::http_server(traffic_pool& pool, caller_limits limits,
-                         http_handler handler)
-    : state_(std::make_shared<state>(pool, limits, std::move(handler))) {}
+                         http_handler handler, http_server_options options)
+    : state_(std::make_shared<state>(pool, limits, std::move(handler),
+                                     std::move(options))) {}
 
 http_server::~http_server() {
     stop_accepting();
@@ -431,4 +502,11 @@
     return state_->connections;
 }
 
+http_server_counters http_server::counters() const {
+    const state::worker_state& worker = state_->workers.front();
+    http_server_counters counters = worker.counters;
+    counters.memory_bytes = worker.memory->counters().used_bytes;
+    return counters;
+}
+
 } // namespace savorydock
--- a/drivers/http/http_server.hpp
+++ b/drivers/http/http_server.hpp
@@ -3,13 +3,17 @@
 #include "core/endpoint.hpp"
 #include "core/http_message.hpp"
 #include "core/instance_settings.hpp"
+#include "core/logger.hpp"
 #include "core/outcome.hpp"
 #include "drivers/http/traffic_pool.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
+#include <string>
 
 namespace savorydock {
 
@@ -48,16 +52,51 @@
 
     /// Closes the connection after the response and announces it in its header.
     virtual void close_after_answer() = 0;
+
+    /// Reserves memory for handling the request, beyond that of its body, until
+    /// the response begins. Returns false if there is none; the request should
+    /// then be refused as not run.
+    [[nodiscard]] virtual bool reserve_memory(std::size_t) { return true; }
+
+    /// Takes the body out of the request, for handlers that convert it.
+    [[nodiscard]] virtual std::string take_body() { return request().body; }
 };
 
 using http_handler =
     std::function<boost::asio::awaitable<void>(http_exchange&)>;
 
+struct http_server_options {
+    /// For requests and unread answers of all connections.
+    std::size_t memory_bytes = std::numeric_limits<std::size_t>::max();
+    /// Names the server in log lines.
+    std::string name = "callers";
+    /// For connections and requests that were refused, at most one line a
+    /// second; null if they aren't logged.
+    logger* log = nullptr;
+};
+
+/// Requests and connections that a server ended because of a limit.
+struct http_server_counters {
+    std::size_t memory_bytes = 0;
+    std::uint64_t malformed = 0;
+    std::uint64_t too_large = 0;
+    /// Refused as not run, because there was no memory for them.
+    std::uint64_t overloaded = 0;
+    /// Closed because their request or answer made no progress.
+    std::uint64_t too_slow = 0;
+    /// Closed because there was no memory for their answer.
+    std::uint64_t answers_dropped = 0;
+    /// Closed to make room for others, or not accepted for lack of room.
+    std::uint64_t closed_for_room = 0;
+    std::uint64_t not_accepted = 0;
+};
+
 /// An HTTP/1.1 server on the threads of a traffic pool, which must outlive
 /// it.
 class http_server {
 public:
-    http_server(traffic_pool& pool, caller_limits limits, http_handler handler);
+    http_server(traffic_pool& pool, caller_limits limits, http_handler handler,
+                http_server_options options = {});
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
@@ -88,6 +127,8 @@
     [[nodiscard]] std::size_t active_requests() const;
     /// The number of open connections. Thread safe.
     [[nodiscard]] std::size_t open_connections() const;
+    /// Precondition: called on the pool's thread, of which there is one.
+    [[nodiscard]] http_server_counters counters() const;
 
 private:
     struct state;
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -25,6 +25,7 @@
 #include "drivers/tunnel/tunnel_server.hpp"
 #include "platform/configuration_codec.hpp"
 #include "platform/settings_file.hpp"
+#include "servers/admission/memory_plan.hpp"
 #include "servers/batch/job_keys.hpp"
 #include "servers/batch/message_parts.hpp"
 #include "servers/feed/claim_order.hpp"
@@ -67,8 +68,11 @@
 /// Time reserved for the process to exit before the platform kills it.
 constexpr std::chrono::milliseconds exit_margin{700};
 constexpr std::chrono::milliseconds drain_check_interval{40};
-/// Memory for the answers that all upstreams together are sending.
-constexpr std::size_t max_answer_bytes = 48U << 20U;
+/// Limits of the ports for readiness and metrics, whose requests have no
+/// bodies.
+constexpr std::uint32_t max_probe_connections = 64;
+constexpr std::uint32_t max_probe_body_bytes = 65'536;
+constexpr std::size_t probe_memory_bytes = 2U << 20U;
 /// Half of the limit of the link between instances.
 constexpr std::size_t max_report_bytes = 1U << 20U;
 /// How often the settings file is checked for changes that no signal announced.
@@ -136,6 +140,8 @@
     [[nodiscard]] std::optional<endpoint>
     tunnel_address_of(const instance_id& peer) const;
     outcome<done> listen();
+    /// Limit on the connections of callers.
+    [[nodiscard]] std::uint32_t max_connections() const;
     void start();
     void on_fleet_update();
     void on_job_update();
@@ -189,6 +195,7 @@
     std::string settings_file_;
     std::string settings_text_;
     logger& log_;
+    memory_plan memory_plan_ = make_memory_plan(settings_.memory_bytes);
     traffic_pool traffic_{1};
     asio::io_context& context_;
     seeded_random_source random_;
@@ -201,7 +208,7 @@
     std::shared_ptr<path_connector> connector_;
     /// Shared by the clients of all upstreams.
     std::shared_ptr<answer_memory> answer_memory_ =
-        std::make_shared<answer_memory>(max_answer_bytes);
+        std::make_shared<answer_memory>(memory_plan_.answer_bytes);
     /// For orders, which must come from this machine and are never sent through
     /// another instance.
     http_client order_client_;
@@ -275,7 +282,7 @@
     , suspects_(
           {.self = settings_.instance, .boot = std::to_string(random_seed())})
     , suspect_publisher_(context_, store_, suspects_, log)
-    , jobs_(store_, log)
+    , jobs_(store_, log, memory_plan_.result_bytes)
     , peers_(context_,
              {.instance = settings_.instance,
               .zone = settings_.zone,
@@ -398,10 +405,14 @@
 
 outcome<done> node_instance::impl::listen() {
     const auto open = [&](std::unique_ptr<http_server>& server,
-                          const endpoint& address,
+                          const endpoint& address, const caller_limits& limits,
+                          std::size_t memory_bytes, std::string name,
                           http_handler handler) -> outcome<done> {
-        server = std::make_unique<http_server>(traffic_, caller_limits{},
-                                               std::move(handler));
+        server = std::make_unique<http_server>(
+            traffic_, limits, std::move(handler),
+            http_server_options{.memory_bytes = memory_bytes,
+                                .name = std::move(name),
+                                .log = &log_});
         const auto bound = server->listen(address);
         if (!bound) {
             log_.write(log_event::listener_failed, bound.reason().detail);
@@ -409,13 +420,18 @@
         }
         return done{};
     };
+    const caller_limits probe_limits{.max_connections = max_probe_connections,
+                                     .max_body_bytes = max_probe_body_bytes};
     auto result = open(
         caller_server_, *settings_.caller_listen,
+        caller_limits{.max_connections = max_connections()},
+        memory_plan_.caller_bytes, "callers",
         [this](http_exchange& exchange) { return front_.handle(exchange); });
     caller_server_->set_limits_check(
         [this] { return feed_.find_view_age().is_current; });
     if (result && settings_.ready_listen) {
-        result = open(readiness_server_, *settings_.ready_listen,
+        result = open(readiness_server_, *settings_.ready_listen, probe_limits,
+                      probe_memory_bytes, "readiness",
                       [this](http_exchange& exchange) {
                           return answer_readiness(exchange);
                       });
@@ -438,6 +454,7 @@
     if (result) {
         result = open(metrics_server_,
                       {.address = settings_.address, .port = metrics_port},
+                      probe_limits, probe_memory_bytes, "metrics",
                       [this](http_exchange& exchange) {
                           return answer_metrics(exchange);
                       });
@@ -445,6 +462,11 @@
     return result;
 }
 
+std::uint32_t node_instance::impl::max_connections() const {
+    return max_caller_connections(settings_.max_descriptors,
+                                  caller_limits{}.max_connections);
+}
+
 outcome<bool> node_instance::impl::run() {
     auto drained = drained_.get_future();
     const auto listening = listen();
@@ -484,9 +506,11 @@
     paths_.set_upstreams(addresses);
     const fleet_configuration& configuration = fleet_.routes->configuration();
     caller_server_->set_limits(
-        {.max_header_bytes = configuration.bounds.max_header_bytes,
+        {.max_connections = max_connections(),
+         .max_header_bytes = configuration.bounds.max_header_bytes,
          .max_body_bytes = configuration.bounds.max_body_bytes,
-         .io_timeout = configuration.bounds.idle_timeout});
+         .io_timeout = configuration.bounds.idle_timeout,
+         .header_timeout = configuration.bounds.header_timeout});
     for (const service_rule& service : configuration.services) {
         if (!service.engine || engines_.contains(service.name)) {
             continue;
--- /dev/null
+++ b/servers/admission/memory_plan.cpp
@@ -0,0 +1,48 @@
+#include "servers/admission/memory_plan.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace savorydock {
+
+namespace {
+
+constexpr std::size_t most_answer_bytes = 48U << 20U;
+constexpr std::size_t most_result_bytes = 48U << 20U;
+constexpr std::size_t percent = 100;
+/// Three quarters of this must hold one body of 32 MB on a machine of 120 MB.
+constexpr std::size_t caller_percent = 45;
+constexpr std::size_t answer_percent = 20;
+constexpr std::size_t result_percent = 10;
+constexpr std::size_t peer_percent = 10;
+constexpr std::size_t reserved_descriptors = 200;
+
+} // namespace
+
+memory_plan make_memory_plan(std::size_t memory_bytes) {
+    if (memory_bytes == 0) {
+        return {.caller_bytes = std::numeric_limits<std::size_t>::max(),
+                .answer_bytes = most_answer_bytes,
+                .result_bytes = most_result_bytes,
+                .peer_bytes = std::numeric_limits<std::size_t>::max()};
+    }
+    const auto part = [&](std::size_t share) {
+        return memory_bytes / percent * share;
+    };
+    return {.caller_bytes = part(caller_percent),
+            .answer_bytes = std::min(most_answer_bytes, part(answer_percent)),
+            .result_bytes = std::min(most_result_bytes, part(result_percent)),
+            .peer_bytes = part(peer_percent)};
+}
+
+std::uint32_t max_caller_connections(std::size_t max_descriptors,
+                                     std::uint32_t unlimited) {
+    if (max_descriptors <= reserved_descriptors) {
+        return unlimited;
+    }
+    const std::size_t usable = max_descriptors - reserved_descriptors;
+    return static_cast<std::uint32_t>(
+        std::min<std::size_t>(unlimited, usable - usable / 3));
+}
+
+} // namespace savorydock
--- /dev/null
+++ b/servers/admission/memory_plan.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace savorydock {
+
+/// How an instance divides the memory of its machine.
+struct memory_plan {
+    /// Requests of callers, and answers that they have not read yet.
+    std::size_t caller_bytes;
+    /// Answers that are being received from upstreams.
+    std::size_t answer_bytes;
+    /// Results of jobs that are kept for their readers.
+    std::size_t result_bytes;
+    /// Messages of other instances that are not complete yet.
+    std::size_t peer_bytes;
+};
+
+/// Divides the memory of a machine; 0 if it isn't known. The rest, a tenth and
+/// more, is for the process itself, which takes some 16 MB. Thread safe.
+[[nodiscard]] memory_plan make_memory_plan(std::size_t memory_bytes);
+
+/// The number of callers' connections, so that upstreams, peers and the store
+/// keep a third of the descriptors that aren't reserved. `max_descriptors` is 0
+/// if it isn't limited. Thread safe.
+[[nodiscard]] std::uint32_t max_caller_connections(std::size_t max_descriptors,
+                                                   std::uint32_t unlimited);
+
+} // namespace savorydock
