Build the word of a length hint without a temporary

Cause: at -O3, GCC 12 takes a literal joined with a temporary string for an overlapping copy (-Wrestrict), so the release build failed.

Change: the mark is appended instead of put in front; words and numbers still differ.

--- a/servers/cost/cost_estimator.cpp
+++ b/servers/cost/cost_estimator.cpp
@@ -34,8 +34,12 @@
         !text.empty() && text.size() <= max_hint_length &&
         std::all_of(text.begin(), text.end(),
                     [](char digit) { return digit >= '0' && digit <= '9'; });
-    return is_number ? to_step(std::optional<std::uint64_t>(std::stoull(text)))
-                     : "=" + text.substr(0, max_hint_length);
+    if (is_number) {
+        return to_step(std::optional<std::uint64_t>(std::stoull(text)));
+    }
+    std::string word = text.substr(0, max_hint_length);
+    word += '=';
+    return word;
 }
 
 template <class Accumulator>
