Order numbers of upstreams by the demand of their services

Cause: services may be scaled by orders to the platform, and no part of the code knew how many upstreams a service needs.

Change: the planner of a service tells its open work by due time, as estimated tokens, and the measured rate of a slot to the holder of the duties, each second and when a job arrives. All instances tell the holder of open requests of callers. The holder decides the number of upstreams by service, zone and kind: enough that the work is done in time also without the reclaimable ones of any one zone, of which the cheapest mix is taken. Numbers grow at once and shrink after they have been too large for 10 s. A group that was refused or reclaimed rests for 10 s, while others stand in. Orders are sent only if a number changes, at most one a second for a group; they are repeated if they had no answer, or if the numbers of upstreams show that an older one took effect.

Ruled out: spot upstreams in place of lasting ones for all of the load; a quarter of the load is always ordered as upstreams that last.

Not measured with real load.

--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -111,6 +111,7 @@
 void engine_driver::start() {
     asio::co_spawn(context_, term_.run(), asio::detached);
     asio::co_spawn(context_, hand_over_if_outranked(), asio::detached);
+    asio::co_spawn(context_, report_demand_regularly(), asio::detached);
     on_fleet_changed();
 }
 
@@ -402,6 +403,7 @@
                                      out.planner);
             control.planner().on_saved_failures(record.id, saved.failures);
         });
+        report_demand();
         break;
     }
     loading_jobs_.erase(record.id);
--- a/drivers/batch/engine_driver.hpp
+++ b/drivers/batch/engine_driver.hpp
@@ -35,6 +35,9 @@
             [](const instance_id&) { return std::chrono::milliseconds(0); };
     /// Whether an instance that is better suited to be the planner is there.
     std::function<bool()> is_outranked = [] { return false; };
+    /// Receives the open work each second and when a job arrives; empty if
+    /// nobody needs it.
+    std::function<void(const worker_demand&)> on_demand;
     std::uint64_t seed = 1;
 };
 
@@ -120,6 +123,8 @@
     [[nodiscard]] run_task make_task(const start_run& command) const;
     [[nodiscard]] run_task make_task(const start_scoring& command) const;
     void wake_at(std::optional<steady_time> time);
+    void report_demand();
+    boost::asio::awaitable<void> report_demand_regularly();
     void on_gained(const held_term& term);
     void on_lost(term_end reason);
     /// Whether this service plans the job under the current configuration.
--- a/drivers/duties/duty_driver.hpp
+++ b/drivers/duties/duty_driver.hpp
@@ -2,9 +2,11 @@
 
 #include "drivers/duties/duty_caller.hpp"
 #include "drivers/duties/usage_reporter.hpp"
+#include "drivers/duties/worker_scaler.hpp"
 #include "servers/feed/key_copy.hpp"
 #include "servers/fleet/fleet_state.hpp"
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
@@ -39,6 +41,10 @@
 
     void on_message(const peer_message& message);
 
+    /// Takes the demand of the services that this instance plans; empty if the
+    /// platform doesn't scale them.
+    [[nodiscard]] std::function<void(const worker_demand&)> demand_handler();
+
     /// Sends what others need, because the process exits.
     void flush();
 
@@ -46,9 +52,22 @@
     [[nodiscard]] std::string write_metrics() const;
 
 private:
+    void on_demand(const worker_demand& demand);
+    /// Reports the requests of callers each second.
+    boost::asio::awaitable<void> report_open_requests();
+
+    boost::asio::io_context& context_;
+    fleet_state& fleet_;
+    peer_transport& peers_;
+    const node_directory& directory_;
+    std::function<duty_holder()> find_holder_;
+    instance_id self_;
+    logger& log_;
     duty_caller caller_;
     /// Null if usage isn't reported.
     std::unique_ptr<usage_reporter> usage_;
+    /// Null if upstreams can't be ordered.
+    std::unique_ptr<worker_scaler> scaler_;
 };
 
 } // namespace savorydock
--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/front/attempt_log.hpp"
 #include "drivers/front/leaving_notice.hpp"
+#include "drivers/front/open_request.hpp"
 #include "drivers/front/request_limit.hpp"
 #include "platform/request_codec.hpp"
 #include "servers/delivery/request_fingerprint.hpp"
@@ -235,6 +236,7 @@
 asio::awaitable<plain_call_result> plain_caller::call(plain_call_request call) {
     call.deadline -= answer_margin;
     const service_name service = pick_service(call.route, random_);
+    const open_request counted(fleet_, service);
     const bool is_repeatable = call.route.kind == request_kind::idempotent;
     const std::uint32_t max_attempts =
         is_repeatable ? std::max<std::uint32_t>(1, call.route.max_attempts) : 1;
--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/front/attempt_log.hpp"
 #include "drivers/front/leaving_notice.hpp"
+#include "drivers/front/open_request.hpp"
 #include "drivers/front/request_limit.hpp"
 #include "drivers/http/event_splitter.hpp"
 #include "platform/batch_codec.hpp"
@@ -103,6 +104,7 @@
     } else if (!co_await find_origin(request, state)) {
         co_return std::move(state.result);
     }
+    const open_request counted(fleet_, state.service);
     const std::uint32_t max_attempts =
         request.route.is_resumable
             ? std::max<std::uint32_t>(1, request.route.max_attempts)
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -518,6 +518,7 @@
                         return claim_delay_of(scope, last_holder);
                     },
                 .is_outranked = [this] { return is_outranked(); },
+                .on_demand = duties_ ? duties_->demand_handler() : nullptr,
                 .seed = random_seed()});
         driver->start();
         for (const auto& [model, version] : fleet_mirror_.wanted_versions()) {
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -3,6 +3,7 @@
 #include "core/clock.hpp"
 #include "servers/batch/batch_job.hpp"
 #include "servers/batch/engine_roster.hpp"
+#include "servers/duties/worker_demand.hpp"
 #include "servers/fleet/upstream_entry.hpp"
 
 #include <boost/describe/class.hpp>
@@ -427,6 +428,8 @@
     min_allowed_version(const std::string& model) const;
     [[nodiscard]] bool has_waiting(const std::string& model) const;
     [[nodiscard]] std::size_t waiting_items() const;
+    /// The open work by due time, without the service and the term.
+    [[nodiscard]] worker_demand demand(steady_time now) const;
     [[nodiscard]] std::size_t running_items() const { return runs_.size(); }
 
 private:
--- a/servers/fleet/fleet_state.hpp
+++ b/servers/fleet/fleet_state.hpp
@@ -5,7 +5,9 @@
 #include "servers/fleet/upstream_pool.hpp"
 #include "servers/fleet/view_age.hpp"
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -20,6 +22,9 @@
     std::vector<upstream_entry> upstreams;
     upstream_pool pool;
     attempt_counts attempts;
+    /// Requests of callers, without batch items, that are being served by this
+    /// instance. Entries are never removed.
+    std::map<service_name, std::uint64_t> open_requests;
     /// Called when an upstream was marked as leaving in `pool`.
     std::function<void()> on_leaving = [] {};
     /// Called when the request limit that an upstream names has changed.
--- a/tests/drivers/duties/usage_reporter_test.cpp
+++ b/tests/drivers/duties/usage_reporter_test.cpp
@@ -1,14 +1,13 @@
 #include "core/wire_codec.hpp"
 #include "drivers/duties/usage_reporter.hpp"
-#include "drivers/http/http_server.hpp"
+#include "tests/fakes/fake_duty_platform.hpp"
 #include "tests/fakes/fake_users_store.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <gtest/gtest.h>
 
-#include <atomic>
-#include <mutex>
+#include <algorithm>
 #include <vector>
 
 using namespace savorydock;
@@ -19,49 +18,6 @@
 
 constexpr std::string_view scope_key = "c/term/~duty";
 
-/// The platform's interface: keeps the calls, and answers with `status`, or not
-/// at all if that is 0.
-class fake_duty_platform {
-public:
-    fake_duty_platform()
-        : server_(pool_, caller_limits{}, [this](http_exchange& exchange) {
-            return handle(exchange);
-        }) {
-        address = *server_.listen({.address = "127.0.0.1", .port = 0});
-    }
-    ~fake_duty_platform() {
-        server_.stop_accepting();
-        pool_.stop();
-    }
-
-    std::vector<http_request> calls() const {
-        const std::lock_guard lock(mutex_);
-        return calls_;
-    }
-
-    endpoint address;
-    std::atomic<unsigned> status = 200;
-
-private:
-    asio::awaitable<void> handle(http_exchange& exchange) {
-        {
-            const std::lock_guard lock(mutex_);
-            calls_.push_back(exchange.request());
-        }
-        if (status == 0) {
-            exchange.close_after_answer();
-            co_return;
-        }
-        http_response answer{.status = status};
-        co_await exchange.respond(std::move(answer));
-    }
-
-    traffic_pool pool_{1};
-    mutable std::mutex mutex_;
-    std::vector<http_request> calls_;
-    http_server server_;
-};
-
 class message_recorder final : public peer_transport {
 public:
     void send(const peer_message& message, const endpoint&) override {
@@ -94,7 +50,7 @@
     }
 
     duty_settings settings() const {
-        return {.address = platform.address,
+        return {.address = platform.address(),
                 .must_report_usage = true,
                 .calls_per_second = 100,
                 .usage_window = 400ms,
@@ -196,11 +152,11 @@
 // Guards against a report that changes between its attempts, and against one
 // that is given up while the platform is away.
 TEST_F(usage_reporter_test, unanswered_report_is_repeated_unchanged) {
-    platform.status = 503;
+    platform.set_status(503);
     reporter.start();
     hold();
     ASSERT_TRUE(wait([&] { return platform.calls().size() >= 3; }));
-    platform.status = 200;
+    platform.set_status(200);
     ASSERT_TRUE(
         wait([&] { return reporter.statistics().reports_accepted > 0; }));
     const auto calls = platform.calls();
@@ -221,7 +177,7 @@
 
 // Guards against further calls with a token that the platform has refused.
 TEST_F(usage_reporter_test, fenced_term_makes_no_more_calls) {
-    platform.status = 409;
+    platform.set_status(409);
     reporter.start();
     hold();
     const store_revision fenced = term.term()->revision;
--- a/tests/platform/duty_codec_test.cpp
+++ b/tests/platform/duty_codec_test.cpp
@@ -33,3 +33,28 @@
     EXPECT_EQ(decode(429), duty_answer::try_again);
     EXPECT_EQ(decode(503), duty_answer::try_again);
 }
+
+// Guards against orders for other workers, and against taking a lack of workers
+// for the end of the term.
+TEST(duty_codec_test, scale_call_and_its_answers_follow_the_protocol) {
+    worker_order order{.group = {.service = service_name("e"),
+                                 .zone = availability_zone("z"),
+                                 .is_reclaimable = true},
+                       .count = 6};
+    const http_request call =
+        platform::make_scale_call(order, instance_id("node-1"), 17);
+    EXPECT_EQ(call.target, "/scale");
+    EXPECT_EQ(call.body,
+              R"({"service":"e","zone":"z","target_groups":6,"spot":true})");
+    order.group.is_reclaimable = false;
+    EXPECT_EQ(platform::make_scale_call(order, instance_id("node-1"), 17).body,
+              R"({"service":"e","zone":"z","target_groups":6})");
+    const auto decode = [](unsigned status, const char* body) {
+        return platform::decode_scale_answer({.status = status, .body = body},
+                                             true);
+    };
+    EXPECT_EQ(decode(200, ""), duty_answer::accepted);
+    EXPECT_EQ(decode(409, "no spot workers"), duty_answer::unavailable);
+    EXPECT_EQ(decode(409, "stale Fencing-Token"), duty_answer::fenced_off);
+    EXPECT_EQ(decode(429, ""), duty_answer::try_again);
+}
