Name the organisation and the exact reason of refused callers in the log

Cause: a refusal because of an old view said "missing_key" if there was none, though it was answered 503, and it did not name the organisation whose key could not be confirmed. A read of a record that failed at the store was logged as an unknown job. Change: the reason is that of the answer; the organisation of an uncertain key is logged. The process test has a retried request, the test of headers a resumed one.

--- a/drivers/front/caller_authenticator.cpp
+++ b/drivers/front/caller_authenticator.cpp
@@ -70,12 +70,14 @@
                                             "the key can't be checked now",
                                             caller.identity.retry_after)
             : platform::make_unauthorized_response();
-    const std::string reason = !caller.has_credentials ? "missing_key"
-                               : is_uncertain          ? "uncertain"
-                                                       : "unknown_key";
+    const std::string reason = is_uncertain             ? "uncertain"
+                               : caller.has_credentials ? "unknown_key"
+                                                        : "missing_key";
     log_.write(log_event::request_refused,
-               "request=" + request + " status=" +
-                   std::to_string(response.status) + " configuration=" +
+               "request=" + request +
+                   organisation_field(caller.identity.organisation) +
+                   " status=" + std::to_string(response.status) +
+                   " configuration=" +
                    std::to_string(fleet_.routes->configuration().version) +
                    ' ' + to_text(fleet_.find_view_age()) + " reason=" + reason);
     return response;
--- a/drivers/front/job_call_handler.cpp
+++ b/drivers/front/job_call_handler.cpp
@@ -139,8 +139,9 @@
     log_.write(log_event::request_refused,
                "job=" + job.text() +
                    organisation_field(caller.identity.organisation) +
-                   " status=" + std::to_string(response.status) +
-                   " reason=" + (is_foreign ? "foreign_job" : "unknown_job"));
+                   " status=" + std::to_string(response.status) + " reason=" +
+                   (is_foreign ? "foreign_job"
+                               : "\"" + record.reason().detail + "\""));
     co_return response;
 }
 
--- a/servers/identity/caller_identifier.cpp
+++ b/servers/identity/caller_identifier.cpp
@@ -56,7 +56,10 @@
     if (is_refused_for_good) {
         return {.kind = identity_kind::unknown_key};
     }
-    return {.kind = identity_kind::uncertain, .retry_after = retry_time(view)};
+    return {.kind = identity_kind::uncertain,
+            .organisation =
+                owner == nullptr ? organisation_id() : owner->organisation,
+            .retry_after = retry_time(view)};
 }
 
 std::string_view name_of(identity_kind kind) {
--- a/servers/identity/caller_identifier.hpp
+++ b/servers/identity/caller_identifier.hpp
@@ -24,7 +24,8 @@
 
 struct caller_identity {
     identity_kind kind = identity_kind::anonymous;
-    /// If `identified`: the organisation and its priority.
+    /// If `identified`: the organisation and its priority. If `uncertain`: the
+    /// organisation that has the key by the present view, for log lines.
     organisation_id organisation;
     std::optional<std::uint32_t> rank;
     /// If `uncertain`: the time after which the caller may retry.
--- a/tests/main/identity_process_test.cpp
+++ b/tests/main/identity_process_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -114,7 +115,11 @@
                 const std::lock_guard lock(mutex_);
                 heads_[id] = request;
             }
-            connection.write("HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+            const bool is_retried = request.find("/retry") != request.npos &&
+                                    !has_failed_.exchange(true);
+            connection.write(std::string("HTTP/1.1 ") +
+                             (is_retried ? "500" : "200") +
+                             " X\r\nRequest-Id: " + id +
                              "\r\nServer-Stamp: s\r\nContent-Length: 0\r\n"
                              "\r\n");
         }
@@ -133,6 +138,8 @@
     std::string ip_ = "127.30." + std::to_string(getpid() / 250 % 250) + "." +
                       std::to_string(getpid() % 250 + 1);
     std::uint64_t version_ = 0;
+    /// The upstream fails the first request for a retry.
+    std::atomic<bool> has_failed_ = false;
     std::mutex mutex_;
     std::map<std::string, std::string> heads_;
     fake_users_store store_;
@@ -152,14 +159,16 @@
         unsigned status;
         const char* organisation;
     };
-    for (const expectation& one : {expectation{"/plain/x", "key-a1", 200, "a"},
-                                   expectation{"/plain/x", "key-b1", 200, "b"},
-                                   expectation{"/stream/x", "key-a2", 200, "a"},
-                                   expectation{"/open/x", "key-b1", 200, "b"},
-                                   expectation{"/open/x", "wrong", 200, ""},
-                                   expectation{"/open/x", "", 200, ""},
-                                   expectation{"/plain/x", "wrong", 401, ""},
-                                   expectation{"/stream/x", "", 401, ""}}) {
+    for (const expectation& one :
+         {expectation{"/plain/x", "key-a1", 200, "a"},
+          expectation{"/plain/x", "key-b1", 200, "b"},
+          expectation{"/plain/retry", "key-a1", 200, "a"},
+          expectation{"/stream/x", "key-a2", 200, "a"},
+          expectation{"/open/x", "key-b1", 200, "b"},
+          expectation{"/open/x", "wrong", 200, ""},
+          expectation{"/open/x", "", 200, ""},
+          expectation{"/plain/x", "wrong", 401, ""},
+          expectation{"/stream/x", "", 401, ""}}) {
         const std::string id = std::string(one.target) + one.key;
         EXPECT_EQ(call("GET", one.target, one.key, id).status, one.status)
             << id;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -523,6 +523,7 @@
     };
     for (const std::string& name : {std::string(), std::string("a")}) {
         const forwarding_metadata metadata{.upstream = upstream_id("u"),
+                                           .last_event = 1,
                                            .organisation =
                                                organisation_id(name),
                                            .strips_credentials = true};
