--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -112,6 +112,7 @@
 void engine_driver::start() {
     asio::co_spawn(context_, term_.run(), asio::detached);
     asio::co_spawn(context_, hand_over_if_outranked(), asio::detached);
+    asio::co_spawn(context_, report_demand_regularly(), asio::detached);
     on_fleet_changed();
 }
 
@@ -307,6 +308,7 @@
                                 .value_or(route.priority);
         settings.is_single_version = route.is_single_version;
     }
+    settings.has_organisations = fleet_.routes->has_organisations();
     return settings;
 }
 
@@ -405,6 +407,7 @@
                                      out.planner);
             control.planner().on_saved_failures(record.id, saved.failures);
         });
+        report_demand();
         break;
     }
     loading_jobs_.erase(record.id);
@@ -598,6 +601,12 @@
                    " events=" + std::to_string(command.events));
 }
 
+void engine_driver::execute_one(order_change& change) {
+    log_.write(change.job.is_empty() ? log_event::engines_shared
+                                     : log_event::job_standing_changed,
+               "service=" + options_.service.text() + " " + to_text(change));
+}
+
 void engine_driver::send_orders() {
     std::map<instance_id, runner_command> orders;
     orders.swap(orders_);
--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -2,10 +2,14 @@
 
 #include "drivers/front/attempt_log.hpp"
 #include "drivers/front/leaving_notice.hpp"
+#include "drivers/front/open_request.hpp"
+#include "drivers/front/placed_call.hpp"
 #include "drivers/front/request_limit.hpp"
 #include "platform/request_codec.hpp"
 #include "servers/delivery/request_fingerprint.hpp"
 
+#include <boost/asio/this_coro.hpp>
+
 #include <algorithm>
 #include <set>
 
@@ -51,39 +55,6 @@
     return !call.is_allowed || call.is_allowed();
 }
 
-/// Records the end of a call in the upstream's counts, also if the coroutine is
-/// cancelled.
-class call_guard {
-public:
-    call_guard(upstream_pool& pool, upstream_id upstream)
-        : pool_(pool)
-        , upstream_(std::move(upstream))
-        , started_at_(std::chrono::steady_clock::now()) {
-        pool_.on_started(upstream_);
-    }
-    call_guard(const call_guard&) = delete;
-    call_guard& operator=(const call_guard&) = delete;
-    ~call_guard() { end(call_outcome::cancelled); }
-
-    void end(call_outcome how) {
-        if (has_ended_) {
-            return;
-        }
-        has_ended_ = true;
-        const steady_time now = std::chrono::steady_clock::now();
-        pool_.on_ended(upstream_, how,
-                       std::chrono::duration_cast<std::chrono::microseconds>(
-                           now - started_at_),
-                       now);
-    }
-
-private:
-    upstream_pool& pool_;
-    upstream_id upstream_;
-    steady_time started_at_;
-    bool has_ended_ = false;
-};
-
 } // namespace
 
 struct plain_caller::attempt_result {
@@ -123,10 +94,9 @@
     return std::min(end_of(call), now + attempt_time);
 }
 
-asio::awaitable<plain_caller::attempt_result>
-plain_caller::try_upstream(const plain_call_request& call,
-                           const upstream_entry& upstream,
-                           steady_time deadline) {
+asio::awaitable<plain_caller::attempt_result> plain_caller::try_upstream(
+    const plain_call_request& call, const upstream_entry& upstream,
+    const call_cost* cost, steady_time deadline, run_notice& notice) {
     platform::forwarding_metadata metadata{.upstream = upstream.id,
                                            .organisation = call.organisation,
                                            .strips_credentials =
@@ -136,24 +106,28 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(
                 call.deadline - std::chrono::steady_clock::now());
     }
-    call_guard guard(fleet_.pool, upstream.id);
+    placed_call guard(fleet_.pool, upstream.id, cost);
     attempt_log attempt(fleet_, log_, "call", call.id, upstream.id);
     http_request request = platform::forward_request(call.request, metadata);
-    call_options options{.use = call.route.kind == request_kind::idempotent
-                                    ? connection_use::reuse
-                                    : connection_use::fresh,
-                         .may_write =
-                             [this, &call, &upstream] {
-                                 return fleet_.pool.is_available(upstream.id) &&
-                                        is_allowed(call);
-                             },
-                         .is_own_answer =
-                             [&call](const http_headers& headers) {
-                                 return platform::may_answer(
-                                     call.id,
-                                     platform::decode_answer_metadata(headers));
-                             },
-                         .trace = attempt.trace()};
+    call_options options{
+        .use = call.route.kind == request_kind::idempotent
+                   ? connection_use::reuse
+                   : connection_use::fresh,
+        .may_write =
+            [this, &call, &upstream, &notice] {
+                const bool may_write =
+                    fleet_.pool.is_available(upstream.id) && is_allowed(call);
+                if (may_write) {
+                    notice.on_written();
+                }
+                return may_write;
+            },
+        .is_own_answer =
+            [&call](const http_headers& headers) {
+                return platform::may_answer(
+                    call.id, platform::decode_answer_metadata(headers));
+            },
+        .trace = attempt.trace()};
     auto answer = co_await client_.call(upstream.address, std::move(request),
                                         deadline, std::move(options));
     if (!answer) {
@@ -187,7 +161,9 @@
             true, failure{result_code::failed_by_upstream,
                           "a success without the upstream's signature"});
     }
-    guard.end(call_outcome::answered);
+    guard.end(answer->status >= status_server_error
+                  ? call_outcome::answered_with_error
+                  : call_outcome::answered);
     attempt_result result{.answer = std::move(*answer), .may_have_run = true};
     co_return result;
 }
@@ -206,13 +182,14 @@
 
 std::optional<plain_caller::reserved_upstream> plain_caller::reserve_upstream(
     const plain_call_request& call, const service_name& service,
-    std::set<upstream_id>& tried, plain_call_result& result) {
+    const call_cost* cost, std::set<upstream_id>& tried,
+    plain_call_result& result) {
     const steady_time now = std::chrono::steady_clock::now();
-    auto upstream = fleet_.pool.choose(service, tried, now);
+    auto upstream = fleet_.pool.choose(service, tried, now, nullptr, cost);
     if (!upstream && call.route.kind == request_kind::idempotent &&
         result.attempts > 0) {
         tried.clear();
-        upstream = fleet_.pool.choose(service, tried, now);
+        upstream = fleet_.pool.choose(service, tried, now, nullptr, cost);
     }
     const steady_time end = end_of(call);
     if (!upstream || now >= end) {
@@ -237,19 +214,28 @@
 asio::awaitable<plain_call_result> plain_caller::call(plain_call_request call) {
     call.deadline -= answer_margin;
     const service_name service = pick_service(call.route, random_);
+    const open_request counted(fleet_, service);
     const bool is_repeatable = call.route.kind == request_kind::idempotent;
     const std::uint32_t max_attempts =
         is_repeatable ? std::max<std::uint32_t>(1, call.route.max_attempts) : 1;
     plain_call_result result{.reason = {result_code::not_run_no_upstream,
                                         "the service has no upstream"}};
     std::set<upstream_id> tried;
+    const auto estimate = estimate_cost(
+        fleet_.pool, service,
+        {.route = call.route.name, .organisation = call.organisation},
+        call.request);
+    const call_cost* const cost = estimate ? &*estimate : nullptr;
+    run_notice notice(fleet_, call.organisation,
+                      co_await asio::this_coro::executor);
     for (std::uint32_t sends = 0; sends < max_sends; ++sends) {
         if (is_blocked(call)) {
             result.reason = {result_code::not_run_suspect_request,
                              "several upstreams crashed while they ran it"};
             break;
         }
-        const auto reserved = reserve_upstream(call, service, tried, result);
+        const auto reserved =
+            reserve_upstream(call, service, cost, tried, result);
         if (!reserved) {
             break;
         }
@@ -275,7 +261,8 @@
             attempt_deadline(call, upstream, max_attempts - result.attempts,
                              std::chrono::steady_clock::now());
         attempt_result attempt =
-            co_await try_upstream(call, upstream, attempt_end);
+            co_await try_upstream(call, upstream, cost, attempt_end, notice);
+        notice.on_outcome(attempt.may_have_run);
         if (call.guard != nullptr && attempt.answer) {
             call.guard->on_answered();
         } else if (call.guard != nullptr) {
--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/front/attempt_log.hpp"
 #include "drivers/front/leaving_notice.hpp"
+#include "drivers/front/open_request.hpp"
 #include "drivers/front/request_limit.hpp"
 #include "drivers/http/event_splitter.hpp"
 #include "platform/batch_codec.hpp"
@@ -69,6 +70,9 @@
     std::uint32_t attempts = 0;
     bool has_begun = false;
     bool may_have_run = false;
+    /// The start of the run was reported, or is that of an earlier attempt of
+    /// the caller.
+    bool is_start_reported = false;
 };
 
 stream_forwarder::stream_forwarder(fleet_state& fleet, http_client& client,
@@ -100,11 +104,13 @@
         state.result.is_invalid = true;
         co_return std::move(state.result);
     }
+    state.is_start_reported = is_taken_up || request.organisation.is_empty();
     if (!is_taken_up) {
         state.service = pick_service(request.route, random_);
     } else if (!co_await find_origin(request, state)) {
         co_return std::move(state.result);
     }
+    const open_request counted(fleet_, state.service);
     const std::uint32_t max_attempts =
         request.route.is_resumable
             ? std::max<std::uint32_t>(1, request.route.max_attempts)
@@ -452,6 +458,10 @@
             result.last_event = number.value_or(result.last_event);
             complete_events += *event;
         }
+        if (!state.is_start_reported && !complete_events.empty()) {
+            state.is_start_reported = true;
+            fleet_.on_run_began(request.organisation, now());
+        }
         if (!co_await request.exchange.write_chunk(
                 std::move(complete_events))) {
             result.end = stream_end::caller_gone;
