--- a/tests/servers/batch/engine_roster_test.cpp
+++ b/tests/servers/batch/engine_roster_test.cpp
@@ -139,3 +139,17 @@
     now += 100ms;
     EXPECT_EQ(next(), upstream_id("a"));
 }
+
+// Guards against a service that seems slow because an engine isn't measured, or
+// fast because of one that leaves.
+TEST_F(engine_roster_test, speed_counts_all_slots_that_serve) {
+    EXPECT_EQ(roster.speed(50).tokens_per_second, 0) << "not measured";
+    record_speed("a", 50ms);
+    record_speed("b", 100ms);
+    engines[1].is_draining = true;
+    roster.set_upstreams(engines, 0, now);
+    const service_speed speed = roster.speed(5);
+    // Two slots of a, and two of c at the typical speed, that of b.
+    EXPECT_DOUBLE_EQ(speed.tokens_per_second, 2 * 100 + 2 * 50);
+    EXPECT_DOUBLE_EQ(speed.slot_tokens_per_second, 100);
+}
--- a/tests/servers/batch/item_planner_test.cpp
+++ b/tests/servers/batch/item_planner_test.cpp
@@ -986,3 +986,41 @@
     EXPECT_EQ(started_items(), std::vector<std::string>{"lateg1i1"})
         << "the item that completes a begun group soonest";
 }
+
+// Guards against slots that one organisation gets at once, because its job is
+// due first, while the next one would be late.
+TEST_F(item_planner_test, organisations_take_turns_if_jobs_would_be_late) {
+    set_engines(1, 4);
+    const auto add = [&](const std::string& organisation) {
+        const auto job =
+            make_job(organisation, 0, {{9, 9, 9, 9}, {9, 9, 9, 9}});
+        planner.on_job(
+            {.id = job->id, .organisation = organisation_id(organisation)}, job,
+            {.time_to_live = 1h, .has_organisations = true}, {}, {}, now, now,
+            commands);
+        step();
+    };
+    add("x");
+    const auto first = take_commands<start_run>();
+    ASSERT_EQ(first.size(), 4U);
+    // At 400 ms per event x can still be in time if it gets all slots, and y is
+    // late then.
+    for (std::uint64_t events = 1; events < 9; ++events) {
+        now += 400ms;
+        for (const start_run& run : first) {
+            progress(run.ticket, events - 1, events);
+        }
+        step();
+    }
+    add("y");
+    EXPECT_EQ(take_commands<order_change>().size(), 1U);
+    std::string started;
+    for (const start_run& run : first) {
+        report(run.ticket, 8, 9, run_end::complete);
+    }
+    for (const start_run& run : take_commands<start_run>()) {
+        started += run.job->id.text();
+    }
+    EXPECT_EQ(started.size(), 4U);
+    EXPECT_NE(started.find('y'), std::string::npos) << started;
+}
