--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/front/attempt_log.hpp"
 #include "drivers/front/leaving_notice.hpp"
+#include "drivers/front/open_request.hpp"
 #include "drivers/front/request_limit.hpp"
 #include "drivers/http/event_splitter.hpp"
 #include "platform/batch_codec.hpp"
@@ -51,6 +52,12 @@
            find_header(answer.headers(), "Content-Encoding").empty();
 }
 
+/// Whether the stream may be sent to an upstream. One that may have begun in
+/// time is continued.
+bool may_run(const stream_request& request, bool may_have_begun) {
+    return may_have_begun || !request.is_allowed || request.is_allowed();
+}
+
 } // namespace
 
 struct stream_forwarder::progress {
@@ -63,6 +70,9 @@
     std::uint32_t attempts = 0;
     bool has_begun = false;
     bool may_have_run = false;
+    /// The start of the run was reported, or is that of an earlier attempt of
+    /// the caller.
+    bool is_start_reported = false;
 };
 
 stream_forwarder::stream_forwarder(fleet_state& fleet, http_client& client,
@@ -94,11 +104,13 @@
         state.result.is_invalid = true;
         co_return std::move(state.result);
     }
+    state.is_start_reported = is_taken_up || request.organisation.is_empty();
     if (!is_taken_up) {
         state.service = pick_service(request.route, random_);
     } else if (!co_await find_origin(request, state)) {
         co_return std::move(state.result);
     }
+    const open_request counted(fleet_, state.service);
     const std::uint32_t max_attempts =
         request.route.is_resumable
             ? std::max<std::uint32_t>(1, request.route.max_attempts)
@@ -124,6 +136,10 @@
         if (!fleet_.pool.is_available(upstream->id)) {
             continue;
         }
+        if (!may_run(request, state.may_have_run)) {
+            state.result.reason = "the key can't be confirmed now";
+            break;
+        }
         state.tried.insert(upstream->id);
         if (co_await try_upstream(request, *upstream, state) ==
             attempt_end::finished) {
@@ -235,23 +251,28 @@
     platform::forwarding_metadata marks{
         .upstream = upstream.id,
         .time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
-            request.deadline - now())};
+            request.deadline - now()),
+        .organisation = request.organisation,
+        .strips_credentials = request.strips_credentials};
     if (state.has_begun) {
         marks.last_event = state.result.last_event;
     }
     http_request forwarded =
         platform::forward_request(request.exchange.request(), marks);
     attempt_log attempt(fleet_, log_, "stream", call.id.text(), upstream.id);
-    call_options options{
-        .use = connection_use::fresh,
-        .may_write =
-            [this, &upstream] { return fleet_.pool.is_available(upstream.id); },
-        .is_own_answer =
-            [&call](const http_headers& headers) {
-                return platform::may_answer(
-                    call.id.text(), platform::decode_answer_metadata(headers));
-            },
-        .trace = attempt.trace()};
+    call_options options{.use = connection_use::fresh,
+                         .may_write =
+                             [this, &request, &upstream, &state] {
+                                 return fleet_.pool.is_available(upstream.id) &&
+                                        may_run(request, state.may_have_run);
+                             },
+                         .is_own_answer =
+                             [&call](const http_headers& headers) {
+                                 return platform::may_answer(
+                                     call.id.text(),
+                                     platform::decode_answer_metadata(headers));
+                             },
+                         .trace = attempt.trace()};
     log_.write(log_event::stream_sent,
                "request=" + call.id.text() + " route=" + request.route.name +
                    " upstream=" + upstream.id.text() +
@@ -437,6 +458,10 @@
             result.last_event = number.value_or(result.last_event);
             complete_events += *event;
         }
+        if (!state.is_start_reported && !complete_events.empty()) {
+            state.is_start_reported = true;
+            fleet_.on_run_began(request.organisation, now());
+        }
         if (!co_await request.exchange.write_chunk(
                 std::move(complete_events))) {
             result.end = stream_end::caller_gone;
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -7,6 +7,7 @@
 #include "drivers/batch/job_store.hpp"
 #include "drivers/batch/result_exchange.hpp"
 #include "drivers/caf_runtime/control_mailbox.hpp"
+#include "drivers/duties/duty_driver.hpp"
 #include "drivers/feed/node_registration.hpp"
 #include "drivers/feed/peer_store_relay.hpp"
 #include "drivers/feed/store_feed.hpp"
@@ -25,6 +26,7 @@
 #include "drivers/tunnel/tunnel_server.hpp"
 #include "platform/configuration_codec.hpp"
 #include "platform/settings_file.hpp"
+#include "servers/admission/memory_plan.hpp"
 #include "servers/batch/job_keys.hpp"
 #include "servers/batch/message_parts.hpp"
 #include "servers/feed/claim_order.hpp"
@@ -67,8 +69,11 @@
 /// Time reserved for the process to exit before the platform kills it.
 constexpr std::chrono::milliseconds exit_margin{700};
 constexpr std::chrono::milliseconds drain_check_interval{40};
-/// Memory for the answers that all upstreams together are sending.
-constexpr std::size_t max_answer_bytes = 48U << 20U;
+/// Limits of the ports for readiness and metrics, whose requests have no
+/// bodies.
+constexpr std::uint32_t max_probe_connections = 64;
+constexpr std::uint32_t max_probe_body_bytes = 65'536;
+constexpr std::size_t probe_memory_bytes = 2U << 20U;
 /// Half of the limit of the link between instances.
 constexpr std::size_t max_report_bytes = 1U << 20U;
 /// How often the settings file is checked for changes that no signal announced.
@@ -99,6 +104,14 @@
     return "savorydock/" + std::to_string(settings.internal_port);
 }
 
+/// Absent if calls aren't placed by cost.
+std::optional<placement_options> placement_of(const node_settings& settings) {
+    return settings.must_place_by_cost
+               ? std::optional(placement_options{
+                     .seed = stable_hash(settings.instance.text())})
+               : std::nullopt;
+}
+
 /// The port of tunnels, derived from the port for messages on all instances.
 std::uint16_t tunnel_port_of(std::uint16_t internal_port) {
     return static_cast<std::uint16_t>(internal_port + 1);
@@ -136,6 +149,8 @@
     [[nodiscard]] std::optional<endpoint>
     tunnel_address_of(const instance_id& peer) const;
     outcome<done> listen();
+    /// Limit on the connections of callers.
+    [[nodiscard]] std::uint32_t max_connections() const;
     void start();
     void on_fleet_update();
     void on_job_update();
@@ -189,6 +204,7 @@
     std::string settings_file_;
     std::string settings_text_;
     logger& log_;
+    memory_plan memory_plan_ = make_memory_plan(settings_.memory_bytes);
     traffic_pool traffic_{1};
     asio::io_context& context_;
     seeded_random_source random_;
@@ -201,7 +217,7 @@
     std::shared_ptr<path_connector> connector_;
     /// Shared by the clients of all upstreams.
     std::shared_ptr<answer_memory> answer_memory_ =
-        std::make_shared<answer_memory>(max_answer_bytes);
+        std::make_shared<answer_memory>(memory_plan_.answer_bytes);
     /// For orders, which must come from this machine and are never sent through
     /// another instance.
     http_client order_client_;
@@ -225,6 +241,8 @@
     node_registration registration_;
     scope_term fleet_term_;
     stream_duty stream_duty_;
+    /// Null if the deployment has no duties towards the platform.
+    std::unique_ptr<duty_driver> duties_;
     stream_ledger stream_ledger_;
     stream_forwarder streams_;
     front_service front_;
@@ -254,7 +272,8 @@
                                                double limit, steady_time now) {
                                             return part_of_limit(upstream,
                                                                  limit, now);
-                                        }})}
+                                        },
+                                    .by_cost = placement_of(settings_)})}
     , paths_({.self = settings_.instance, .zone = settings_.zone}, random_)
     , connector_(std::make_shared<path_connector>(
           context_, paths_,
@@ -275,7 +294,7 @@
     , suspects_(
           {.self = settings_.instance, .boot = std::to_string(random_seed())})
     , suspect_publisher_(context_, store_, suspects_, log)
-    , jobs_(store_, log)
+    , jobs_(store_, log, memory_plan_.result_bytes)
     , peers_(context_,
              {.instance = settings_.instance,
               .zone = settings_.zone,
@@ -377,6 +396,13 @@
         report_limit(upstream, limit);
     };
     fleet_.find_view_age = [this] { return feed_.find_view_age(); };
+    front_.set_revocation_bound(settings_.revocation_bound);
+    if (settings_.duties) {
+        duties_ = std::make_unique<duty_driver>(
+            context_, store_, peers_, directory_, fleet_, fleet_term_,
+            [this] { return find_scope_holder(control_keys(), fleet_scope); },
+            settings_, random_seed(), log_);
+    }
     store_.use_relay(relay_);
     jobs_.use_result_source(results_);
     if (auto text = read_text_file(settings_file_)) {
@@ -398,10 +424,14 @@
 
 outcome<done> node_instance::impl::listen() {
     const auto open = [&](std::unique_ptr<http_server>& server,
-                          const endpoint& address,
+                          const endpoint& address, const caller_limits& limits,
+                          std::size_t memory_bytes, std::string name,
                           http_handler handler) -> outcome<done> {
-        server = std::make_unique<http_server>(traffic_, caller_limits{},
-                                               std::move(handler));
+        server = std::make_unique<http_server>(
+            traffic_, limits, std::move(handler),
+            http_server_options{.memory_bytes = memory_bytes,
+                                .name = std::move(name),
+                                .log = &log_});
         const auto bound = server->listen(address);
         if (!bound) {
             log_.write(log_event::listener_failed, bound.reason().detail);
@@ -409,13 +439,18 @@
         }
         return done{};
     };
+    const caller_limits probe_limits{.max_connections = max_probe_connections,
+                                     .max_body_bytes = max_probe_body_bytes};
     auto result = open(
         caller_server_, *settings_.caller_listen,
+        caller_limits{.max_connections = max_connections()},
+        memory_plan_.caller_bytes, "callers",
         [this](http_exchange& exchange) { return front_.handle(exchange); });
     caller_server_->set_limits_check(
         [this] { return feed_.find_view_age().is_current; });
     if (result && settings_.ready_listen) {
-        result = open(readiness_server_, *settings_.ready_listen,
+        result = open(readiness_server_, *settings_.ready_listen, probe_limits,
+                      probe_memory_bytes, "readiness",
                       [this](http_exchange& exchange) {
                           return answer_readiness(exchange);
                       });
@@ -438,6 +473,7 @@
     if (result) {
         result = open(metrics_server_,
                       {.address = settings_.address, .port = metrics_port},
+                      probe_limits, probe_memory_bytes, "metrics",
                       [this](http_exchange& exchange) {
                           return answer_metrics(exchange);
                       });
@@ -445,6 +481,11 @@
     return result;
 }
 
+std::uint32_t node_instance::impl::max_connections() const {
+    return max_caller_connections(settings_.max_descriptors,
+                                  caller_limits{}.max_connections);
+}
+
 outcome<bool> node_instance::impl::run() {
     auto drained = drained_.get_future();
     const auto listening = listen();
@@ -471,6 +512,9 @@
     asio::co_spawn(context_, fleet_term_.run(), asio::detached);
     asio::co_spawn(context_, suspect_publisher_.run(), asio::detached);
     asio::co_spawn(context_, check_settings(), asio::detached);
+    if (duties_) {
+        duties_->start();
+    }
 }
 
 void node_instance::impl::on_fleet_update() {
@@ -484,9 +528,11 @@
     paths_.set_upstreams(addresses);
     const fleet_configuration& configuration = fleet_.routes->configuration();
     caller_server_->set_limits(
-        {.max_header_bytes = configuration.bounds.max_header_bytes,
+        {.max_connections = max_connections(),
+         .max_header_bytes = configuration.bounds.max_header_bytes,
          .max_body_bytes = configuration.bounds.max_body_bytes,
-         .io_timeout = configuration.bounds.idle_timeout});
+         .io_timeout = configuration.bounds.idle_timeout,
+         .header_timeout = configuration.bounds.header_timeout});
     for (const service_rule& service : configuration.services) {
         if (!service.engine || engines_.contains(service.name)) {
             continue;
@@ -506,6 +552,7 @@
                         return claim_delay_of(scope, last_holder);
                     },
                 .is_outranked = [this] { return is_outranked(); },
+                .on_demand = duties_ ? duties_->demand_handler() : nullptr,
                 .seed = random_seed()});
         driver->start();
         for (const auto& [model, version] : fleet_mirror_.wanted_versions()) {
@@ -845,6 +892,13 @@
     case peer_topic::result_reply:
         results_.on_message(message);
         break;
+    case peer_topic::usage_counts:
+    case peer_topic::usage_receipt:
+    case peer_topic::worker_demand:
+        if (duties_) {
+            duties_->on_message(message);
+        }
+        break;
     default:
         break;
     }
@@ -950,6 +1004,9 @@
             now >= begin + rotation_exit_time - report_delivery_time;
         if (!reported_at && ((!has_runs && is_due) || now >= last)) {
             host_.stop_all();
+            if (duties_) {
+                duties_->flush();
+            }
             // Doesn't wait: the store may not answer, and the entry's lease
             // expires anyway.
             asio::co_spawn(context_, registration_.retire(), asio::detached);
@@ -961,6 +1018,9 @@
             // Must not suspend before this call: a request that arrived on an
             // open connection meanwhile would be cut off.
             caller_server_->stop_accepting();
+            if (duties_) {
+                duties_->flush();
+            }
             log_.write(log_event::drain_finished,
                        "requests_cut=" +
                            std::to_string(caller_server_->active_requests()));
@@ -1028,6 +1088,7 @@
     }
     std::string text = write_node_metrics(
         {.front = front_.counters(),
+         .identities = front_.identities(),
          .store = store_.counters(),
          .is_store_reachable = store_.is_reachable(),
          .configuration_version =
@@ -1044,6 +1105,7 @@
          .runs = host_.statistics(),
          .attempts = fleet_.attempts,
          .engines = engines});
+    text += duties_ ? duties_->write_metrics() : std::string();
     http_response response =
         make_text_answer(std::move(text) + metrics_.write_text());
     co_await exchange.respond(std::move(response));
