Exchange the work at upstreams within a zone, and place streams by cost

Cause: most instances send few calls and know little of what the others do at the upstreams. Streams were chosen by the smoothed time of plain calls.

Change: with placement by cost, followers reply to the feeder's heartbeats with the mean work of their calls by upstream, if they had any, and heartbeats carry the sums of the zone in a member at their end; reports decay within 2 s and count as a tenth of own work. Streams are chosen by cost and counted while they run. Metrics compare estimates with results and count calls, probes and uses of reports; log events 3314 to 3316 are bounded.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -186,6 +186,14 @@
                     "instance"},
     log_event_entry{tunnel_refused, info, "tunnel_refused",
                     "another instance's request for a tunnel was refused"},
+    log_event_entry{work_report_undecodable, warning, "work_report_undecodable",
+                    "a report of another instance's work could not be decoded"},
+    log_event_entry{upstream_slow, info, "upstream_slow",
+                    "calls to an upstream take much longer than expected, so "
+                    "it gets fewer"},
+    log_event_entry{upstream_usual_speed, info, "upstream_usual_speed",
+                    "calls to an upstream take about as long as expected "
+                    "again, or none were measured for some time"},
     log_event_entry{order_sent, info, "order_sent",
                     "an order was sent to an upstream"},
     log_event_entry{order_done, info, "order_done",
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -94,6 +94,9 @@
     upstream_isolation_ended = 3311,
     tunnel_opened = 3312,
     tunnel_refused = 3313,
+    work_report_undecodable = 3314,
+    upstream_slow = 3315,
+    upstream_usual_speed = 3316,
 
     order_sent = 3400,
     order_done = 3401,
--- a/drivers/feed/store_feed.cpp
+++ b/drivers/feed/store_feed.cpp
@@ -475,8 +475,10 @@
         return false;
     }
     const recipients to = find_recipients();
+    heartbeat->work = options_.zone_work();
     send_to_all(to.in_zone, peer_topic::feed_heartbeat,
                 wire::encode(*heartbeat));
+    heartbeat->work.clear();
     heartbeat->is_between_zones = true;
     send_to_all(to.in_other_zones, peer_topic::feed_heartbeat,
                 wire::encode(*heartbeat));
@@ -749,6 +751,11 @@
         follower.on_heartbeat(message.from, *heartbeat,
                               std::chrono::steady_clock::now(), confirmed_at);
     request_changes(follower, stale_prefixes, heartbeat->is_between_zones);
+    // Replies to requests carry no sums.
+    if (!heartbeat->is_between_zones &&
+        heartbeat->request_sent_at == std::chrono::milliseconds(0)) {
+        options_.on_zone_work(heartbeat->work, message.from);
+    }
     update_mode();
 }
 
--- a/drivers/feed/store_feed.hpp
+++ b/drivers/feed/store_feed.hpp
@@ -17,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,6 +36,14 @@
     /// instances.
     std::chrono::milliseconds change_bound{2'000};
     std::uint64_t seed = 1;
+    /// As the feeder: returns the work that heartbeats carry. As a follower:
+    /// receives it, with the feeder's name.
+    std::function<std::vector<upstream_sum>()> zone_work = [] {
+        return std::vector<upstream_sum>();
+    };
+    std::function<void(const std::vector<upstream_sum>&, const instance_id&)>
+        on_zone_work =
+            [](const std::vector<upstream_sum>&, const instance_id&) {};
 };
 
 /// A prefix of the store and the listener for its changes.
--- a/drivers/front/placed_call.cpp
+++ b/drivers/front/placed_call.cpp
@@ -50,4 +50,28 @@
     }
 }
 
+placed_stream::placed_stream(upstream_pool& pool, upstream_id upstream,
+                             const call_cost* cost)
+    : pool_(pool)
+    , upstream_(std::move(upstream))
+    , cost_(pool.by_cost() == nullptr ? nullptr : cost)
+    , started_at_(std::chrono::steady_clock::now()) {
+    if (cost_ != nullptr) {
+        number_ = pool_.by_cost()->on_started(upstream_, *cost_, started_at_);
+    }
+}
+
+void placed_stream::end(call_outcome how) {
+    if (cost_ == nullptr) {
+        return;
+    }
+    const steady_time now = std::chrono::steady_clock::now();
+    pool_.by_cost()->on_ended(
+        upstream_, *cost_, number_, how,
+        std::chrono::duration_cast<std::chrono::microseconds>(now -
+                                                              started_at_),
+        now);
+    cost_ = nullptr;
+}
+
 } // namespace savorydock
--- a/drivers/front/placed_call.hpp
+++ b/drivers/front/placed_call.hpp
@@ -39,4 +39,29 @@
     bool has_ended_ = false;
 };
 
+/// Counts a stream at its upstream if calls are placed by cost. Unlike that of
+/// a call, its end changes neither the upstream's backoff nor its smoothed call
+/// time.
+class placed_stream {
+public:
+    /// `pool` must outlive this object, and `cost` too, which is null if calls
+    /// are not placed by cost.
+    placed_stream(upstream_pool& pool, upstream_id upstream,
+                  const call_cost* cost);
+    placed_stream(const placed_stream&) = delete;
+    placed_stream& operator=(const placed_stream&) = delete;
+    ~placed_stream() { end(call_outcome::cancelled); }
+
+    /// Only the first call has an effect.
+    void end(call_outcome how);
+
+private:
+    upstream_pool& pool_;
+    upstream_id upstream_;
+    /// Null once the stream has ended.
+    const call_cost* cost_;
+    steady_time started_at_;
+    std::uint64_t number_ = 0;
+};
+
 } // namespace savorydock
--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/front/attempt_log.hpp"
 #include "drivers/front/leaving_notice.hpp"
+#include "drivers/front/placed_call.hpp"
 #include "drivers/front/request_limit.hpp"
 #include "drivers/http/event_splitter.hpp"
 #include "platform/batch_codec.hpp"
@@ -60,6 +61,8 @@
     /// earlier one: only upstreams of this software may continue the stream.
     std::optional<software_version> software;
     std::set<upstream_id> tried;
+    /// Absent if streams aren't placed by cost.
+    std::optional<call_cost> cost;
     std::uint32_t attempts = 0;
     bool has_begun = false;
     bool may_have_run = false;
@@ -99,6 +102,10 @@
     } else if (!co_await find_origin(request, state)) {
         co_return std::move(state.result);
     }
+    state.cost = estimate_cost(
+        fleet_.pool, state.service,
+        {.route = request.route.name, .organisation = request.organisation},
+        request.exchange.request());
     const std::uint32_t max_attempts =
         request.route.is_resumable
             ? std::max<std::uint32_t>(1, request.route.max_attempts)
@@ -192,11 +199,13 @@
 std::optional<upstream_entry>
 stream_forwarder::choose_upstream(const stream_request& request,
                                   progress& state) const {
+    const call_cost* const cost = state.cost ? &*state.cost : nullptr;
     if (state.software) {
         return fleet_.pool.choose(state.service, state.tried, now(),
-                                  &*state.software);
+                                  &*state.software, cost);
     }
-    auto upstream = fleet_.pool.choose(state.service, state.tried, now());
+    auto upstream =
+        fleet_.pool.choose(state.service, state.tried, now(), nullptr, cost);
     if (!upstream || ledger_.is_store_reachable() ||
         !needs_record(request, {.service = upstream->service,
                                 .software = upstream->software})) {
@@ -205,7 +214,7 @@
     const stream_origin* const usual = ledger_.default_of(request.route.name);
     if (usual != nullptr && usual->service == state.service) {
         if (auto known = fleet_.pool.choose(state.service, state.tried, now(),
-                                            &usual->software)) {
+                                            &usual->software, cost)) {
             return known;
         }
     }
@@ -241,6 +250,8 @@
     }
     http_request forwarded =
         platform::forward_request(request.exchange.request(), marks);
+    placed_stream placed(fleet_.pool, upstream.id,
+                         state.cost ? &*state.cost : nullptr);
     attempt_log attempt(fleet_, log_, "stream", call.id.text(), upstream.id);
     call_options options{
         .use = connection_use::fresh,
@@ -296,7 +307,16 @@
             attempt_end::finished) {
         co_return attempt_end::finished;
     }
-    co_return co_await pass_on_events(request, upstream, stream, state);
+    // The rest of a stream that began elsewhere says little about a whole one.
+    const bool is_whole = state.result.last_event == 0;
+    const attempt_end how =
+        co_await pass_on_events(request, upstream, stream, state);
+    if (how == attempt_end::unfinished) {
+        placed.end(call_outcome::failed);
+    } else if (is_whole && state.result.end == stream_end::complete) {
+        placed.end(call_outcome::answered);
+    }
+    co_return how;
 }
 
 asio::awaitable<stream_forwarder::attempt_end>
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -10,6 +10,7 @@
 #include "drivers/feed/node_registration.hpp"
 #include "drivers/feed/peer_store_relay.hpp"
 #include "drivers/feed/store_feed.hpp"
+#include "drivers/feed/work_sharing.hpp"
 #include "drivers/front/front_service.hpp"
 #include "drivers/front/stream_duty.hpp"
 #include "drivers/front/stream_forwarder.hpp"
@@ -229,6 +230,7 @@
     item_runner runner_;
     run_host host_;
     fleet_mirror fleet_mirror_;
+    work_sharing work_sharing_;
     store_feed feed_;
     node_registration registration_;
     scope_term fleet_term_;
@@ -335,6 +337,7 @@
                [this](const std::string&) { complete_retirements(); },
            .outage_ended_at = [this] { return feed_.outage_ended_at(); }},
           log)
+    , work_sharing_(fleet_, peers_, directory_, settings_.instance, log)
     , feed_(context_, store_, peers_, directory_,
             {.self = settings_.instance,
              .zone = settings_.zone,
@@ -342,7 +345,13 @@
                          .port = settings_.internal_port},
              .processor_share = settings_.processor_share,
              .change_bound = settings_.change_bound,
-             .seed = random_seed()},
+             .seed = random_seed(),
+             .zone_work = [this] { return work_sharing_.zone_sums(); },
+             .on_zone_work =
+                 [this](const std::vector<upstream_sum>& sums,
+                        const instance_id& feeder) {
+                     work_sharing_.on_zone_sums(sums, feeder);
+                 }},
             subscriptions(), log)
     , registration_(context_, store_,
                     {.instance = settings_.instance,
@@ -827,6 +836,9 @@
     case peer_topic::feed_request:
         feed_.on_message(message);
         break;
+    case peer_topic::work_report:
+        work_sharing_.on_message(message);
+        break;
     case peer_topic::runner_command: {
         auto order = wire::decode<runner_command>(message.body);
         if (order) {
@@ -1052,6 +1064,9 @@
          .tunnels_used = connector_->tunnels_used(),
          .runs = host_.statistics(),
          .attempts = fleet_.attempts,
+         .placement = fleet_.pool.by_cost() != nullptr
+                          ? std::optional(fleet_.pool.by_cost()->counters())
+                          : std::nullopt,
          .engines = engines});
     http_response response =
         make_text_answer(std::move(text) + metrics_.write_text());
--- a/drivers/node/node_metrics.cpp
+++ b/drivers/node/node_metrics.cpp
@@ -73,6 +73,19 @@
     write("runs_active", statistics.runs.active);
     write("runs_started_total", statistics.runs.started);
     write("runs_interrupted_total", statistics.runs.interrupted);
+    if (statistics.placement) {
+        const placement_counters& placed = *statistics.placement;
+        write("placed_expected_seconds_total", placed.expected_seconds);
+        write("placed_measured_seconds_total", placed.measured_seconds);
+        write("placed_answered_total", placed.answered);
+        write("placed_estimated_closely_total", placed.estimated_closely);
+        write("placed_probes_total", placed.probes);
+        write("placed_with_reports_total", placed.with_reports);
+        for (const auto& [upstream, calls] : placed.calls) {
+            write("placed_calls_total", calls,
+                  "{upstream=\"" + upstream.text() + "\"}");
+        }
+    }
     for (const auto& [service, engine] : statistics.engines) {
         const std::string labels = "{service=\"" + service.text() + "\"}";
         write("planner_term", engine.term, labels);
--- a/drivers/node/node_metrics.hpp
+++ b/drivers/node/node_metrics.hpp
@@ -5,10 +5,12 @@
 #include "drivers/peer/peer_counters.hpp"
 #include "drivers/store/store_client.hpp"
 #include "drivers/tunnel/tunnel_server.hpp"
+#include "servers/cost/placement.hpp"
 #include "servers/fleet/attempt_counts.hpp"
 #include "servers/fleet/view_age.hpp"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace savorydock {
@@ -30,6 +32,8 @@
     std::uint64_t tunnels_used = 0;
     run_statistics runs;
     attempt_counts attempts;
+    /// Absent if calls aren't placed by cost.
+    std::optional<placement_counters> placement;
     std::map<service_name, engine_statistics> engines;
 };
 
--- a/servers/control_server.hpp
+++ b/servers/control_server.hpp
@@ -42,10 +42,11 @@
     usage_counts = 18,
     usage_receipt = 19,
     worker_demand = 20,
+    work_report = 21,
 };
 
 /// The topic with the highest number; keep it in step with the enumeration.
-inline constexpr peer_topic last_peer_topic = peer_topic::worker_demand;
+inline constexpr peer_topic last_peer_topic = peer_topic::work_report;
 
 /// A message between two instances. `body` is a struct of the topic, encoded as
 /// core/wire_codec.hpp defines.
--- a/servers/cost/placement.cpp
+++ b/servers/cost/placement.cpp
@@ -9,6 +9,8 @@
 
 /// An upstream below this speed is probed by cheap calls.
 constexpr double slow_speed = 0.7;
+/// An estimate counts as close within this factor.
+constexpr double close_ratio = 1.5;
 
 double to_micros(std::chrono::microseconds time) {
     return static_cast<double>(time.count());
@@ -22,6 +24,13 @@
     , work_(options.work)
     , random_(options.seed) {}
 
+void placement::retain(const std::set<upstream_id>& upstreams) {
+    work_.retain(upstreams);
+    std::erase_if(counters_.calls, [&](const auto& row) {
+        return !upstreams.contains(row.first);
+    });
+}
+
 double placement::completion(const placement_candidate& candidate,
                              const call_cost& cost, steady_time now) const {
     const own_work own = work_.own(candidate.upstream, now);
@@ -65,14 +74,19 @@
         }
         drawn.resize(std::min(choices, drawn.size()));
     }
+    bool has_reports = false;
     std::vector<double> times;
     times.reserve(drawn.size());
     for (const std::size_t index : drawn) {
         if (must_probe(candidates[index], cost, now)) {
+            ++counters_.probes;
             return index;
         }
+        has_reports =
+            has_reports || work_.has_report(candidates[index].upstream, now);
         times.push_back(completion(candidates[index], cost, now));
     }
+    counters_.with_reports += has_reports ? 1 : 0;
     const double limit = *std::min_element(times.begin(), times.end()) +
                          options_.tie_width * to_micros(cost.expected);
     std::vector<std::size_t> best;
@@ -86,6 +100,7 @@
 
 std::uint64_t placement::on_started(const upstream_id& upstream,
                                     const call_cost& cost, steady_time now) {
+    ++counters_.calls[upstream];
     return work_.on_started(upstream, cost.expected, cost.is_large, now);
 }
 
@@ -95,6 +110,13 @@
     work_.on_ended(upstream, call, end, now);
     if (end == call_outcome::answered) {
         estimator_.learn(cost, time);
+        const double ratio =
+            to_micros(time) / std::max(1.0, to_micros(cost.expected));
+        ++counters_.answered;
+        counters_.expected_seconds += to_micros(cost.expected) / 1e6;
+        counters_.measured_seconds += to_micros(time) / 1e6;
+        counters_.estimated_closely +=
+            ratio <= close_ratio && ratio >= 1 / close_ratio ? 1 : 0;
     }
 }
 
--- a/servers/cost/placement.hpp
+++ b/servers/cost/placement.hpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <set>
 #include <vector>
 
@@ -18,8 +19,10 @@
     upstream_work_options work;
     /// How many candidates are drawn at random and compared; 0 for all.
     std::size_t choices = 0;
-    /// What reported work counts relative to own work.
-    double report_weight = 0;
+    /// What reported work counts relative to own work. Reports are older than
+    /// most calls take: with higher weights all instances of a zone move their
+    /// calls at once, and answers take longer than without reports.
+    double report_weight = 0.1;
     /// Large calls count this much more for each other.
     double large_spread = 1;
     /// Candidates whose completion is expected within this fraction of the
@@ -41,6 +44,22 @@
     std::chrono::microseconds path{0};
 };
 
+/// What a placement has done since the start.
+struct placement_counters {
+    /// Answered calls: their number, estimates and times, and those whose time
+    /// was within a factor of 1.5 of the estimate.
+    std::uint64_t answered = 0;
+    double expected_seconds = 0;
+    double measured_seconds = 0;
+    std::uint64_t estimated_closely = 0;
+    /// Small calls sent to slow upstreams to notice that they recover.
+    std::uint64_t probes = 0;
+    /// Choices for which reports of other instances were known.
+    std::uint64_t with_reports = 0;
+    /// Calls by upstream, of those listed now.
+    std::map<upstream_id, std::uint64_t> calls;
+};
+
 /// Chooses upstreams by the cost of the calls and the work left at each.
 ///
 /// Load pattern: calls of 25 ms and of 200 ms on the same upstreams, one in a
@@ -57,6 +76,13 @@
     [[nodiscard]] upstream_work& work() { return work_; }
     [[nodiscard]] const upstream_work& work() const { return work_; }
 
+    [[nodiscard]] const placement_counters& counters() const {
+        return counters_;
+    }
+
+    /// Forgets all other upstreams.
+    void retain(const std::set<upstream_id>& upstreams);
+
     /// Returns the index of the candidate with the shortest expected time to
     /// completion. Precondition: there is a candidate.
     [[nodiscard]] std::size_t
@@ -81,6 +107,7 @@
     cost_estimator estimator_;
     upstream_work work_;
     seeded_random_source random_;
+    placement_counters counters_;
 };
 
 } // namespace savorydock
--- a/servers/cost/upstream_work.cpp
+++ b/servers/cost/upstream_work.cpp
@@ -16,13 +16,6 @@
 
 /// Work left of a call on average over its time.
 constexpr double mean_part_left = 0.5;
-constexpr double thousandths = 1'000;
-/// Reported slowness counts from this value, a factor of 1.8, and with this
-/// many samples. Smaller values are due to queues; as all instances learn of
-/// them at once and late, they would move their calls from one upstream to the
-/// next.
-constexpr double queue_slowness = 0.6;
-constexpr double min_reported_samples = 3;
 constexpr double error_weight = 0.2;
 constexpr double max_error_share = 0.9;
 
@@ -98,8 +91,6 @@
     }
     const double sample = std::clamp(std::log(std::max(1.0, time) / expected),
                                      -max_slowness, max_slowness);
-    ++known.samples;
-    known.slowness_sum += sample;
     const double before = decayed_slowness(known, now);
     known.slowness = before + options_.sample_weight * (sample - before);
     known.sampled_at = now;
@@ -118,16 +109,11 @@
             known.work_time +=
                 time_in_period(active, now) * active.expected * mean_part_left;
         }
-        if (known.work_time > 0 || known.samples > 0) {
-            sums.push_back(
-                {.upstream = id,
-                 .work = static_cast<std::uint64_t>(known.work_time / period),
-                 .samples = known.samples,
-                 .slowness = std::llround(known.slowness_sum * thousandths)});
+        const auto work = static_cast<std::uint64_t>(known.work_time / period);
+        if (work > 0) {
+            sums.push_back({.upstream = id, .work = work});
         }
         known.work_time = 0;
-        known.samples = 0;
-        known.slowness_sum = 0;
     }
     sums_taken_at_ = now;
     return sums;
@@ -138,16 +124,6 @@
     state& known = upstreams_[others.upstream];
     known.reported = static_cast<double>(others.work);
     known.reported_at = now - age;
-    const auto samples = static_cast<double>(others.samples);
-    const double mean =
-        others.samples == 0
-            ? 0
-            : static_cast<double>(others.slowness) / thousandths / samples;
-    // One sample may be a single long call.
-    known.reported_slowness =
-        samples < min_reported_samples
-            ? 0
-            : std::clamp(mean - queue_slowness, 0.0, max_slowness);
 }
 
 own_work upstream_work::own(const upstream_id& upstream,
@@ -180,6 +156,13 @@
                        report_weight(found->second, now));
 }
 
+bool upstream_work::has_report(const upstream_id& upstream,
+                               steady_time now) const {
+    const auto found = upstreams_.find(upstream);
+    return found != upstreams_.end() && found->second.reported > 0 &&
+           report_weight(found->second, now) > 0;
+}
+
 double upstream_work::report_weight(const state& known, steady_time now) const {
     const double age = to_micros(now - known.reported_at) /
                        to_micros(options_.report_lifetime);
@@ -194,9 +177,8 @@
 }
 
 double upstream_work::slowness(const state& known, steady_time now) const {
-    double value = std::max(
-        std::max(0.0, decayed_slowness(known, now) - options_.ignored_slowness),
-        known.reported_slowness * report_weight(known, now));
+    double value =
+        std::max(0.0, decayed_slowness(known, now) - options_.ignored_slowness);
     for (const auto& [number, active] : known.calls) {
         const double ratio =
             to_micros(now - active.started_at) / active.expected;
--- a/servers/cost/upstream_work.hpp
+++ b/servers/cost/upstream_work.hpp
@@ -2,10 +2,9 @@
 
 #include "core/clock.hpp"
 #include "core/ids.hpp"
+#include "servers/cost/upstream_sum.hpp"
 #include "servers/fleet/call_outcome.hpp"
 
-#include <boost/describe/class.hpp>
-
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -15,18 +14,6 @@
 
 namespace savorydock {
 
-/// What instances learned about one upstream in a period of their reports.
-struct upstream_sum {
-    upstream_id upstream;
-    /// Mean work left of their calls, in microseconds.
-    std::uint64_t work = 0;
-    /// Answered or overdue calls, and the sum of their slowness in thousandths
-    /// of the natural logarithm of measured by expected time.
-    std::uint64_t samples = 0;
-    std::int64_t slowness = 0;
-};
-BOOST_DESCRIBE_STRUCT(upstream_sum, (), (upstream, work, samples, slowness))
-
 struct upstream_work_options {
     /// Weight of a new sample in the measured slowness.
     double sample_weight = 0.3;
@@ -89,6 +76,9 @@
     /// What is left of the work that others reported.
     [[nodiscard]] std::chrono::microseconds
     reported(const upstream_id& upstream, steady_time now) const;
+    /// Whether others reported work that still counts.
+    [[nodiscard]] bool has_report(const upstream_id& upstream,
+                                  steady_time now) const;
     /// 1 for the usual speed, 0.5 if calls take twice as long.
     [[nodiscard]] double speed(const upstream_id& upstream,
                                steady_time now) const;
@@ -113,13 +103,9 @@
         steady_time sampled_at{};
         double error_share = 0;
         steady_time error_sampled_at{};
-        /// Since the last sums were taken: work left times time, and samples.
+        /// Work left times time since the last sums were taken.
         double work_time = 0;
-        std::uint64_t samples = 0;
-        double slowness_sum = 0;
-        /// What others reported: work, and slowness beyond what queues explain.
         double reported = 0;
-        double reported_slowness = 0;
         steady_time reported_at{};
     };
 
--- a/servers/feed/feed_message.hpp
+++ b/servers/feed/feed_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "servers/cost/upstream_sum.hpp"
 #include "servers/platform/store_transaction.hpp"
 
 #include <boost/describe/class.hpp>
@@ -84,10 +85,13 @@
     std::chrono::milliseconds sent_at{0};
     /// If sent in reply to a request: the `sent_at` of that request.
     std::chrono::milliseconds request_sent_at{0};
+    /// The work of the zone's instances at upstreams; empty unless calls are
+    /// placed by cost.
+    std::vector<upstream_sum> work;
 };
 BOOST_DESCRIBE_STRUCT(feed_heartbeat, (),
                       (term, age, numbers, is_between_zones, confirmed_age,
-                       sent_at, request_sent_at))
+                       sent_at, request_sent_at, work))
 
 /// Requests the changes that the sender lacks under a prefix.
 struct feed_request {
--- a/servers/fleet/upstream_pool.cpp
+++ b/servers/fleet/upstream_pool.cpp
@@ -42,7 +42,7 @@
                   [&](const auto& row) { return !listed.contains(row.first); });
     limits_.retain(listed);
     if (by_cost_) {
-        by_cost_->work().retain(listed);
+        by_cost_->retain(listed);
     }
 }
 
@@ -219,6 +219,15 @@
     by_cost_->on_ended(upstream, cost, call, end, time, now);
 }
 
+void upstream_pool::on_reports(const std::vector<upstream_sum>& others,
+                               std::chrono::milliseconds age, steady_time now) {
+    for (const upstream_sum& sum : others) {
+        if (upstreams_.contains(sum.upstream)) {
+            by_cost_->work().on_report(sum, age, now);
+        }
+    }
+}
+
 std::chrono::microseconds
 upstream_pool::smoothed_call_time(const upstream_id& upstream) const {
     const auto found = upstreams_.find(upstream);
--- a/servers/fleet/upstream_pool.hpp
+++ b/servers/fleet/upstream_pool.hpp
@@ -111,6 +111,11 @@
                   std::uint64_t call, call_outcome end,
                   std::chrono::microseconds time, steady_time now);
 
+    /// Records what other instances reported `age` ago; ignores what concerns
+    /// upstreams that aren't listed. Precondition: `by_cost` isn't null.
+    void on_reports(const std::vector<upstream_sum>& others,
+                    std::chrono::milliseconds age, steady_time now);
+
     /// Exponentially smoothed duration of calls to the upstream.
     [[nodiscard]] std::chrono::microseconds
     smoothed_call_time(const upstream_id& upstream) const;
--- a/tests/servers/cost/load_simulation.hpp
+++ b/tests/servers/cost/load_simulation.hpp
@@ -255,8 +255,6 @@
                  pools_[index]->by_cost()->work().take_sums(now_)) {
                 upstream_sum& total = totals[index % zones][sum.upstream];
                 total.work += sum.work;
-                total.samples += sum.samples;
-                total.slowness += sum.slowness;
                 own[index][sum.upstream] = sum;
             }
         }
@@ -264,11 +262,8 @@
             auto& work = pools_[index]->by_cost()->work();
             for (const auto& [id, total] : totals[index % zones]) {
                 const upstream_sum& sent = own[index][id];
-                const upstream_sum others{
-                    .upstream = id,
-                    .work = total.work - sent.work,
-                    .samples = total.samples - sent.samples,
-                    .slowness = total.slowness - sent.slowness};
+                const upstream_sum others{.upstream = id,
+                                          .work = total.work - sent.work};
                 // The heartbeat comes half a period later.
                 at(load_.exchange / 2, [this, &work, others] {
                     work.on_report(others, load_.exchange / 2, now_);
