Probe slow upstreams only with calls of at most 100 ms

Cause: on a service whose calls all cost the same none is large, so streams of seconds would have been sent to a slow engine as probes.

Change: a call that costs more than 100 ms is no probe.

Result: servers_tests of cost, placement, pool and feed: 49 passed; planned_stop_test: 7 passed; misc/lint of placement.cpp passes.

--- a/servers/cost/placement.cpp
+++ b/servers/cost/placement.cpp
@@ -53,7 +53,7 @@
 
 bool placement::must_probe(const placement_candidate& candidate,
                            const call_cost& cost, steady_time now) const {
-    return !cost.is_large &&
+    return !cost.is_large && cost.expected <= options_.max_probe_cost &&
            now - work_.last_sample(candidate.upstream) >=
                options_.probe_interval &&
            work_.own(candidate.upstream, now).calls == 0 &&
--- a/servers/cost/placement.hpp
+++ b/servers/cost/placement.hpp
@@ -30,6 +30,8 @@
     double tie_width = 0.05;
     /// A slow upstream gets a cheap call if it had none for this time.
     std::chrono::milliseconds probe_interval{1'000};
+    /// Calls that cost more aren't used as probes, like streams of seconds.
+    std::chrono::milliseconds max_probe_cost{100};
     /// Instances with different seeds spread equal choices differently.
     std::uint64_t seed = 1;
 };
--- a/tests/servers/cost/placement_test.cpp
+++ b/tests/servers/cost/placement_test.cpp
@@ -84,6 +84,9 @@
     now += 1'100ms;
     EXPECT_EQ(choose(small), 0U);
     EXPECT_NE(choose(large), 0U);
+    // Guards against streams of seconds that are sent to a slow engine because
+    // all calls of their service cost as much.
+    EXPECT_NE(choose({.expected = 5s}), 0U);
     const auto probe = placed.on_started(ids[0], small, now);
     EXPECT_NE(choose(small), 0U);
     placed.on_ended(ids[0], small, probe, call_outcome::cancelled, 1ms, now);
