Give up a usage report that is refused in two terms

Cause: a 409 to a usage report ends the term, because it says that the token is too low. If the platform answered 409 to one report for another reason, each later term would end at it, and no window behind it would be reported.

Change: a report that got 409 in a second term of the same process, whose token is higher, is counted as refused and no longer sent.

--- a/drivers/duties/usage_reporter.cpp
+++ b/drivers/duties/usage_reporter.cpp
@@ -32,6 +32,8 @@
 /// refusals. Must exceed the time after which a request counts as begun.
 constexpr std::chrono::milliseconds refusal_time{350};
 
+constexpr std::size_t max_given_up = 64;
+
 usage_counts make_counts(process_counts counts) {
     usage_counts message;
     message.processes.push_back(std::move(counts));
@@ -372,6 +374,10 @@
             continue;
         }
         const usage_window window = next->window;
+        if (given_up_.contains(window)) {
+            ledger_.on_answered(window);
+            continue;
+        }
         http_request request = platform::make_usage_call(
             next->text, options_.self, term->revision);
         const auto response = co_await caller_.call(*term, std::move(request));
@@ -397,6 +403,13 @@
             continue;
         }
         if (answer == platform::duty_answer::fenced_off) {
+            if (give_up_if_fenced_again(window)) {
+                ++statistics_.reports_refused;
+                log_.write(log_event::duty_call_refused,
+                           "duty=usage window=" + std::to_string(window) +
+                               " term=" + std::to_string(term->revision) +
+                               " status=409");
+            }
             co_await caller_.on_fenced_off(*term);
         }
         co_await pause(call_pause);
@@ -404,6 +417,18 @@
     }
 }
 
+bool usage_reporter::give_up_if_fenced_again(usage_window window) {
+    if (last_fenced_ != window) {
+        last_fenced_ = window;
+        return false;
+    }
+    if (given_up_.size() >= max_given_up) {
+        given_up_.clear();
+    }
+    given_up_.insert(window);
+    return true;
+}
+
 usage_statistics usage_reporter::statistics() const {
     usage_statistics statistics = statistics_;
     statistics.reports_waiting = ledger_.waiting_reports();
--- a/drivers/duties/usage_reporter.hpp
+++ b/drivers/duties/usage_reporter.hpp
@@ -86,6 +86,8 @@
     boost::asio::awaitable<void> exchange_counts();
     boost::asio::awaitable<void> keep_records();
     boost::asio::awaitable<void> send_reports();
+    /// Whether the report of the window was given up, by now or before.
+    bool give_up_if_fenced_again(usage_window window);
     boost::asio::awaitable<bool> read_records(held_term term);
     boost::asio::awaitable<bool> write_records(held_term term,
                                                usage_write write);
@@ -122,6 +124,10 @@
     /// The window in which this process started.
     usage_window first_window_;
     duty_holder holder_;
+    /// Reports that were refused with 409 in two terms: not because of the
+    /// token, which has grown meanwhile. They aren't sent any more.
+    std::set<usage_window> given_up_;
+    usage_window last_fenced_ = 0;
     /// The term for which the ledger was set up; 0 if none.
     store_revision ledger_term_ = 0;
     usage_statistics statistics_;
--- a/tests/drivers/duties/usage_reporter_test.cpp
+++ b/tests/drivers/duties/usage_reporter_test.cpp
@@ -39,7 +39,10 @@
                .seed = 1},
               [](const held_term&) {}, [](term_end) {}, log)
         , caller(context, term,
-                 {.settings = settings(), .self = instance_id("self")}, log)
+                 {.settings = settings(),
+                  .self = instance_id("self"),
+                  .lease_time = 100ms},
+                 log)
         , reporter(context, store, transport, directory, term, caller,
                    {.settings = settings(),
                     .self = instance_id("self"),
@@ -189,6 +192,19 @@
     }
 }
 
+// Guards against a report that is refused for another reason than its token and
+// holds up all others for ever.
+TEST_F(usage_reporter_test, report_refused_in_two_terms_is_given_up) {
+    fake.put("u/7", R"({"window_id":7,"counts":{}})");
+    platform.set_status(409);
+    reporter.start();
+    hold();
+    EXPECT_TRUE(
+        wait([&] { return reporter.statistics().reports_refused > 0; }));
+    platform.set_status(200);
+    EXPECT_TRUE(wait([&] { return has_call_with("\"window_id\":8,"); }));
+}
+
 // Guards against counts that only a holder that crashed has: another instance
 // keeps a copy and forwards it.
 TEST_F(usage_reporter_test, copies_are_forwarded_to_a_new_holder) {
