Hold one copy of a body while it is sent, and bound the peers' messages

Cause: each attempt copied the caller's body, a submission was held about four times over while it was decoded and written to the store, and each of 512 peer connections could keep 8 MB of unfinished messages.

Change: attempts share the caller's body (call_options::body). A submission that can't fit the store is refused before it is decoded; the others are decoded only to be checked, then encoded once for all tries, and only that text is kept. The text's memory is reserved first. Answers of announced length no longer grow by copies. Metrics count callers' memory and limited callers by reason.

--- a/drivers/batch/job_store.cpp
+++ b/drivers/batch/job_store.cpp
@@ -2,6 +2,7 @@
 
 #include "core/wire_codec.hpp"
 #include "platform/batch_codec.hpp"
+#include "platform/store_codec.hpp"
 #include "servers/batch/job_keys.hpp"
 #include "servers/platform/call_effect.hpp"
 
@@ -96,31 +97,43 @@
     return true;
 }
 
+std::size_t job_store::max_part_bytes() const {
+    return client_.limits().max_value_bytes * part_share_numerator /
+           part_share_denominator;
+}
+
+bool job_store::is_storable(std::size_t submission_bytes) const {
+    return submission_bytes <= max_parts * max_part_bytes();
+}
+
 asio::awaitable<accept_end> job_store::accept(job_record record,
                                               std::string submission,
                                               steady_time deadline) {
     if (records_.contains(record.id)) {
         co_return accept_end::accepted;
     }
-    const std::size_t part_bytes = client_.limits().max_value_bytes *
-                                   part_share_numerator /
-                                   part_share_denominator;
+    if (!is_storable(submission.size())) {
+        co_return accept_end::refused;
+    }
+    const std::size_t part_bytes = max_part_bytes();
     store_transaction transaction;
     for (std::size_t at = 0; at < submission.size(); at += part_bytes) {
         transaction.writes.push_back(
             {.key = submission_key(record.id, transaction.writes.size()),
              .value = submission.substr(at, part_bytes)});
     }
-    if (transaction.writes.size() > max_parts) {
-        co_return accept_end::refused;
-    }
+    std::string().swap(submission);
     record.parts = static_cast<std::uint32_t>(transaction.writes.size());
     transaction.conditions.push_back({.key = job_key(record.id)});
     transaction.writes.push_back(
         {.key = job_key(record.id), .value = encode_job_record(record)});
+    // Encoded once for all tries. Only the encoded text is kept while the store
+    // is awaited.
+    const http_request request = platform::make_transaction(transaction);
+    transaction = {};
     call_effect effect = call_effect::none;
     while (true) {
-        const auto result = co_await client_.commit(transaction);
+        const auto result = co_await client_.commit_encoded(request);
         if (result) {
             // A failed condition means that the job is stored already, so it
             // counts as accepted too.
@@ -354,7 +367,7 @@
             co_return cached;
         }
     }
-    const auto page = co_await client_.read_range(submission_prefix(record.id));
+    auto page = co_await client_.read_range(submission_prefix(record.id));
     if (!page) {
         co_return page.reason();
     }
@@ -363,8 +376,9 @@
                           "parts of the submission are missing"};
     }
     std::string submission;
-    for (const stored_value& value : page->values) {
+    for (stored_value& value : page->values) {
         submission += value.value;
+        std::string().swap(value.value);
     }
     auto job = platform::decode_submission(record.id, record.host, submission);
     if (!job) {
--- a/drivers/batch/job_store.hpp
+++ b/drivers/batch/job_store.hpp
@@ -82,6 +82,9 @@
         return records_;
     }
 
+    /// Whether a submission of that size fits into the store.
+    [[nodiscard]] bool is_storable(std::size_t submission_bytes) const;
+
     /// Stores a job durably. Repeats an unanswered write until `deadline`,
     /// because such a write may have taken effect and can't be undone.
     boost::asio::awaitable<accept_end>
@@ -130,6 +133,8 @@
                                               commit_results results);
 
 private:
+    [[nodiscard]] std::size_t max_part_bytes() const;
+
     struct known_results {
         listed_rows rows;
         /// The last key of the results that was read from the store.
--- a/drivers/front/front_service.cpp
+++ b/drivers/front/front_service.cpp
@@ -420,7 +420,14 @@
         co_await refuse(exchange, "", status_bad_request, "no request id");
         co_return;
     }
-    const auto job =
+    const std::size_t body_bytes = exchange.request().body.size();
+    if (!jobs_.is_storable(body_bytes)) {
+        ++counters_.jobs_refused;
+        co_await refuse(exchange, id.text(), status_unavailable,
+                        "the store is not available");
+        co_return;
+    }
+    auto job =
         platform::decode_submission(id, call.host, exchange.request().body);
     if (!job) {
         co_await refuse(exchange, id.text(), status_bad_request,
@@ -432,13 +439,23 @@
                         checked.reason().detail);
         co_return;
     }
+    const std::size_t items = job->items.size();
+    // Decoded only to be checked. The store keeps the text.
+    *job = batch_job();
+    // The encoded text that is sent to the store is larger by a third.
+    if (!exchange.reserve_memory(body_bytes / 2)) {
+        ++counters_.jobs_refused;
+        co_await refuse(exchange, id.text(), status_unavailable,
+                        "no memory for the submission");
+        co_return;
+    }
     job_record record{.id = id,
                       .route = route.name,
                       .host = call.host,
                       .service = route.services.empty()
                                      ? service_name()
                                      : route.services.front().service,
-                      .total = static_cast<std::uint32_t>(job->items.size()),
+                      .total = static_cast<std::uint32_t>(items),
                       .accepted_at = wall_milliseconds()};
     const auto time_limit =
         std::min(call.max_wait.value_or(max_accept_time), max_accept_time);
@@ -450,11 +467,12 @@
                         "the instance exits");
         co_return;
     }
-    const accept_end end = co_await jobs_.accept(
-        record, exchange.request().body, exit_.answer_by(deadline));
+    std::string submission = exchange.take_body();
+    const accept_end end = co_await jobs_.accept(record, std::move(submission),
+                                                 exit_.answer_by(deadline));
     const std::string detail =
         "job=" + id.text() + " route=" + route.name +
-        " items=" + std::to_string(job->items.size()) + " milliseconds=" +
+        " items=" + std::to_string(items) + " milliseconds=" +
         std::to_string(
             std::chrono::duration_cast<std::chrono::milliseconds>(now() - begin)
                 .count());
--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -136,6 +136,7 @@
         .use = call.route.kind == request_kind::idempotent
                    ? connection_use::reuse
                    : connection_use::fresh,
+        .body = call.request.body,
         .may_write =
             [this, &upstream] { return fleet_.pool.is_available(upstream.id); },
         .is_own_answer =
--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -244,6 +244,7 @@
     attempt_log attempt(fleet_, log_, "stream", call.id.text(), upstream.id);
     call_options options{
         .use = connection_use::fresh,
+        .body = request.exchange.request().body,
         .may_write =
             [this, &upstream] { return fleet_.pool.is_available(upstream.id); },
         .is_own_answer =
--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -98,9 +98,12 @@
             error.message()};
 }
 
-http::request<http::string_body> convert(const endpoint& address,
-                                         http_request&& source) {
-    http::request<http::string_body> message;
+using span_request = http::request<http::span_body<const char>>;
+
+/// `body` must outlive the message.
+span_request convert(const endpoint& address, const http_request& source,
+                     std::string_view body) {
+    span_request message;
     message.version(11);
     message.method_string(source.method);
     message.target(source.target);
@@ -110,7 +113,7 @@
     if (message.find(http::field::host) == message.end()) {
         message.set(http::field::host, to_text(address));
     }
-    message.body() = std::move(source.body);
+    message.body() = beast::span<const char>(body.data(), body.size());
     message.prepare_payload();
     return message;
 }
@@ -232,6 +235,12 @@
         co_return std::string();
     }
 
+    /// The announced length of the body; 0 if it isn't known.
+    [[nodiscard]] std::size_t announced_bytes() const {
+        return static_cast<std::size_t>(
+            parser_->content_length_remaining().value_or(0));
+    }
+
     /// Ends a read in progress; the answer is not read further.
     void abandon() {
         if (connection_) {
@@ -320,7 +329,9 @@
         }
         used = std::make_unique<connection>(std::move(*opened));
     }
-    const auto message = convert(address, std::move(request));
+    const auto message = convert(
+        address, request,
+        options.body.empty() ? std::string_view(request.body) : options.body);
     used->stream.expires_at(deadline);
     if (options.trace != nullptr) {
         options.trace->opened_at = used->opened_at;
@@ -372,6 +383,9 @@
                            .headers = answer.headers()};
     const failure too_large{result_code::failed_by_upstream,
                             "the answer is too large"};
+    // Growing by copies would hold a large answer up to three times.
+    response.body.reserve(
+        std::min(answer.announced_bytes(), pool_->limits.max_body_bytes));
     answer_memory::share memory(pool_->limits.memory,
                                 [&answer] { answer.abandon(); });
     while (true) {
--- a/drivers/http/http_client.hpp
+++ b/drivers/http/http_client.hpp
@@ -15,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace savorydock {
 
@@ -56,6 +57,9 @@
 
 struct call_options {
     connection_use use = connection_use::reuse;
+    /// Sent instead of the request's own body if it isn't empty, so that
+    /// several attempts share one body. Must outlive the call.
+    std::string_view body;
     /// If the request can't be written before this time, nothing is written.
     steady_time write_by = steady_time::max();
     /// Called right before the request is written; if it returns false, nothing
--- a/drivers/node/node_metrics.cpp
+++ b/drivers/node/node_metrics.cpp
@@ -38,6 +38,20 @@
     write("configuration_version", statistics.configuration_version);
     write("upstreams", statistics.upstreams);
     write("requests_active", statistics.active_requests);
+    write("caller_connections", statistics.connections);
+    write("caller_memory_bytes", statistics.callers.memory_bytes);
+    const auto write_limited = [&](std::string_view reason,
+                                   std::uint64_t count) {
+        write("callers_limited_total", count,
+              "{reason=\"" + std::string(reason) + "\"}");
+    };
+    write_limited("malformed", statistics.callers.malformed);
+    write_limited("too_large", statistics.callers.too_large);
+    write_limited("request_memory", statistics.callers.overloaded);
+    write_limited("answer_memory", statistics.callers.answers_dropped);
+    write_limited("slow", statistics.callers.too_slow);
+    write_limited("closed_for_room", statistics.callers.closed_for_room);
+    write_limited("not_accepted", statistics.callers.not_accepted);
     write("feeder", statistics.is_feeder ? 1 : 0);
     write("following", statistics.is_following ? 1 : 0);
     write("view_current", statistics.view.is_current ? 1 : 0);
--- a/drivers/node/node_metrics.hpp
+++ b/drivers/node/node_metrics.hpp
@@ -2,6 +2,7 @@
 
 #include "drivers/batch/engine_driver.hpp"
 #include "drivers/front/front_service.hpp"
+#include "drivers/http/http_server.hpp"
 #include "drivers/peer/peer_counters.hpp"
 #include "drivers/store/store_client.hpp"
 #include "drivers/tunnel/tunnel_server.hpp"
@@ -21,6 +22,8 @@
     std::uint64_t configuration_version = 0;
     std::size_t upstreams = 0;
     std::size_t active_requests = 0;
+    std::size_t connections = 0;
+    http_server_counters callers;
     bool is_feeder = false;
     bool is_following = false;
     view_age view;
--- a/drivers/peer/http2_session.cpp
+++ b/drivers/peer/http2_session.cpp
@@ -84,6 +84,9 @@
         if (buffered + data.size() > limits.max_buffered_bytes) {
             return refuse_stream(id, *entry, "too many bytes in open streams");
         }
+        if (handlers.may_keep && !handlers.may_keep(data.size())) {
+            return refuse_stream(id, *entry, "too many bytes in all streams");
+        }
         buffered += data.size();
         entry->body.append(data);
     }
--- a/drivers/peer/http2_session.hpp
+++ b/drivers/peer/http2_session.hpp
@@ -26,6 +26,9 @@
     std::function<unsigned(std::string body)> on_request;
     /// Server: a stream was refused because of its size or its method and path.
     std::function<void(const failure& reason)> on_refused;
+    /// Server: whether so many more bytes of bodies may be kept. All may if
+    /// empty.
+    std::function<bool(std::size_t bytes)> may_keep;
     /// Client: a stream ended; the status is 0 if no response arrived.
     std::function<void(unsigned status)> on_response;
 };
--- a/drivers/peer/peer_link.cpp
+++ b/drivers/peer/peer_link.cpp
@@ -118,6 +118,14 @@
     void accept();
     void accept_later();
     void add_incoming(tcp::socket socket);
+    /// Makes room for further bytes of one connection's messages, if possible.
+    [[nodiscard]] bool may_keep(const connection_ptr& receiving,
+                                std::size_t bytes);
+    /// Closes the connection with the largest `value` among those that have
+    /// delivered no message. Returns false if it is `receiving` or there is
+    /// none.
+    template <class Value>
+    bool close_stranger(const connection_ptr& receiving, Value value);
     void sweep_later();
     void sweep();
     void submit_message(std::string bytes, peer_topic topic,
@@ -146,6 +154,8 @@
     bool is_stopped_ = false;
     std::unordered_map<std::string, connection_ptr> outgoing_;
     std::set<connection_ptr> incoming_;
+    /// The incoming connections that have delivered a message with the key.
+    std::set<const peer_connection*> trusted_;
     steady_time last_refusal_log_{};
     std::uint64_t refusals_since_log_ = 0;
     mutable std::mutex zones_mutex_;
@@ -201,6 +211,7 @@
     }
     outgoing_.clear();
     incoming_.clear();
+    trusted_.clear();
 }
 
 void peer_link::impl::accept() {
@@ -230,8 +241,48 @@
         });
 }
 
+template <class Value>
+bool peer_link::impl::close_stranger(const connection_ptr& receiving,
+                                     Value value) {
+    connection_ptr found;
+    for (const connection_ptr& candidate : incoming_) {
+        if (!trusted_.contains(candidate.get()) &&
+            (!found || value(*candidate) > value(*found))) {
+            found = candidate;
+        }
+    }
+    if (!found || found == receiving) {
+        return false;
+    }
+    record_refusal({result_code::bad_frame, "closed to make room for peers"});
+    found->close();
+    incoming_.erase(found);
+    return true;
+}
+
+bool peer_link::impl::may_keep(const connection_ptr& receiving,
+                               std::size_t bytes) {
+    while (true) {
+        std::size_t kept = bytes;
+        for (const connection_ptr& connection : incoming_) {
+            kept += connection->queued_bytes();
+        }
+        if (kept <= options_.max_incoming_bytes) {
+            return true;
+        }
+        if (!close_stranger(receiving, [](const peer_connection& connection) {
+                return connection.queued_bytes();
+            })) {
+            return false;
+        }
+    }
+}
+
 void peer_link::impl::add_incoming(tcp::socket socket) {
-    if (incoming_.size() >= options_.max_accepted) {
+    if (incoming_.size() >= options_.max_accepted &&
+        !close_stranger(nullptr, [](const peer_connection& connection) {
+            return std::chrono::steady_clock::now() - connection.last_used();
+        })) {
         record_refusal({result_code::bad_frame, "too many connections"});
         return;
     }
@@ -244,15 +295,26 @@
             .limits = limits(),
             .handlers = {
                 .on_request =
-                    [this](const std::string& body) { return receive(body); },
+                    [this, weak_connection](const std::string& body) {
+                        const unsigned status = receive(body);
+                        if (status == status_accepted) {
+                            trusted_.insert(weak_connection->lock().get());
+                        }
+                        return status;
+                    },
                 .on_refused =
                     [this](const failure& reason) { record_refusal(reason); },
+                .may_keep =
+                    [this, weak_connection](std::size_t bytes) {
+                        return may_keep(weak_connection->lock(), bytes);
+                    },
                 .on_response = {}},
             .on_closed =
                 [this, weak_connection](const failure& reason) {
                     if (reason.code == result_code::bad_frame) {
                         record_refusal(reason);
                     }
+                    trusted_.erase(weak_connection->lock().get());
                     incoming_.erase(weak_connection->lock());
                     publish_gauges();
                 },
@@ -305,6 +367,7 @@
             return false;
         }
         connection->close();
+        trusted_.erase(connection.get());
         return true;
     });
     backoff_.remove_expired(now);
--- a/drivers/peer/peer_link.hpp
+++ b/drivers/peer/peer_link.hpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -36,6 +37,10 @@
     std::size_t max_connections = 64;
     /// Limit on connections from peers; further ones are closed at once.
     std::size_t max_accepted = 512;
+    /// Limit on the bytes of unfinished messages from all peers together. At
+    /// the limit, the connection that keeps the most without having delivered a
+    /// message is closed.
+    std::size_t max_incoming_bytes = std::numeric_limits<std::size_t>::max();
     std::chrono::milliseconds connect_timeout{2'000};
     /// How long a peer may leave messages unanswered.
     std::chrono::milliseconds answer_timeout{5'000};
--- a/drivers/store/store_client.cpp
+++ b/drivers/store/store_client.cpp
@@ -97,13 +97,14 @@
 
 asio::awaitable<outcome<http_response>>
 store_client::send(http_request request, std::chrono::milliseconds timeout,
-                   store_call_kind kind) {
+                   store_call_kind kind, std::string_view body) {
     const std::string target(request.path());
     ++counters_.calls;
     ++counters_.calls_by_kind.at(static_cast<std::size_t>(kind));
     const steady_time deadline = std::chrono::steady_clock::now() + timeout;
-    auto response =
-        co_await client_.call(limits_.address, std::move(request), deadline);
+    call_options options{.body = body};
+    auto response = co_await client_.call(limits_.address, std::move(request),
+                                          deadline, std::move(options));
     if (response) {
         // Refusals are recorded where the response is decoded.
         if (platform::effect_of(*response) == call_effect::answered) {
@@ -132,17 +133,21 @@
 }
 
 asio::awaitable<outcome<http_response>>
-store_client::send_or_relay(http_request request, store_call_kind kind) {
+store_client::send_or_relay(const http_request& request, store_call_kind kind) {
+    http_request head{.method = request.method,
+                      .target = request.target,
+                      .headers = request.headers};
     const auto now = [] { return std::chrono::steady_clock::now(); };
     const std::string path(request.path());
     if (relay_ == nullptr || now() < relay_blocked_until_) {
-        co_return co_await send(std::move(request), call_timeout, kind);
+        co_return co_await send(std::move(head), call_timeout, kind,
+                                request.body);
     }
     std::optional<outcome<http_response>> direct;
     call_effect effect = call_effect::none;
     if (now() >= relay_first_until_) {
-        http_request copy = request;
-        direct = co_await send(std::move(copy), relayed_call_timeout, kind);
+        direct = co_await send(std::move(head), relayed_call_timeout, kind,
+                               request.body);
         effect = effect_of(*direct);
         const bool is_cancelled_call =
             !*direct && direct->reason().detail == cancelled_detail;
@@ -155,7 +160,8 @@
                                "status " + std::to_string((*direct)->status));
         }
     }
-    auto relayed = co_await relay_->call(std::move(request));
+    http_request copy = request;
+    auto relayed = co_await relay_->call(std::move(copy));
     const call_effect relayed_effect = effect_of(relayed);
     if (relayed_effect == call_effect::answered) {
         relay_first_until_ = now() + relay_first_time;
@@ -196,7 +202,7 @@
 store_client::read_key(std::string key) {
     http_request request = platform::make_read_key(key);
     const auto response =
-        co_await send_or_relay(std::move(request), store_call_kind::read_key);
+        co_await send_or_relay(request, store_call_kind::read_key);
     if (!response) {
         co_return response.reason();
     }
@@ -213,8 +219,8 @@
         outcome<http_response> response =
             failure{result_code::store_refused, "not sent"};
         if (relay == relay_use::allowed) {
-            response = co_await send_or_relay(std::move(request),
-                                              store_call_kind::read_range);
+            response =
+                co_await send_or_relay(request, store_call_kind::read_range);
         } else {
             response = co_await send(std::move(request), call_timeout,
                                      store_call_kind::read_range);
@@ -257,9 +263,15 @@
 
 asio::awaitable<outcome<transaction_result>>
 store_client::commit(store_transaction transaction) {
-    http_request request = platform::make_transaction(transaction);
-    const auto response = co_await send_or_relay(std::move(request),
-                                                 store_call_kind::transaction);
+    const http_request request = platform::make_transaction(transaction);
+    transaction = {};
+    co_return co_await commit_encoded(request);
+}
+
+asio::awaitable<outcome<transaction_result>>
+store_client::commit_encoded(const http_request& request) {
+    const auto response =
+        co_await send_or_relay(request, store_call_kind::transaction);
     if (!response) {
         co_return response.reason();
     }
@@ -279,8 +291,8 @@
 
 asio::awaitable<outcome<done>> store_client::renew(std::uint64_t lease) {
     http_request request = platform::make_lease_renewal(lease);
-    const auto response = co_await send_or_relay(
-        std::move(request), store_call_kind::lease_renewal);
+    const auto response =
+        co_await send_or_relay(request, store_call_kind::lease_renewal);
     if (!response) {
         co_return response.reason();
     }
@@ -290,7 +302,7 @@
 asio::awaitable<outcome<done>> store_client::end_lease(std::uint64_t lease) {
     http_request request = platform::make_lease_end(lease);
     const auto response =
-        co_await send_or_relay(std::move(request), store_call_kind::lease_end);
+        co_await send_or_relay(request, store_call_kind::lease_end);
     if (!response) {
         co_return response.reason();
     }
--- a/drivers/store/store_client.hpp
+++ b/drivers/store/store_client.hpp
@@ -92,6 +92,10 @@
     /// Errors: `lease_not_held` if a write names a lease that has ended.
     boost::asio::awaitable<outcome<transaction_result>>
     commit(store_transaction transaction);
+    /// The same for an encoded transaction, which several tries share. It must
+    /// outlive the call.
+    boost::asio::awaitable<outcome<transaction_result>>
+    commit_encoded(const http_request& request);
 
     boost::asio::awaitable<outcome<store_lease>>
     grant(std::chrono::milliseconds time_to_live);
@@ -131,10 +135,10 @@
 private:
     boost::asio::awaitable<outcome<http_response>>
     send(http_request request, std::chrono::milliseconds timeout,
-         store_call_kind kind);
+         store_call_kind kind, std::string_view body = {});
     /// Like `send`, but uses the relay if this instance can't reach the store.
     boost::asio::awaitable<outcome<http_response>>
-    send_or_relay(http_request request, store_call_kind kind);
+    send_or_relay(const http_request& request, store_call_kind kind);
     void log_unreadable(std::string_view call, const std::string& prefix,
                         std::size_t count);
     void record_call_result(bool is_answered, const std::string& target,
