--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -113,6 +113,7 @@
         .use = call.route.kind == request_kind::idempotent
                    ? connection_use::reuse
                    : connection_use::fresh,
+        .body = call.request.body,
         .may_write =
             [this, &call, &upstream, &notice] {
                 const bool may_write =
--- a/drivers/front/stream_forwarder.cpp
+++ b/drivers/front/stream_forwarder.cpp
@@ -272,6 +272,7 @@
                          state.cost ? &*state.cost : nullptr);
     attempt_log attempt(fleet_, log_, "stream", call.id.text(), upstream.id);
     call_options options{.use = connection_use::fresh,
+                         .body = request.exchange.request().body,
                          .may_write =
                              [this, &request, &upstream, &state] {
                                  return fleet_.pool.is_available(upstream.id) &&
