Test that the start of a stream is counted once

Cause: streams call on_run_began with their first event, and no test had a caller with an organisation.

Change: a test with a stream that breaks, goes on at another upstream and is taken up again by its caller.

--- a/tests/drivers/front/stream_forwarding_test.cpp
+++ b/tests/drivers/front/stream_forwarding_test.cpp
@@ -244,6 +244,31 @@
     EXPECT_TRUE(new_engine.starts().empty());
 }
 
+// Guards against usage that counts a stream twice: when it goes on elsewhere,
+// or when its caller takes it up again.
+TEST_F(stream_forwarding_test, start_of_a_stream_is_counted_once) {
+    versioned_engine second("v1");
+    old_engine.breaks_after = 3;
+    set_upstreams({old_engine.entry("a"), second.entry("c")});
+    int starts = 0;
+    on_traffic_thread([&] {
+        auto configuration = std::make_shared<fleet_configuration>(
+            fleet.routes->configuration());
+        configuration->organisations = {
+            {.name = organisation_id("red"), .keys = {"k"}}};
+        fleet.routes = std::make_shared<const route_table>(configuration);
+        fleet.on_run_began = [&](const organisation_id& name, steady_time) {
+            EXPECT_EQ(name, organisation_id("red"));
+            ++starts;
+        };
+    });
+    const http_header key{"Authorization", "Bearer k"};
+    ASSERT_TRUE(send("x", {key}));
+    EXPECT_EQ(second.starts(), std::vector<std::uint64_t>{4});
+    ASSERT_TRUE(send("y", {key, {"Resumes", "x"}, {"Last-Event-Id", "3"}}));
+    on_traffic_thread([&] { EXPECT_EQ(starts, 1); });
+}
+
 TEST_F(stream_forwarding_test, broken_stream_is_cut_if_its_version_is_gone) {
     old_engine.breaks_after = 3;
     set_upstreams({old_engine.entry("a"), new_engine.entry("b")});
