Test that heartbeats carry a zone's sums to its followers only

Cause: the exchange of work had no test of its way through the feed.

Change: a test with six members in three zones.

--- a/tests/drivers/feed/store_feed_test.cpp
+++ b/tests/drivers/feed/store_feed_test.cpp
@@ -45,7 +45,18 @@
                 .zone = entry.zone,
                 .address = entry.address,
                 .change_bound = change_bound,
-                .seed = std::hash<std::string>()(name)},
+                .seed = std::hash<std::string>()(name),
+                .zone_work =
+                    [name] {
+                        return std::vector<upstream_sum>{
+                            {.upstream = upstream_id(name), .work = 1}};
+                    },
+                .on_zone_work =
+                    [this](const std::vector<upstream_sum>& sums,
+                           const instance_id& feeder) {
+                        work = sums;
+                        work_sender = feeder;
+                    }},
                {{"op/", &data}, {std::string(control_prefix), this}}, log) {}
 
     void on_changes(const std::vector<store_change>&, bool) override {
@@ -61,6 +72,9 @@
     }
 
     copy_listener data;
+    /// The sums of the last heartbeat, and its sender.
+    std::vector<upstream_sum> work;
+    instance_id work_sender;
     store_client client;
     store_feed feed;
 };
@@ -409,6 +423,23 @@
     EXPECT_LE(watches() - before, 6U);
 }
 
+// Guards against sums of one zone that reach instances of another one.
+TEST_F(store_feed_test, heartbeats_carry_the_sums_of_the_zone) {
+    const auto has_sums = [&] {
+        return std::count_if(
+                   members.begin(), members.end(),
+                   [](const auto& one) { return one->work.size() == 1; }) == 3;
+    };
+    ASSERT_TRUE(wait(has_sums, 8s));
+    for (const auto& one : members) {
+        EXPECT_EQ(one->work.empty(), one->feed.is_feeder());
+        if (!one->work.empty()) {
+            EXPECT_EQ(one->work.front().upstream.text(),
+                      one->work_sender.text());
+        }
+    }
+}
+
 TEST_F(store_feed_test, silent_root_delays_a_change_within_the_bound) {
     ASSERT_TRUE(wait([&] { return watchers() == 1; }, 5s));
     const member* const old_root = &root();
