--- a/drivers/batch/engine_driver.hpp
+++ b/drivers/batch/engine_driver.hpp
@@ -35,6 +35,9 @@
             [](const instance_id&) { return std::chrono::milliseconds(0); };
     /// Whether an instance that is better suited to be the planner is there.
     std::function<bool()> is_outranked = [] { return false; };
+    /// Receives the open work each second and when a job arrives; empty if
+    /// nobody needs it.
+    std::function<void(const worker_demand&)> on_demand;
     std::uint64_t seed = 1;
 };
 
@@ -98,6 +101,7 @@
     void execute_one(start_scoring& command);
     void execute_one(commit_results& command);
     void execute_one(discard_text& command);
+    void execute_one(order_change& change);
     /// Releases the term when another instance should plan.
     boost::asio::awaitable<void> hand_over_if_outranked();
     void send_orders();
@@ -120,6 +124,8 @@
     [[nodiscard]] run_task make_task(const start_run& command) const;
     [[nodiscard]] run_task make_task(const start_scoring& command) const;
     void wake_at(std::optional<steady_time> time);
+    void report_demand();
+    boost::asio::awaitable<void> report_demand_regularly();
     void on_gained(const held_term& term);
     void on_lost(term_end reason);
     /// Whether this service plans the job under the current configuration.
--- a/drivers/front/front_service.cpp
+++ b/drivers/front/front_service.cpp
@@ -20,7 +20,6 @@
 
 namespace {
 
-constexpr unsigned status_ok = 200;
 constexpr unsigned status_accepted = 202;
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_not_found = 404;
@@ -37,8 +36,6 @@
 /// Limit for settling a submission whose outcome is unknown; its sender waits
 /// that long before it submits the job again.
 constexpr std::chrono::milliseconds max_accept_time{4'000};
-/// Maximum wait for results that a caller may request.
-constexpr std::chrono::milliseconds max_read_wait{1'000};
 /// Time limit for requests that state no deadline.
 constexpr std::chrono::milliseconds default_time_limit{30'000};
 /// Time before the exit for the answers to requests that still run. Calls to
@@ -91,26 +88,6 @@
     return "unlisted";
 }
 
-http_response make_json(std::string body) {
-    return {.status = status_ok,
-            .headers = {{"Content-Type", "application/json"}},
-            .body = std::move(body)};
-}
-
-http_response make_bytes(std::string body) {
-    return {.status = status_ok,
-            .headers = {{"Content-Type", "application/octet-stream"}},
-            .body = std::move(body)};
-}
-
-http_response answer_failure(const failure& reason) {
-    if (reason.code == result_code::not_found) {
-        return platform::make_local_response(status_not_found, "not found");
-    }
-    return platform::make_local_response(status_unavailable, "state unknown",
-                                         retry_after);
-}
-
 } // namespace
 
 front_service::front_service(fleet_state& fleet, plain_caller& plain,
@@ -124,7 +101,11 @@
     , suspects_(suspects)
     , metrics_(metrics)
     , log_(log)
-    , on_job_(std::move(on_job)) {}
+    , on_job_(std::move(on_job))
+    , authenticator_(fleet, log)
+    , job_calls_(
+          fleet, authenticator_, jobs, exit_,
+          [this](const job_id& job) { notify_job_listener(job); }, log) {}
 
 void front_service::set_exit_time(steady_time time) {
     exit_.set_exit_time(time);
@@ -227,7 +208,7 @@
 asio::awaitable<void> front_service::serve(http_exchange& exchange) {
     const http_request& request = exchange.request();
     if (const auto job_call = platform::decode_job_call(request)) {
-        co_await handle_job_call(exchange, *job_call);
+        co_await job_calls_.handle(exchange, *job_call);
         co_return;
     }
     const auto call = platform::decode_call(request);
@@ -244,17 +225,25 @@
         co_await refuse_unknown_route(exchange, call.id.text());
         co_return;
     }
+    const authenticated_caller caller =
+        authenticator_.authenticate(request, *routes, route->is_public);
+    if (!caller.identity.is_admitted()) {
+        ++counters_.refused;
+        http_response response = authenticator_.refuse(caller, call.id.text());
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
     switch (route->kind) {
     case request_kind::idempotent:
     case request_kind::at_most_once:
-        co_await forward(exchange, *route, call);
+        co_await forward(exchange, *route, call, caller);
         break;
     case request_kind::stream:
-        co_await forward_stream(exchange, *route, call);
+        co_await forward_stream(exchange, *route, call, caller);
         break;
     case request_kind::batch:
     case request_kind::sample_batch:
-        co_await accept_job(exchange, *route, call);
+        co_await accept_job(exchange, *route, call, caller);
         break;
     }
 }
@@ -271,7 +260,8 @@
 
 asio::awaitable<void>
 front_service::forward(http_exchange& exchange, const route_rule& route,
-                       const platform::caller_call& call) {
+                       const platform::caller_call& call,
+                       const authenticated_caller& caller) {
     const steady_time begin = now();
     const auto time_limit =
         std::min(call.max_wait.value_or(default_time_limit), route.timeout);
@@ -282,9 +272,12 @@
     plain_call_request plain{.route = route,
                              .request = exchange.request(),
                              .id = call.id.text(),
+                             .organisation = caller.identity.organisation,
+                             .strips_credentials = caller.strips_credentials,
                              .deadline = begin + time_limit,
                              .guard = &guard,
-                             .exit = &exit_};
+                             .exit = &exit_,
+                             .is_allowed = caller.is_allowed};
     auto outcome = co_await (plain_caller_.call(std::move(plain)) ||
                              exchange.wait_for_disconnect());
     const auto cancellation = co_await asio::this_coro::cancellation_state;
@@ -308,9 +301,11 @@
                      elapsed);
     if (result.answer) {
         ++counters_.answered;
+        authenticator_.on_served(caller.identity.organisation);
         log_.write(
             log_event::request_finished,
             "request=" + call.id.text() + " route=" + route.name +
+                organisation_field(caller.identity.organisation) +
                 " outcome=answered status=" +
                 std::to_string(result.answer->status) + " attempts=" +
                 std::to_string(result.attempts) + " milliseconds=" +
@@ -352,7 +347,8 @@
 
 asio::awaitable<void>
 front_service::forward_stream(http_exchange& exchange, const route_rule& route,
-                              const platform::caller_call& call) {
+                              const platform::caller_call& call,
+                              const authenticated_caller& caller) {
     const steady_time deadline =
         now() +
         std::min(call.max_wait.value_or(default_time_limit), route.timeout);
@@ -361,7 +357,10 @@
                            .route = route,
                            .call = call,
                            .guard = guard,
-                           .deadline = deadline};
+                           .deadline = deadline,
+                           .organisation = caller.identity.organisation,
+                           .strips_credentials = caller.strips_credentials,
+                           .is_allowed = caller.is_allowed};
     stream_result result = co_await streams_.forward(std::move(request));
     const auto cancellation = co_await asio::this_coro::cancellation_state;
     if (cancellation.cancelled() != asio::cancellation_type::none) {
@@ -369,11 +368,13 @@
     }
     log_.write(log_event::stream_ended,
                "request=" + call.id.text() + " route=" + route.name +
+                   organisation_field(caller.identity.organisation) +
                    " outcome=" + to_word(result.end) +
                    " last_event=" + std::to_string(result.last_event));
     switch (result.end) {
     case stream_end::complete:
         ++counters_.answered;
+        authenticator_.on_served(caller.identity.organisation);
         break;
     case stream_end::caller_gone:
         ++counters_.callers_gone;
@@ -413,7 +414,8 @@
 
 asio::awaitable<void>
 front_service::accept_job(http_exchange& exchange, const route_rule& route,
-                          const platform::caller_call& call) {
+                          const platform::caller_call& call,
+                          const authenticated_caller& caller) {
     const steady_time begin = now();
     const job_id id(call.id.text());
     if (id.is_empty()) {
@@ -439,6 +441,10 @@
                         checked.reason().detail);
         co_return;
     }
+    std::string submission = exchange.take_body();
+    if (caller.strips_credentials) {
+        submission = platform::strip_credentials(*job, std::move(submission));
+    }
     const std::size_t items = job->items.size();
     // Decoded only to be checked. The store keeps the text.
     *job = batch_job();
@@ -456,6 +462,7 @@
                                      ? service_name()
                                      : route.services.front().service,
                       .total = static_cast<std::uint32_t>(items),
+                      .organisation = caller.identity.organisation,
                       .accepted_at = wall_milliseconds()};
     const auto time_limit =
         std::min(call.max_wait.value_or(max_accept_time), max_accept_time);
@@ -467,17 +474,18 @@
                         "the instance exits");
         co_return;
     }
-    std::string submission = exchange.take_body();
     const accept_end end = co_await jobs_.accept(record, std::move(submission),
                                                  exit_.answer_by(deadline));
     const std::string detail =
         "job=" + id.text() + " route=" + route.name +
+        organisation_field(caller.identity.organisation) +
         " items=" + std::to_string(items) + " milliseconds=" +
         std::to_string(
             std::chrono::duration_cast<std::chrono::milliseconds>(now() - begin)
                 .count());
     if (end == accept_end::accepted) {
         ++counters_.jobs_accepted;
+        authenticator_.on_served(caller.identity.organisation);
         log_.write(log_event::job_accepted, detail);
         notify_job_listener(id);
         http_response response{.status = status_accepted};
@@ -485,6 +493,14 @@
         co_return;
     }
     ++counters_.jobs_refused;
+    if (end == accept_end::foreign) {
+        authenticator_.on_foreign_job();
+        log_.write(log_event::job_refused, detail + " outcome=foreign");
+        http_response response =
+            platform::make_local_response(status_not_found, "not found");
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
     const bool is_refused = end == accept_end::refused;
     log_.write(log_event::job_refused,
                detail + " outcome=" + (is_refused ? "refused" : "unknown"));
@@ -504,58 +520,4 @@
     }
 }
 
-asio::awaitable<void> front_service::handle_job_call(http_exchange& exchange,
-                                                     platform::job_call call) {
-    http_response response = co_await std::visit(
-        [this](auto& one) { return answer_job_call(std::move(one)); }, call);
-    if (response.status != status_ok) {
-        log_.write(log_event::request_refused,
-                   "target=" + exchange.request().target +
-                       " status=" + std::to_string(response.status));
-    }
-    co_await exchange.respond(std::move(response));
-}
-
-asio::awaitable<http_response>
-front_service::answer_job_call(platform::read_results_call call) {
-    const steady_time begin = now();
-    const steady_time end =
-        exit_.answer_by(begin + std::min(call.wait, max_read_wait));
-    const auto wait = std::max(
-        std::chrono::duration_cast<std::chrono::milliseconds>(end - begin),
-        std::chrono::milliseconds(0));
-    const auto page =
-        co_await jobs_.read_results(job_id(call.job), call.first, wait);
-    if (!page) {
-        co_return answer_failure(page.reason());
-    }
-    co_return make_json(platform::encode_result_page(
-        page->total, page->next_position, page->rows));
-}
-
-asio::awaitable<http_response>
-front_service::answer_job_call(platform::read_item_call call) {
-    auto body = co_await jobs_.read_item(job_id(call.job), item_id(call.item));
-    if (!body) {
-        co_return answer_failure(body.reason());
-    }
-    co_return make_bytes(std::move(*body));
-}
-
-asio::awaitable<http_response>
-front_service::answer_job_call(platform::end_job_call call) {
-    const job_id job(call.job);
-    const auto ended = co_await jobs_.end(job);
-    if (!ended) {
-        // The store did not answer, so the end may still take effect.
-        co_return ended.reason().code == result_code::store_unanswered
-            ? platform::make_local_response(status_gateway_timeout,
-                                            "the end may take effect")
-            : answer_failure(ended.reason());
-    }
-    log_.write(log_event::job_ended, "job=" + job.text());
-    notify_job_listener(job);
-    co_return make_json("{}");
-}
-
 } // namespace savorydock
--- a/drivers/front/plain_caller.hpp
+++ b/drivers/front/plain_caller.hpp
@@ -4,6 +4,7 @@
 #include "core/logger.hpp"
 #include "core/random_source.hpp"
 #include "drivers/front/crash_guard.hpp"
+#include "drivers/front/run_notice.hpp"
 #include "drivers/http/http_client.hpp"
 #include "servers/admission/exit_admission.hpp"
 #include "servers/fleet/fleet_state.hpp"
@@ -44,6 +45,9 @@
     /// Refuses the request if the instance exits too soon; null if it must not
     /// be refused. Must stay valid during the call.
     const exit_admission* exit = nullptr;
+    /// Asked before each send until an upstream may have run the request: it
+    /// isn't sent if this returns false. Always allowed if empty.
+    std::function<bool()> is_allowed;
 };
 
 struct plain_call_result {
@@ -95,11 +99,12 @@
     /// time; in the second case it says so in `result`.
     [[nodiscard]] std::optional<reserved_upstream>
     reserve_upstream(const plain_call_request& call,
-                     const service_name& service, std::set<upstream_id>& tried,
-                     plain_call_result& result);
+                     const service_name& service, const call_cost* cost,
+                     std::set<upstream_id>& tried, plain_call_result& result);
     boost::asio::awaitable<attempt_result>
     try_upstream(const plain_call_request& call, const upstream_entry& upstream,
-                 steady_time deadline);
+                 const call_cost* cost, steady_time deadline,
+                 run_notice& notice);
 
     http_client& client_;
     fleet_state& fleet_;
--- a/servers/fleet/route_table.hpp
+++ b/servers/fleet/route_table.hpp
@@ -2,6 +2,7 @@
 
 #include "core/random_source.hpp"
 #include "servers/fleet/fleet_configuration.hpp"
+#include "servers/identity/key_table.hpp"
 
 #include <memory>
 #include <string>
@@ -31,13 +32,21 @@
     /// Whether callers send single requests, or batches, to the service.
     [[nodiscard]] bool has_direct_route(const service_name& service) const;
     [[nodiscard]] bool has_batch_route(const service_name& service) const;
+    /// Whether the configuration has organisations.
+    [[nodiscard]] bool has_organisations() const {
+        return !configuration_->organisations.empty();
+    }
 
     [[nodiscard]] const fleet_configuration& configuration() const {
         return *configuration_;
     }
 
+    /// The keys of the configuration's organisations.
+    [[nodiscard]] const key_table& keys() const { return keys_; }
+
 private:
     std::shared_ptr<const fleet_configuration> configuration_;
+    key_table keys_;
     /// Routes by host, sorted by descending length of their prefix.
     std::unordered_map<std::string, std::vector<const route_rule*>> by_host_;
 };
