Let the accepting coroutine own the server's acceptor

Cause: a refused connection now waits for its caller, so its coroutine, and with it the server's state, could outlive the first context of a pool with several threads. The state destroyed that context's acceptor after the context: heap corruption in bad_input_test.bytes_that_are_not_http_get_400.

Change: the acceptor belongs to its coroutine, which ends with its context.

Ruled out: memory shared between threads; each thread has its own.

--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -96,7 +96,6 @@
         , limits(used_limits)
         , handler(std::move(used_handler))
         , options(std::move(used_options))
-        , acceptor(used_pool.context(0))
         , workers(used_pool.size()) {
         for (worker_state& worker : workers) {
             worker.memory =
@@ -105,7 +104,7 @@
         }
     }
 
-    asio::awaitable<void> accept_all();
+    asio::awaitable<void> accept_all(std::shared_ptr<tcp::acceptor> acceptor);
     asio::awaitable<void> serve(tcp::socket socket, std::size_t worker);
     asio::awaitable<bool> serve_request(http_connection& connection,
                                         std::size_t worker);
@@ -133,7 +132,9 @@
     http_handler handler;
     http_server_options options;
     std::function<bool()> are_limits_current = [] { return true; };
-    tcp::acceptor acceptor;
+    /// Owned by its coroutine, because this state may outlive the context that
+    /// accepts: connections of other contexts keep it until they end.
+    std::weak_ptr<tcp::acceptor> accepting;
     std::vector<worker_state> workers;
     std::atomic<bool> is_stopping{false};
     std::atomic<bool> is_closing{false};
@@ -160,18 +161,19 @@
     own.unlogged = 0;
 }
 
-asio::awaitable<void> http_server::state::accept_all() {
+asio::awaitable<void>
+http_server::state::accept_all(std::shared_ptr<tcp::acceptor> acceptor) {
     const auto self = shared_from_this();
     for (std::size_t next = 0; !is_stopping; ++next) {
         const std::size_t worker = next % pool.size();
         auto [error, socket] =
-            co_await acceptor.async_accept(pool.context(worker), await);
+            co_await acceptor->async_accept(pool.context(worker), await);
         if (error == asio::error::operation_aborted || is_stopping) {
             co_return;
         }
         if (error) {
             // Usually out of file descriptors.
-            asio::steady_timer timer(acceptor.get_executor(),
+            asio::steady_timer timer(acceptor->get_executor(),
                                      accept_retry_delay);
             co_await timer.async_wait(await);
             continue;
@@ -444,28 +446,30 @@
     beast::error_code error;
     const auto ip = asio::ip::make_address(address.address, error);
     const tcp::endpoint local(ip, address.port);
-    tcp::acceptor& acceptor = state_->acceptor;
+    const auto acceptor =
+        std::make_shared<tcp::acceptor>(state_->pool.context(0));
     if (!error) {
-        acceptor.open(local.protocol(), error);
+        acceptor->open(local.protocol(), error);
     }
     if (!error) {
-        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        acceptor->set_option(asio::socket_base::reuse_address(true), error);
     }
     if (!error) {
-        acceptor.bind(local, error);
+        acceptor->bind(local, error);
     }
     if (!error) {
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
+        acceptor->listen(asio::socket_base::max_listen_connections, error);
     }
     if (error) {
         return failure{result_code::invalid_settings,
                        "can't listen on " + to_text(address) + ": " +
                            error.message()};
     }
-    asio::co_spawn(state_->pool.context(0), state_->accept_all(),
+    const std::uint16_t port = acceptor->local_endpoint().port();
+    state_->accepting = acceptor;
+    asio::co_spawn(state_->pool.context(0), state_->accept_all(acceptor),
                    asio::detached);
-    return endpoint{.address = address.address,
-                    .port = acceptor.local_endpoint().port()};
+    return endpoint{.address = address.address, .port = port};
 }
 
 void http_server::set_limits(const caller_limits& limits) {
@@ -490,7 +494,9 @@
     }
     asio::post(state_->pool.context(0), [self = state_] {
         beast::error_code ignored;
-        self->acceptor.close(ignored);
+        if (const auto acceptor = self->accepting.lock()) {
+            acceptor->close(ignored);
+        }
     });
 }
 
