--- a/servers/duties/worker_scaling.cpp
+++ b/servers/duties/worker_scaling.cpp
@@ -271,6 +271,13 @@
     return counts;
 }
 
+bool worker_scaling::has_ordered(const service_name& service) const {
+    return std::any_of(groups_.begin(), groups_.end(), [&](const auto& row) {
+        return row.first.service == service &&
+               (row.second.ordered || row.second.sending);
+    });
+}
+
 std::uint32_t worker_scaling::target_of(const group_state& group) const {
     std::uint32_t target = 0;
     for (const auto& [time, count] : group.planned) {
@@ -283,11 +290,10 @@
                                     std::uint32_t needed, steady_time now) {
     for (const auto& [id, count] : make_plan(service, needed, now)) {
         group_state& group = groups_[id];
-        if (group.planned.empty()) {
-            // What is there when the term begins may be needed.
-            group.planned.emplace_back(now, base_of(group));
-        }
-        group.planned.emplace_back(now, count);
+        // Until the first order, what is there may be needed. Entries of
+        // workers still arrive when a deployment starts.
+        group.planned.emplace_back(
+            now, group.ordered ? count : std::max(count, group.present));
         while (group.planned.front().first + options_.shrink_delay <= now) {
             group.planned.pop_front();
         }
@@ -325,7 +331,9 @@
     std::vector<worker_order> orders;
     for (const auto& [name, service] : services_) {
         const auto needed = needed_workers(name, now);
-        if (!needed) {
+        // Before the first work the number of workers isn't this one's to
+        // judge.
+        if (!needed || (*needed == 0 && !has_ordered(name))) {
             continue;
         }
         update_targets(service, *needed, now);
--- a/servers/duties/worker_scaling.hpp
+++ b/servers/duties/worker_scaling.hpp
@@ -153,6 +153,8 @@
     void update_targets(const service_rule& service, std::uint32_t needed,
                         steady_time now);
     [[nodiscard]] std::uint32_t target_of(const group_state& group) const;
+    /// Whether workers of the service were ordered since `reset`.
+    [[nodiscard]] bool has_ordered(const service_name& service) const;
     void add_order(const worker_group& id, group_state& group,
                    std::uint32_t target, steady_time now,
                    std::vector<worker_order>& orders);
