Judge what is there until the first order of a service, with a test

Cause: a group of workers that was never ordered itself kept its number for good, so falling demand left workers in worker_scaling_test.

Change: the first order of the service ends that, not the group's. A test plays entries that arrive late at the start.

--- a/servers/duties/worker_scaling.cpp
+++ b/servers/duties/worker_scaling.cpp
@@ -288,12 +288,13 @@
 
 void worker_scaling::update_targets(const service_rule& service,
                                     std::uint32_t needed, steady_time now) {
+    const bool is_first = !has_ordered(service.name);
     for (const auto& [id, count] : make_plan(service, needed, now)) {
         group_state& group = groups_[id];
         // Until the first order, what is there may be needed. Entries of
         // workers still arrive when a deployment starts.
         group.planned.emplace_back(
-            now, group.ordered ? count : std::max(count, group.present));
+            now, is_first ? std::max(count, group.present) : count);
         while (group.planned.front().first + options_.shrink_delay <= now) {
             group.planned.pop_front();
         }
--- a/tests/servers/duties/worker_scaling_test.cpp
+++ b/tests/servers/duties/worker_scaling_test.cpp
@@ -130,6 +130,21 @@
     }
 }
 
+// Guards against workers that are ordered away at the start, because their
+// entries have not arrived yet.
+TEST_F(worker_scaling_test, entries_that_arrive_late_at_the_start_are_kept) {
+    play_at(2s, 0);
+    for (const char* const zone : {"a", "b", "c"}) {
+        present[group(zone, false)] = 4;
+    }
+    play_at(20s, 0);
+    EXPECT_TRUE(orders.empty());
+    play_at(3s, 6);
+    for (const char* const zone : {"a", "b", "c"}) {
+        EXPECT_GE(present[group(zone, false)], 4U);
+    }
+}
+
 // Guards against orders with each burst of jobs.
 TEST_F(worker_scaling_test, demand_that_flaps_causes_no_orders) {
     play_at(12s, 8);
