Split the reads of results from job_store

Change: result_cache keeps what is known of listed results and evicts, without I/O; result_reader reads from the cache, the planner and the store; job_store keeps records, submissions, ends and commits. No logic changes.

Result: the tests of store_test and result_exchange_test stand unchanged.

--- a/drivers/batch/job_store.cpp
+++ b/drivers/batch/job_store.cpp
@@ -25,16 +25,12 @@
 constexpr std::size_t part_share_denominator = 5;
 /// A transaction takes 32 entries, including its conditions and the record.
 constexpr std::size_t max_parts = 28;
-/// The protocol limits a page of results to 1 MB.
-constexpr std::size_t max_page_bytes = 900'000;
 constexpr std::size_t max_cached_submissions = 6;
 /// Limits of a write that saves texts of several jobs.
 constexpr std::size_t max_saves_per_write = 24;
 constexpr std::size_t max_saved_bytes_per_write = 1U << 20U;
 constexpr std::chrono::milliseconds accept_retry_delay{60};
 constexpr int max_end_tries = 4;
-/// Reads of a job's results, if they are evicted meanwhile.
-constexpr int max_result_reads = 2;
 
 asio::awaitable<void> pause(std::chrono::milliseconds time) {
     asio::steady_timer timer(co_await asio::this_coro::executor);
@@ -96,7 +92,7 @@
                      std::size_t max_result_bytes)
     : client_(client)
     , log_(log)
-    , max_result_bytes_(max_result_bytes) {}
+    , results_(client, max_result_bytes) {}
 
 void job_store::on_record(const job_id& job, std::optional<job_record> record) {
     if (!record) {
@@ -206,188 +202,27 @@
     co_return record;
 }
 
-void job_store::append_rows(const job_id& job, std::size_t position,
-                            std::vector<std::string> rows) {
-    listed_rows& known = results_[job].rows;
-    const std::size_t bytes_before = known.bytes();
-    if (!known.append(position, std::move(rows))) {
-        return;
-    }
-    result_bytes_ += known.bytes() - bytes_before;
-    const auto [first, last] = waiting_reads_.equal_range(job);
-    for (auto waiting = first; waiting != last; ++waiting) {
-        waiting->second->cancel();
-    }
-}
-
-bool job_store::append_stored_rows(const job_id& job,
-                                   const stored_value& value) {
-    const auto position = results_position(job, value.key);
-    if (!position) {
-        return true;
-    }
-    if (results_[job].rows.has_gap_before(*position)) {
-        return false;
-    }
-    append_rows(job, *position, split_rows(value.value));
-    known_results& known = results_[job];
-    known.last_key = std::max(known.last_key, value.key);
-    return true;
-}
-
-void job_store::record_read(const job_id& job) {
-    recently_read_.remove(job);
-    recently_read_.push_back(job);
-    evict_old_results();
-}
-
-void job_store::evict_old_results() {
-    while (result_bytes_ > max_result_bytes_ && recently_read_.size() > 1) {
-        const job_id oldest = recently_read_.front();
-        recently_read_.pop_front();
-        if (const auto found = results_.find(oldest); found != results_.end()) {
-            result_bytes_ -= found->second.rows.bytes();
-            results_.erase(found);
-        }
-    }
-}
-
-asio::awaitable<outcome<done>> job_store::read_new_results(job_id job) {
-    bool has_gap = true;
-    for (int tries = 0; has_gap && tries < max_result_reads; ++tries) {
-        const std::string after = results_[job].last_key;
-        const auto page =
-            co_await client_.read_range(results_prefix(job), after);
-        if (!page) {
-            co_return page.reason();
-        }
-        if (page->unreadable > 0) {
-            co_return failure{result_code::bad_frame, "results can't be read"};
-        }
-        has_gap = false;
-        for (const stored_value& value : page->values) {
-            has_gap = !append_stored_rows(job, value) || has_gap;
-        }
-        results_[job].revision = has_gap ? 0 : page->revision;
-    }
-    if (has_gap) {
-        co_return failure{result_code::store_unanswered,
-                          "results were evicted while they were read"};
-    }
-    record_read(job);
-    co_return done{};
-}
-
-result_page job_store::make_page(const job_id& job, std::size_t total,
-                                 std::size_t first) const {
-    result_page page{.total = total, .next_position = first};
-    const auto known = results_.find(job);
-    if (known != results_.end()) {
-        page.rows = known->second.rows.page(first, max_page_bytes);
-        page.next_position = first + page.rows.size();
-    }
-    return page;
-}
-
 asio::awaitable<outcome<result_page>>
 job_store::read_results(job_id job, std::size_t first,
                         std::chrono::milliseconds wait) {
-    const auto record = co_await find_record(job);
+    auto record = co_await find_record(std::move(job));
     if (!record) {
         co_return record.reason();
     }
-    result_page page = make_page(job, record->total, first);
-    if (!page.rows.empty()) {
-        co_return page;
-    }
-    if (source_ != nullptr) {
-        auto rows = co_await source_->read(*record, first, wait);
-        if (rows) {
-            page.rows = std::move(*rows);
-            page.next_position = first + page.rows.size();
-            append_rows(job, first, page.rows);
-            record_read(job);
-            co_return page;
-        }
-    }
-    co_return co_await read_results_from_store(*record, first, wait);
+    co_return co_await results_.read(std::move(*record), first, wait);
 }
 
 asio::awaitable<std::optional<std::vector<std::string>>>
 job_store::read_own_results(job_id job, std::size_t first,
                             std::chrono::milliseconds wait,
                             std::function<store_revision()> term) {
-    const auto is_complete = [&] {
-        const auto known = results_.find(job);
-        return known != results_.end() &&
-               known->second.rows.is_complete(term(),
-                                              std::chrono::steady_clock::now());
-    };
-    if (!is_complete()) {
-        co_return std::nullopt;
-    }
-    const auto record = records_.find(job);
-    const std::size_t size = results_[job].rows.size();
-    const bool can_grow = record != records_.end() &&
-                          !record->second.is_ended &&
-                          size < record->second.total;
-    if (first >= size && can_grow && wait.count() > 0) {
-        const auto timer = std::make_shared<asio::steady_timer>(
-            co_await asio::this_coro::executor, wait);
-        const auto waiting = waiting_reads_.emplace(job, timer);
-        co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
-        waiting_reads_.erase(waiting);
-        if (!is_complete()) {
-            co_return std::nullopt;
-        }
-    }
-    co_return results_[job].rows.page(first, max_page_bytes);
-}
-
-asio::awaitable<outcome<result_page>>
-job_store::read_results_from_store(job_record record, std::size_t first,
-                                   std::chrono::milliseconds wait) {
-    const job_id job = record.id;
-    // After a watch that returned rows, the next watch continues without a
-    // read. In all other cases the rows are read first, because a watch that
-    // returned none may have missed some.
-    const bool can_watch = wait.count() > 0 && results_[job].can_resume_watch;
-    result_page page{.total = record.total, .next_position = first};
-    if (!can_watch) {
-        if (const auto read = co_await read_new_results(job); !read) {
-            co_return read.reason();
-        }
-        page = make_page(job, record.total, first);
-    }
-    const bool can_grow = page.rows.empty() &&
-                          results_[job].rows.size() < record.total &&
-                          !record.is_ended;
-    if (!can_grow || wait.count() == 0) {
-        co_return page;
-    }
-    results_[job].can_resume_watch = false;
-    const auto changes = co_await client_.watch(results_prefix(job),
-                                                results_[job].revision, wait);
-    if (!changes) {
-        if (const auto read = co_await read_new_results(job); !read) {
-            co_return read.reason();
-        }
-        co_return make_page(job, record.total, first);
-    }
-    bool has_gap = false;
-    for (const store_change& change : changes->changes) {
-        has_gap = !append_stored_rows(job, change.value) || has_gap;
-    }
-    if (has_gap) {
-        if (const auto read = co_await read_new_results(job); !read) {
-            co_return read.reason();
-        }
-        co_return make_page(job, record.total, first);
+    const auto found = records_.find(job);
+    std::optional<job_record> record;
+    if (found != records_.end()) {
+        record = found->second;
     }
-    known_results& known = results_[job];
-    known.revision = std::max(known.revision, changes->revision);
-    known.can_resume_watch = !changes->changes.empty();
-    co_return make_page(job, record.total, first);
+    return results_.read_own(std::move(job), std::move(record), first, wait,
+                             std::move(term));
 }
 
 asio::awaitable<outcome<std::shared_ptr<const batch_job>>>
@@ -486,10 +321,10 @@
     if (!submission) {
         co_return submission.reason();
     }
-    if (const auto read = co_await read_new_results(record.id); !read) {
+    if (const auto read = co_await results_.refresh(record.id); !read) {
         co_return read.reason();
     }
-    listed_rows& listed = results_[record.id].rows;
+    listed_rows& listed = results_.rows(record.id);
     listed.on_read_complete(term);
     loaded_job loaded{.job = std::move(*submission)};
     for (const std::string& row : listed.rows()) {
@@ -584,11 +419,12 @@
         make_write({.key = key}, {.key = key, .value = text});
     transaction.conditions.push_back(
         {.key = term.key, .revision = term.revision});
-    results_[results.job].rows.on_commit_sent(std::chrono::steady_clock::now());
+    results_.rows(results.job).on_commit_sent(std::chrono::steady_clock::now());
     const auto written = co_await client_.commit(std::move(transaction));
     if (!written) {
-        results_[results.job].rows.on_commit_failed(written.reason().code !=
-                                                    result_code::store_refused);
+        results_.rows(results.job)
+            .on_commit_failed(written.reason().code !=
+                              result_code::store_refused);
         co_return commit_end::not_listed;
     }
     bool is_listed = std::holds_alternative<transaction_done>(*written);
@@ -596,18 +432,18 @@
         // An earlier attempt at the same write may have taken effect late.
         const auto present = co_await client_.read_key(key);
         if (!present) {
-            results_[results.job].rows.on_commit_failed(true);
+            results_.rows(results.job).on_commit_failed(true);
             co_return commit_end::not_listed;
         }
         is_listed = *present && (*present)->value == text;
     }
     if (is_listed) {
-        append_rows(results.job, results.first_position, std::move(rows));
-        results_[results.job].rows.on_commit_listed();
+        results_.append(results.job, results.first_position, std::move(rows));
+        results_.rows(results.job).on_commit_listed();
         co_return commit_end::listed;
     }
     // What is listed there is known only after the job has been read again.
-    results_[results.job].rows.on_commit_failed(true);
+    results_.rows(results.job).on_commit_failed(true);
     const auto& current = std::get<transaction_conflict>(*written).current;
     const bool is_held = std::any_of(
         current.begin(), current.end(), [&](const stored_value& value) {
--- a/drivers/batch/job_store.hpp
+++ b/drivers/batch/job_store.hpp
@@ -1,16 +1,14 @@
 #pragma once
 
 #include "core/logger.hpp"
-#include "drivers/batch/result_source.hpp"
+#include "drivers/batch/result_reader.hpp"
 #include "drivers/store/scope_term.hpp"
 #include "drivers/store/store_client.hpp"
 #include "servers/batch/batch_job.hpp"
 #include "servers/batch/item_planner.hpp"
-#include "servers/batch/listed_rows.hpp"
 #include "servers/fleet/fleet_configuration.hpp"
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -36,13 +34,6 @@
     unknown,
 };
 
-/// A page of a job's results in encoded form.
-struct result_page {
-    std::size_t total = 0;
-    std::size_t next_position = 0;
-    std::vector<std::string> rows;
-};
-
 /// A job read from the store, with the items whose results are listed.
 struct loaded_job {
     std::shared_ptr<const batch_job> job;
@@ -97,7 +88,9 @@
     accept(job_record record, std::string submission, steady_time deadline);
 
     /// Results are read from `source` first. It must outlive the calls.
-    void use_result_source(result_source& source) { source_ = &source; }
+    void use_result_source(result_source& source) {
+        results_.use_source(source);
+    }
 
     /// Reads the results from position `first` on. If there are none yet, waits
     /// up to `wait` for the next one.
@@ -141,51 +134,17 @@
 private:
     [[nodiscard]] std::size_t max_part_bytes() const;
 
-    struct known_results {
-        listed_rows rows;
-        /// The last key of the results that was read from the store.
-        std::string last_key;
-        /// `rows` is complete up to this revision of the store.
-        store_revision revision = 0;
-        /// The last call was a watch that returned rows, so the next watch may
-        /// continue from `revision` without a read.
-        bool can_resume_watch = false;
-    };
-
-    boost::asio::awaitable<outcome<done>> read_new_results(job_id job);
     boost::asio::awaitable<outcome<std::shared_ptr<const batch_job>>>
     read_submission(job_record record);
-    boost::asio::awaitable<outcome<result_page>>
-    read_results_from_store(job_record record, std::size_t first,
-                            std::chrono::milliseconds wait);
-    /// Returns false if the rows before those of the value are missing, because
-    /// they were evicted while the value was read.
-    [[nodiscard]] bool append_stored_rows(const job_id& job,
-                                          const stored_value& value);
-    void append_rows(const job_id& job, std::size_t position,
-                     std::vector<std::string> rows);
-    [[nodiscard]] result_page make_page(const job_id& job, std::size_t total,
-                                        std::size_t first) const;
-    void record_read(const job_id& job);
-    void evict_old_results();
     boost::asio::awaitable<void> save_texts(held_term term,
                                             std::vector<stored_value> texts);
 
     store_client& client_;
     logger& log_;
-    std::size_t max_result_bytes_;
+    result_reader results_;
     std::map<job_id, job_record> records_;
     std::map<job_id, store_revision> record_revisions_;
-    std::map<job_id, known_results> results_;
-    /// Jobs by the time of their last read, oldest first, to choose which
-    /// results to evict.
-    std::list<job_id> recently_read_;
-    std::size_t result_bytes_ = 0;
     std::list<std::shared_ptr<const batch_job>> cached_submissions_;
-    result_source* source_ = nullptr;
-    /// Timers of the reads that wait for a job's next row.
-    std::multimap<job_id, std::shared_ptr<boost::asio::steady_timer>>
-        waiting_reads_;
     /// Number of progress saves by this process; makes their keys unique within
     /// a term.
     std::size_t save_count_ = 0;
--- /dev/null
+++ b/drivers/batch/result_reader.cpp
@@ -0,0 +1,182 @@
+#include "drivers/batch/result_reader.hpp"
+
+#include "servers/batch/job_keys.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace savorydock {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// The protocol limits a page of results to 1 MB.
+constexpr std::size_t max_page_bytes = 900'000;
+/// Reads of a job's results, if they are evicted meanwhile.
+constexpr int max_result_reads = 2;
+
+} // namespace
+
+result_reader::result_reader(store_client& client, std::size_t max_cache_bytes)
+    : client_(client)
+    , cache_(max_cache_bytes) {}
+
+void result_reader::append(const job_id& job, std::size_t position,
+                           std::vector<std::string> rows) {
+    if (!cache_.append(job, position, std::move(rows))) {
+        return;
+    }
+    const auto [first, last] = waiting_reads_.equal_range(job);
+    for (auto waiting = first; waiting != last; ++waiting) {
+        waiting->second->cancel();
+    }
+}
+
+bool result_reader::append_stored(const job_id& job,
+                                  const stored_value& value) {
+    const auto position = results_position(job, value.key);
+    if (!position) {
+        return true;
+    }
+    if (rows(job).has_gap_before(*position)) {
+        return false;
+    }
+    append(job, *position, split_rows(value.value));
+    cached_results& known = cache_.entry(job);
+    known.last_key = std::max(known.last_key, value.key);
+    return true;
+}
+
+asio::awaitable<outcome<done>> result_reader::refresh(job_id job) {
+    bool has_gap = true;
+    for (int tries = 0; has_gap && tries < max_result_reads; ++tries) {
+        const std::string after = cache_.entry(job).last_key;
+        const auto page =
+            co_await client_.read_range(results_prefix(job), after);
+        if (!page) {
+            co_return page.reason();
+        }
+        if (page->unreadable > 0) {
+            co_return failure{result_code::bad_frame, "results can't be read"};
+        }
+        has_gap = false;
+        for (const stored_value& value : page->values) {
+            has_gap = !append_stored(job, value) || has_gap;
+        }
+        cache_.entry(job).revision = has_gap ? 0 : page->revision;
+    }
+    if (has_gap) {
+        co_return failure{result_code::store_unanswered,
+                          "results were evicted while they were read"};
+    }
+    cache_.on_read(job);
+    co_return done{};
+}
+
+result_page result_reader::make_page(const job_record& record,
+                                     std::size_t first) const {
+    result_page page{.total = record.total,
+                     .rows = cache_.page(record.id, first, max_page_bytes)};
+    page.next_position = first + page.rows.size();
+    return page;
+}
+
+asio::awaitable<outcome<result_page>>
+result_reader::read(job_record record, std::size_t first,
+                    std::chrono::milliseconds wait) {
+    result_page page = make_page(record, first);
+    if (!page.rows.empty()) {
+        co_return page;
+    }
+    if (source_ != nullptr) {
+        auto rows = co_await source_->read(record, first, wait);
+        if (rows) {
+            page.rows = std::move(*rows);
+            page.next_position = first + page.rows.size();
+            append(record.id, first, page.rows);
+            cache_.on_read(record.id);
+            co_return page;
+        }
+    }
+    co_return co_await read_from_store(std::move(record), first, wait);
+}
+
+asio::awaitable<std::optional<std::vector<std::string>>>
+result_reader::read_own(job_id job, std::optional<job_record> record,
+                        std::size_t first, std::chrono::milliseconds wait,
+                        std::function<store_revision()> term) {
+    const auto is_complete = [&] {
+        const cached_results* const known = cache_.find(job);
+        return known != nullptr &&
+               known->rows.is_complete(term(),
+                                       std::chrono::steady_clock::now());
+    };
+    if (!is_complete()) {
+        co_return std::nullopt;
+    }
+    const std::size_t size = rows(job).size();
+    const bool can_grow = record && !record->is_ended && size < record->total;
+    if (first >= size && can_grow && wait.count() > 0) {
+        const auto timer = std::make_shared<asio::steady_timer>(
+            co_await asio::this_coro::executor, wait);
+        const auto waiting = waiting_reads_.emplace(job, timer);
+        co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
+        waiting_reads_.erase(waiting);
+        if (!is_complete()) {
+            co_return std::nullopt;
+        }
+    }
+    co_return cache_.page(job, first, max_page_bytes);
+}
+
+asio::awaitable<outcome<result_page>>
+result_reader::read_from_store(job_record record, std::size_t first,
+                               std::chrono::milliseconds wait) {
+    const job_id job = record.id;
+    // After a watch that returned rows, the next watch continues without a
+    // read. In all other cases the rows are read first, because a watch that
+    // returned none may have missed some.
+    const bool can_watch =
+        wait.count() > 0 && cache_.entry(job).can_resume_watch;
+    result_page page{.total = record.total, .next_position = first};
+    if (!can_watch) {
+        if (const auto read = co_await refresh(job); !read) {
+            co_return read.reason();
+        }
+        page = make_page(record, first);
+    }
+    const bool can_grow = page.rows.empty() &&
+                          rows(job).size() < record.total && !record.is_ended;
+    if (!can_grow || wait.count() == 0) {
+        co_return page;
+    }
+    cache_.entry(job).can_resume_watch = false;
+    const auto changes = co_await client_.watch(
+        results_prefix(job), cache_.entry(job).revision, wait);
+    if (!changes) {
+        if (const auto read = co_await refresh(job); !read) {
+            co_return read.reason();
+        }
+        co_return make_page(record, first);
+    }
+    bool has_gap = false;
+    for (const store_change& change : changes->changes) {
+        has_gap = !append_stored(job, change.value) || has_gap;
+    }
+    if (has_gap) {
+        if (const auto read = co_await refresh(job); !read) {
+            co_return read.reason();
+        }
+        co_return make_page(record, first);
+    }
+    cached_results& known = cache_.entry(job);
+    known.revision = std::max(known.revision, changes->revision);
+    known.can_resume_watch = !changes->changes.empty();
+    co_return make_page(record, first);
+}
+
+} // namespace savorydock
