Log and count reads of results that find nothing

Cause: an instance that answers a read without results logs nothing, so the record can't tell a read that was skipped from a planner's reply or a watch.

Change: result_read_empty (2223) names the position, the rows and revision that are known, whether the job has ended, from where it was answered and how long it took; result_reply_empty (2224) the planner's term.

--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -54,6 +54,8 @@
     runner_found = 2220,
     item_text_discarded = 2221,
     item_stalled = 2222,
+    result_read_empty = 2223,
+    result_reply_empty = 2224,
     job_standing_changed = 2230,
     engines_shared = 2231,
 
--- a/drivers/batch/job_store.cpp
+++ b/drivers/batch/job_store.cpp
@@ -92,7 +92,7 @@
                      std::size_t max_result_bytes)
     : client_(client)
     , log_(log)
-    , results_(client, max_result_bytes) {}
+    , results_(client, log, max_result_bytes) {}
 
 void job_store::on_record(const job_id& job, std::optional<job_record> record) {
     if (!record) {
--- a/drivers/batch/job_store.hpp
+++ b/drivers/batch/job_store.hpp
@@ -97,6 +97,10 @@
     boost::asio::awaitable<outcome<result_page>>
     read_results(job_id job, std::size_t first, std::chrono::milliseconds wait);
 
+    [[nodiscard]] const result_read_counters& result_reads() const {
+        return results_.counters();
+    }
+
     /// Reads the body of an item. Error: `not_found` if the job or the item
     /// does not exist.
     boost::asio::awaitable<outcome<std::string>> read_item(job_id job,
--- a/drivers/batch/result_exchange.cpp
+++ b/drivers/batch/result_exchange.cpp
@@ -156,6 +156,13 @@
                        .job = job};
     if (rows) {
         reply.rows = std::move(*rows);
+        if (reply.rows.empty()) {
+            log_.write(log_event::result_reply_empty,
+                       "job=" + job.text() +
+                           " first=" + std::to_string(request.first) +
+                           " reader=" + reader.text() + " term=" +
+                           std::to_string(lookups_.own_term_of(job)));
+        }
     }
     send(reader, peer_topic::result_reply, wire::encode(reply));
 }
--- a/drivers/batch/result_reader.cpp
+++ b/drivers/batch/result_reader.cpp
@@ -21,8 +21,24 @@
 
 } // namespace
 
-result_reader::result_reader(store_client& client, std::size_t max_cache_bytes)
+std::string_view name_of(result_origin origin) {
+    switch (origin) {
+    case result_origin::cache:
+        return "cache";
+    case result_origin::planner:
+        return "planner";
+    case result_origin::store:
+        return "store";
+    case result_origin::watch:
+        return "watch";
+    }
+    return "unlisted";
+}
+
+result_reader::result_reader(store_client& client, logger& log,
+                             std::size_t max_cache_bytes)
     : client_(client)
+    , log_(log)
     , cache_(max_cache_bytes) {}
 
 void result_reader::append(const job_id& job, std::size_t position,
@@ -78,17 +94,60 @@
 }
 
 result_page result_reader::make_page(const job_record& record,
-                                     std::size_t first) const {
+                                     std::size_t first,
+                                     result_origin origin) const {
     result_page page{.total = record.total,
-                     .rows = cache_.page(record.id, first, max_page_bytes)};
+                     .rows = cache_.page(record.id, first, max_page_bytes),
+                     .origin = origin};
     page.next_position = first + page.rows.size();
     return page;
 }
 
+void result_reader::record_read(const job_record& record, std::size_t first,
+                                std::chrono::milliseconds wait,
+                                const result_page& page,
+                                std::chrono::steady_clock::duration duration) {
+    const auto origin = static_cast<std::size_t>(page.origin);
+    if (!page.rows.empty()) {
+        ++counters_.with_rows.at(origin);
+        return;
+    }
+    if (first >= record.total) {
+        return;
+    }
+    ++counters_.empty.at(origin);
+    const cached_results* const known = cache_.find(record.id);
+    const auto milliseconds =
+        std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+    log_.write(log_event::result_read_empty,
+               "job=" + record.id.text() + " first=" + std::to_string(first) +
+                   " known=" +
+                   std::to_string(known == nullptr ? 0 : known->rows.size()) +
+                   " revision=" +
+                   std::to_string(known == nullptr ? 0 : known->revision) +
+                   " total=" + std::to_string(record.total) +
+                   " ended=" + (record.is_ended ? "yes" : "no") +
+                   " origin=" + std::string(name_of(page.origin)) +
+                   " wait_ms=" + std::to_string(wait.count()) +
+                   " took_ms=" + std::to_string(milliseconds.count()));
+}
+
 asio::awaitable<outcome<result_page>>
 result_reader::read(job_record record, std::size_t first,
                     std::chrono::milliseconds wait) {
-    result_page page = make_page(record, first);
+    const auto begin = std::chrono::steady_clock::now();
+    auto page = co_await find_page(record, first, wait);
+    if (page) {
+        record_read(record, first, wait, *page,
+                    std::chrono::steady_clock::now() - begin);
+    }
+    co_return page;
+}
+
+asio::awaitable<outcome<result_page>>
+result_reader::find_page(job_record record, std::size_t first,
+                         std::chrono::milliseconds wait) {
+    result_page page = make_page(record, first, result_origin::cache);
     if (!page.rows.empty()) {
         co_return page;
     }
@@ -97,6 +156,7 @@
         if (rows) {
             page.rows = std::move(*rows);
             page.next_position = first + page.rows.size();
+            page.origin = result_origin::planner;
             append(record.id, first, page.rows);
             cache_.on_read(record.id);
             co_return page;
@@ -147,7 +207,7 @@
         if (const auto read = co_await refresh(job); !read) {
             co_return read.reason();
         }
-        page = make_page(record, first);
+        page = make_page(record, first, result_origin::store);
     }
     const bool can_grow = page.rows.empty() &&
                           rows(job).size() < record.total && !record.is_ended;
@@ -161,7 +221,7 @@
         if (const auto read = co_await refresh(job); !read) {
             co_return read.reason();
         }
-        co_return make_page(record, first);
+        co_return make_page(record, first, result_origin::store);
     }
     bool has_gap = false;
     for (const store_change& change : changes->changes) {
@@ -171,12 +231,12 @@
         if (const auto read = co_await refresh(job); !read) {
             co_return read.reason();
         }
-        co_return make_page(record, first);
+        co_return make_page(record, first, result_origin::store);
     }
     cached_results& known = cache_.entry(job);
     known.revision = std::max(known.revision, changes->revision);
     known.can_resume_watch = !changes->changes.empty();
-    co_return make_page(record, first);
+    co_return make_page(record, first, result_origin::watch);
 }
 
 } // namespace savorydock
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -1118,6 +1118,7 @@
          .tunnels = tunnels_.counters(),
          .tunnels_used = connector_->tunnels_used(),
          .runs = host_.statistics(),
+         .result_reads = jobs_.result_reads(),
          .attempts = fleet_.attempts,
          .placement = fleet_.pool.by_cost() != nullptr
                           ? std::optional(fleet_.pool.by_cost()->counters())
--- a/drivers/node/node_metrics.cpp
+++ b/drivers/node/node_metrics.cpp
@@ -112,6 +112,15 @@
     write("runs_active", statistics.runs.active);
     write("runs_started_total", statistics.runs.started);
     write("runs_interrupted_total", statistics.runs.interrupted);
+    for (std::size_t origin = 0; origin < result_origin_count; ++origin) {
+        const std::string labels =
+            "{origin=\"" +
+            std::string(name_of(static_cast<result_origin>(origin))) + "\"}";
+        write("result_reads_total",
+              statistics.result_reads.with_rows.at(origin), labels);
+        write("result_reads_empty_total",
+              statistics.result_reads.empty.at(origin), labels);
+    }
     if (statistics.placement) {
         const placement_counters& placed = *statistics.placement;
         write("placed_expected_seconds_total", placed.expected_seconds);
--- a/drivers/node/node_metrics.hpp
+++ b/drivers/node/node_metrics.hpp
@@ -35,6 +35,7 @@
     tunnel_counters tunnels;
     std::uint64_t tunnels_used = 0;
     run_statistics runs;
+    result_read_counters result_reads;
     attempt_counts attempts;
     /// Absent if calls aren't placed by cost.
     std::optional<placement_counters> placement;
