Show reads of results that find nothing with tests that fail

Change: result_reader_test plays a read after a watch whose job has ended, one whose rows arrive while the planner is asked, and a planner's job that is evicted while it is loaded; listed_rows_test a commit without an answer that is forgotten by a read in its term.

--- /dev/null
+++ b/tests/drivers/batch/result_reader_test.cpp
@@ -0,0 +1,163 @@
+#include "drivers/batch/job_store.hpp"
+#include "servers/batch/job_keys.hpp"
+#include "tests/fakes/fake_users_store.hpp"
+#include "tests/fakes/run_call.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <gtest/gtest.h>
+
+#include <functional>
+
+using namespace savorydock;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+/// A planner that can't tell what is listed. Calls `on_asked` first.
+class unaware_planner final : public result_source {
+public:
+    asio::awaitable<std::optional<std::vector<std::string>>>
+    read(job_record, std::size_t, std::chrono::milliseconds) override {
+        if (on_asked) {
+            co_await on_asked();
+        }
+        co_return std::nullopt;
+    }
+
+    std::function<asio::awaitable<void>()> on_asked;
+};
+
+class result_reader_test : public ::testing::Test {
+public:
+    result_reader_test()
+        : client(context, {.address = store.address()}, log)
+        , jobs(client, log) {
+        jobs.use_result_source(planner);
+        jobs.on_record(record.id, record);
+    }
+
+    template <class Value>
+    Value run(asio::awaitable<Value> call) {
+        return run_call(context, std::move(call));
+    }
+
+    /// Lists a row as another instance would.
+    void list(std::size_t position) {
+        store.put(results_key(record.id, position), row(position));
+    }
+
+    static std::string row(std::size_t position) {
+        return R"({"id":")" + std::to_string(position) + R"("})";
+    }
+
+    std::vector<std::string> read(std::size_t first,
+                                  std::chrono::milliseconds wait) {
+        const auto page = run(jobs.read_results(record.id, first, wait));
+        EXPECT_TRUE(page);
+        return page ? page->rows : std::vector<std::string>();
+    }
+
+    /// A read that waits with a watch of the store, which returns a row.
+    void read_by_watch(std::size_t position) {
+        std::optional<outcome<result_page>> page;
+        const auto calls = client.counters().calls;
+        asio::co_spawn(
+            context,
+            store_value(jobs.read_results(record.id, position, 1s), page),
+            asio::detached);
+        while (client.counters().calls < calls + 2) {
+            context.restart();
+            context.run_one();
+        }
+        list(position);
+        while (!page) {
+            context.restart();
+            context.run_one();
+        }
+        ASSERT_TRUE(*page);
+        ASSERT_EQ((*page)->rows, std::vector{row(position)});
+        ASSERT_EQ((*page)->origin, result_origin::watch);
+    }
+
+    /// Another instance ends the job.
+    void end_job() {
+        record.is_ended = true;
+        jobs.on_record(record.id, record);
+    }
+
+    fake_users_store store;
+    null_logger log;
+    asio::io_context context;
+    store_client client;
+    job_store jobs;
+    unaware_planner planner;
+    job_record record{.id = job_id("j"),
+                      .route = "r",
+                      .host = "h",
+                      .service = service_name("e"),
+                      .total = 3};
+};
+
+} // namespace
+
+// LOST: the page of an ended job was answered without a look at the store.
+TEST_F(result_reader_test, rows_listed_before_an_end_are_found_after_a_watch) {
+    read_by_watch(0);
+    list(1);
+    end_job();
+    EXPECT_EQ(read(1, 1s), std::vector{row(1)});
+}
+
+// LOST: as above, for rows that other reads of this instance had found.
+TEST_F(result_reader_test,
+       rows_found_while_the_planner_was_asked_are_returned) {
+    read_by_watch(0);
+    list(1);
+    list(2);
+    planner.on_asked = [this]() -> asio::awaitable<void> {
+        planner.on_asked = {};
+        const auto page = co_await jobs.read_results(record.id, 1, 0ms);
+        EXPECT_TRUE(page);
+    };
+    EXPECT_EQ(read(1, 1s), (std::vector{row(1), row(2)}));
+}
+
+// LOST: the planner took a job without any row for one whose rows it knew.
+TEST_F(result_reader_test, job_evicted_while_it_is_loaded_is_read_whole) {
+    constexpr store_revision term = 7;
+    job_store small(client, log, 1);
+    job_record other = record;
+    other.id = job_id("k");
+    for (const job_record& job : {record, other}) {
+        ASSERT_EQ(
+            run(small.accept(
+                job,
+                R"({"model":"m","items":[{"id":"0","path":"/p","body":""}]})",
+                std::chrono::steady_clock::now() + 1s)),
+            accept_end::accepted);
+    }
+    list(0);
+    store.put(results_key(other.id, 0), row(0));
+    ASSERT_EQ(run(small.load(record, term))->listed.size(), 1U);
+    store.set_range_delay(100ms);
+    std::optional<outcome<loaded_job>> loaded;
+    asio::co_spawn(context, store_value(small.load(record, term), loaded),
+                   asio::detached);
+    context.restart();
+    context.run_for(50ms);
+    ASSERT_FALSE(loaded);
+    store.set_range_delay(0ms);
+    ASSERT_EQ(run(small.read_results(other.id, 0, 0ms))->rows.size(), 1U);
+    while (!loaded) {
+        context.restart();
+        context.run_one();
+    }
+    ASSERT_TRUE(*loaded);
+    EXPECT_EQ((*loaded)->listed.size(), 1U);
+    const auto rows =
+        run(small.read_own_results(record.id, 0, 0ms, [] { return term; }));
+    ASSERT_TRUE(rows);
+    EXPECT_EQ(*rows, std::vector{row(0)});
+}
--- a/tests/servers/batch/listed_rows_test.cpp
+++ b/tests/servers/batch/listed_rows_test.cpp
@@ -74,3 +74,26 @@
     rows.on_commit_failed(false);
     EXPECT_TRUE(rows.is_complete(term, now));
 }
+
+// LOST: a commit without an answer may still be listed after the read that
+// found no row of it, as long as its term lasts.
+TEST_F(listed_rows_test, open_commit_stays_open_over_a_read_in_its_term) {
+    rows.on_read_complete(term);
+    rows.on_commit_sent(now);
+    rows.on_commit_failed(true);
+    rows.on_read_complete(term);
+    EXPECT_FALSE(rows.is_complete(term, now));
+    rows.append(0, {"a"});
+    rows.on_read_complete(term);
+    EXPECT_TRUE(rows.is_complete(term, now)) << "its position is taken";
+}
+
+TEST_F(listed_rows_test, commit_in_progress_stays_open_over_a_read) {
+    rows.on_read_complete(term);
+    rows.on_commit_sent(now);
+    rows.on_read_complete(term);
+    EXPECT_FALSE(rows.is_complete(term, now + 301ms));
+    rows.on_read_complete(term + 1);
+    EXPECT_TRUE(rows.is_complete(term + 1, now + 301ms))
+        << "the new term fences the commit off";
+}
