Read the store before a read of results finds nothing

What callers saw: a read with a wait got 200 without results at a position that had been read elsewhere, at once, and again with each further read at that instance.

Cause: after a watch that returned rows, the next read skipped the read of the store, since it would watch from there on. If the job had ended meanwhile, or its rows were complete, it didn't watch either, and the page was answered as it had begun. That a job can't grow was taken for that it hasn't grown.

Change: the read is skipped only if a watch follows. The page is also looked up again after the planner was asked, since other reads may have found rows.

Evidence: result_reader_test.rows_listed_before_an_end_are_found_after_a_watch and .rows_found_while_the_planner_was_asked_are_returned failed on each run before and pass now; store_test and result_exchange_test pass. Each empty page now follows a read or a watch of the store that began after the request, or a planner's reply.

--- a/drivers/batch/result_reader.cpp
+++ b/drivers/batch/result_reader.cpp
@@ -197,21 +197,23 @@
 result_reader::read_from_store(job_record record, std::size_t first,
                                std::chrono::milliseconds wait) {
     const job_id job = record.id;
-    // After a watch that returned rows, the next watch continues without a
-    // read. In all other cases the rows are read first, because a watch that
-    // returned none may have missed some.
-    const bool can_watch =
-        wait.count() > 0 && cache_.entry(job).can_resume_watch;
-    result_page page{.total = record.total, .next_position = first};
-    if (!can_watch) {
+    result_page page = make_page(record, first, result_origin::cache);
+    if (!page.rows.empty()) {
+        co_return page;
+    }
+    const auto will_watch = [&] {
+        return wait.count() > 0 && !record.is_ended &&
+               rows(job).size() < record.total;
+    };
+    // Only a watch that continues where the last one ended sees all rows that
+    // were listed since.
+    if (!will_watch() || !cache_.entry(job).can_resume_watch) {
         if (const auto read = co_await refresh(job); !read) {
             co_return read.reason();
         }
         page = make_page(record, first, result_origin::store);
     }
-    const bool can_grow = page.rows.empty() &&
-                          rows(job).size() < record.total && !record.is_ended;
-    if (!can_grow || wait.count() == 0) {
+    if (!page.rows.empty() || !will_watch()) {
         co_return page;
     }
     cache_.entry(job).can_resume_watch = false;
