Read results again that were evicted while newer ones were read

What callers would see: a planner answers that no row is listed, and runs items again whose results are listed.

Cause: a read of the rows after the last known one noticed an eviction only by a gap before the rows that it returned. If it returned none, the empty cache counted as all that is listed, and a planner that loaded the job then told so.

Change: the read begins anew if the rows that it continued from are gone.

Evidence: result_reader_test.job_evicted_while_it_is_loaded_is_read_whole failed on each run before and passes now.

--- a/drivers/batch/result_reader.cpp
+++ b/drivers/batch/result_reader.cpp
@@ -79,7 +79,8 @@
         if (page->unreadable > 0) {
             co_return failure{result_code::bad_frame, "results can't be read"};
         }
-        has_gap = false;
+        // Rows that are missing now were evicted during the read.
+        has_gap = cache_.entry(job).last_key < after;
         for (const stored_value& value : page->values) {
             has_gap = !append_stored(job, value) || has_gap;
         }
