Keep a commit of results open over a read in its term

What callers would see: the planner answers that no row is listed at a position that others have read from the store.

Cause: a commit without an answer may take effect seconds later, as long as its term lasts. A planner that got its term back and read the job again forgot such a commit and told that its rows are all there are.

Change: a read in the same term closes a commit only if its position is taken by then; one in a later term does always, since the term's key fences the commit off. listed_rows is told the term and the position of each commit; its tests pass them.

Evidence: listed_rows_test.open_commit_stays_open_over_a_read_in_its_term and .commit_in_progress_stays_open_over_a_read failed on each run before and pass now.

--- a/drivers/batch/job_store.cpp
+++ b/drivers/batch/job_store.cpp
@@ -419,7 +419,9 @@
         make_write({.key = key}, {.key = key, .value = text});
     transaction.conditions.push_back(
         {.key = term.key, .revision = term.revision});
-    results_.rows(results.job).on_commit_sent(std::chrono::steady_clock::now());
+    results_.rows(results.job)
+        .on_commit_sent(term.revision, results.first_position,
+                        std::chrono::steady_clock::now());
     const auto written = co_await client_.commit(std::move(transaction));
     if (!written) {
         results_.rows(results.job)
--- a/servers/batch/listed_rows.cpp
+++ b/servers/batch/listed_rows.cpp
@@ -31,11 +31,18 @@
 
 void listed_rows::on_read_complete(store_revision term) {
     complete_in_term_ = term;
-    commit_sent_at_.reset();
-    has_open_commit_ = false;
+    const bool is_fenced_off = commit_term_ < term;
+    const bool is_position_taken = commit_position_ < rows_.size();
+    if (is_fenced_off || is_position_taken) {
+        commit_sent_at_.reset();
+        has_open_commit_ = false;
+    }
 }
 
-void listed_rows::on_commit_sent(steady_time now) {
+void listed_rows::on_commit_sent(store_revision term, std::size_t position,
+                                 steady_time now) {
+    commit_term_ = term;
+    commit_position_ = position;
     commit_sent_at_ = now;
 }
 
--- a/servers/batch/listed_rows.hpp
+++ b/servers/batch/listed_rows.hpp
@@ -47,9 +47,13 @@
     [[nodiscard]] const std::vector<std::string>& rows() const { return rows_; }
 
     /// All rows listed in terms before this one have been read from the store,
-    /// after the term began.
+    /// after the term began. A commit of the same term whose position is still
+    /// free stays open: it may be listed after the read.
     void on_read_complete(store_revision term);
-    void on_commit_sent(steady_time now);
+    /// A commit of rows from `position` on was sent, provided that `term`
+    /// holds.
+    void on_commit_sent(store_revision term, std::size_t position,
+                        steady_time now);
     /// The rows of the commit are listed, and were appended.
     void on_commit_listed();
     /// `may_be_listed`: the store may still list the rows of the commit. The
@@ -65,6 +69,10 @@
     std::size_t bytes_ = 0;
     /// The term in which the rows were read; 0 if in none.
     store_revision complete_in_term_ = 0;
+    /// The last commit that was sent.
+    store_revision commit_term_ = 0;
+    std::size_t commit_position_ = 0;
+    /// Absent if the outcome of that commit is known.
     std::optional<steady_time> commit_sent_at_;
     /// A commit failed that may still be listed.
     bool has_open_commit_ = false;
--- a/tests/servers/batch/listed_rows_test.cpp
+++ b/tests/servers/batch/listed_rows_test.cpp
@@ -46,7 +46,7 @@
 
 TEST_F(listed_rows_test, commit_without_outcome_makes_the_rows_incomplete) {
     rows.on_read_complete(term);
-    rows.on_commit_sent(now);
+    rows.on_commit_sent(term, 0, now);
     EXPECT_TRUE(rows.is_complete(term, now + 100ms));
     EXPECT_FALSE(rows.is_complete(term, now + 301ms));
     rows.on_commit_listed();
@@ -55,22 +55,22 @@
 
 TEST_F(listed_rows_test, commit_that_may_be_listed_hides_until_one_is_listed) {
     rows.on_read_complete(term);
-    rows.on_commit_sent(now);
+    rows.on_commit_sent(term, 0, now);
     rows.on_commit_failed(true);
     EXPECT_FALSE(rows.is_complete(term, now));
     // A later attempt that certainly had no effect says nothing about the
     // first.
-    rows.on_commit_sent(now);
+    rows.on_commit_sent(term, 0, now);
     rows.on_commit_failed(false);
     EXPECT_FALSE(rows.is_complete(term, now));
-    rows.on_commit_sent(now);
+    rows.on_commit_sent(term, 0, now);
     rows.on_commit_listed();
     EXPECT_TRUE(rows.is_complete(term, now));
 }
 
 TEST_F(listed_rows_test, refused_commit_leaves_the_rows_complete) {
     rows.on_read_complete(term);
-    rows.on_commit_sent(now);
+    rows.on_commit_sent(term, 0, now);
     rows.on_commit_failed(false);
     EXPECT_TRUE(rows.is_complete(term, now));
 }
@@ -79,7 +79,7 @@
 // found no row of it, as long as its term lasts.
 TEST_F(listed_rows_test, open_commit_stays_open_over_a_read_in_its_term) {
     rows.on_read_complete(term);
-    rows.on_commit_sent(now);
+    rows.on_commit_sent(term, 0, now);
     rows.on_commit_failed(true);
     rows.on_read_complete(term);
     EXPECT_FALSE(rows.is_complete(term, now));
@@ -90,7 +90,7 @@
 
 TEST_F(listed_rows_test, commit_in_progress_stays_open_over_a_read) {
     rows.on_read_complete(term);
-    rows.on_commit_sent(now);
+    rows.on_commit_sent(term, 0, now);
     rows.on_read_complete(term);
     EXPECT_FALSE(rows.is_complete(term, now + 301ms));
     rows.on_read_complete(term + 1);
