Count the time of a silent planner towards a read's wait

What callers would see: no answer. They wait 1.5 s longer than they allow, and a read whose planner was silent took 1.3 s for the planner, then up to 1 s for a watch and more for calls to a slow store.

Cause: the planner and the store were each given the whole wait.

Change: the store is given what is left of it, and read in any case.

Evidence: result_reader_test.time_that_a_planner_took_counts_towards_the_wait failed before and passes now.

--- a/drivers/batch/result_reader.cpp
+++ b/drivers/batch/result_reader.cpp
@@ -148,6 +148,7 @@
 asio::awaitable<outcome<result_page>>
 result_reader::find_page(job_record record, std::size_t first,
                          std::chrono::milliseconds wait) {
+    const steady_time end = std::chrono::steady_clock::now() + wait;
     result_page page = make_page(record, first, result_origin::cache);
     if (!page.rows.empty()) {
         co_return page;
@@ -163,7 +164,10 @@
             co_return page;
         }
     }
-    co_return co_await read_from_store(std::move(record), first, wait);
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        end - std::chrono::steady_clock::now());
+    co_return co_await read_from_store(
+        std::move(record), first, std::max(left, std::chrono::milliseconds(0)));
 }
 
 asio::awaitable<std::optional<std::vector<std::string>>>
--- a/tests/drivers/batch/result_reader_test.cpp
+++ b/tests/drivers/batch/result_reader_test.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <gtest/gtest.h>
 
 #include <functional>
@@ -161,3 +163,16 @@
     ASSERT_TRUE(rows);
     EXPECT_EQ(*rows, std::vector{row(0)});
 }
+
+// LOST: a read whose planner was silent waited once more at the store, longer
+// than its caller did.
+TEST_F(result_reader_test, time_that_a_planner_took_counts_towards_the_wait) {
+    planner.on_asked = [this]() -> asio::awaitable<void> {
+        asio::steady_timer timer(context, 60ms);
+        co_await timer.async_wait(asio::use_awaitable);
+    };
+    EXPECT_TRUE(read(0, 50ms).empty());
+    const auto watches = client.counters().calls_by_kind.at(
+        static_cast<std::size_t>(store_call_kind::watch));
+    EXPECT_EQ(watches, 0U);
+}
