Keep the open commits of results apart from the cached rows

Cause: which commits may still take effect was kept as one flag beside the cached rows. The late outcome of one commit closed the next one, which a planner sends after its term was suspended and resumed; and an eviction forgot them all, although they can't be read again.

Change: open_commits keeps them by number, with term and position, outside the cache. A commit is closed by its own outcome, or when its position is taken; the term's key fences off those of earlier terms.

--- a/drivers/batch/job_store.cpp
+++ b/drivers/batch/job_store.cpp
@@ -221,8 +221,14 @@
     if (found != records_.end()) {
         record = found->second;
     }
+    std::function<bool()> knows_all = [this, job, term = std::move(term)] {
+        const store_revision held = term();
+        return results_.is_complete(job, held) &&
+               !open_commits_.has_open(job, held,
+                                       std::chrono::steady_clock::now());
+    };
     return results_.read_own(std::move(job), std::move(record), first, wait,
-                             std::move(term));
+                             std::move(knows_all));
 }
 
 asio::awaitable<outcome<std::shared_ptr<const batch_job>>>
@@ -326,6 +332,7 @@
     }
     listed_rows& listed = results_.rows(record.id);
     listed.on_read_complete(term);
+    open_commits_.on_positions_taken(record.id, listed.size());
     loaded_job loaded{.job = std::move(*submission)};
     for (const std::string& row : listed.rows()) {
         loaded.listed.push_back(item_of(row));
@@ -419,14 +426,14 @@
         make_write({.key = key}, {.key = key, .value = text});
     transaction.conditions.push_back(
         {.key = term.key, .revision = term.revision});
-    results_.rows(results.job)
-        .on_commit_sent(term.revision, results.first_position,
-                        std::chrono::steady_clock::now());
+    const std::uint64_t number = open_commits_.on_sent(
+        results.job, term.revision, results.first_position,
+        std::chrono::steady_clock::now());
     const auto written = co_await client_.commit(std::move(transaction));
     if (!written) {
-        results_.rows(results.job)
-            .on_commit_failed(written.reason().code !=
-                              result_code::store_refused);
+        open_commits_.on_failed(results.job, number,
+                                written.reason().code !=
+                                    result_code::store_refused);
         co_return commit_end::not_listed;
     }
     bool is_listed = std::holds_alternative<transaction_done>(*written);
@@ -434,18 +441,18 @@
         // An earlier attempt at the same write may have taken effect late.
         const auto present = co_await client_.read_key(key);
         if (!present) {
-            results_.rows(results.job).on_commit_failed(true);
+            open_commits_.on_failed(results.job, number, true);
             co_return commit_end::not_listed;
         }
         is_listed = *present && (*present)->value == text;
     }
     if (is_listed) {
         results_.append(results.job, results.first_position, std::move(rows));
-        results_.rows(results.job).on_commit_listed();
+        open_commits_.on_listed(results.job, number);
         co_return commit_end::listed;
     }
     // What is listed there is known only after the job has been read again.
-    results_.rows(results.job).on_commit_failed(true);
+    open_commits_.on_failed(results.job, number, true);
     const auto& current = std::get<transaction_conflict>(*written).current;
     const bool is_held = std::any_of(
         current.begin(), current.end(), [&](const stored_value& value) {
--- a/drivers/batch/job_store.hpp
+++ b/drivers/batch/job_store.hpp
@@ -6,6 +6,7 @@
 #include "drivers/store/store_client.hpp"
 #include "servers/batch/batch_job.hpp"
 #include "servers/batch/item_planner.hpp"
+#include "servers/batch/open_commits.hpp"
 #include "servers/fleet/fleet_configuration.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -146,6 +147,7 @@
     store_client& client_;
     logger& log_;
     result_reader results_;
+    open_commits open_commits_;
     std::map<job_id, job_record> records_;
     std::map<job_id, store_revision> record_revisions_;
     std::list<std::shared_ptr<const batch_job>> cached_submissions_;
--- a/drivers/batch/result_reader.cpp
+++ b/drivers/batch/result_reader.cpp
@@ -170,17 +170,16 @@
         std::move(record), first, std::max(left, std::chrono::milliseconds(0)));
 }
 
+bool result_reader::is_complete(const job_id& job, store_revision term) const {
+    const cached_results* const known = cache_.find(job);
+    return known != nullptr && known->rows.is_complete(term);
+}
+
 asio::awaitable<std::optional<std::vector<std::string>>>
 result_reader::read_own(job_id job, std::optional<job_record> record,
                         std::size_t first, std::chrono::milliseconds wait,
-                        std::function<store_revision()> term) {
-    const auto is_complete = [&] {
-        const cached_results* const known = cache_.find(job);
-        return known != nullptr &&
-               known->rows.is_complete(term(),
-                                       std::chrono::steady_clock::now());
-    };
-    if (!is_complete()) {
+                        std::function<bool()> knows_all) {
+    if (!knows_all()) {
         co_return std::nullopt;
     }
     const std::size_t size = rows(job).size();
@@ -191,7 +190,7 @@
         const auto waiting = waiting_reads_.emplace(job, timer);
         co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
         waiting_reads_.erase(waiting);
-        if (!is_complete()) {
+        if (!knows_all()) {
             co_return std::nullopt;
         }
     }
--- a/drivers/batch/result_reader.hpp
+++ b/drivers/batch/result_reader.hpp
@@ -71,13 +71,16 @@
     read(job_record record, std::size_t first, std::chrono::milliseconds wait);
 
     /// Returns the rows from `first` on if this instance knows all that are
-    /// listed; waits up to `wait` for the first one if the job is open.
-    /// `record` is the job's, if it is known; `term` returns the term in which
-    /// this instance plans the job now, or 0. Makes no call to the store.
+    /// listed, as `knows_all` tells; waits up to `wait` for the first one if
+    /// the job is open. `record` is the job's, if it is known. Makes no call to
+    /// the store.
     boost::asio::awaitable<std::optional<std::vector<std::string>>>
     read_own(job_id job, std::optional<job_record> record, std::size_t first,
-             std::chrono::milliseconds wait,
-             std::function<store_revision()> term);
+             std::chrono::milliseconds wait, std::function<bool()> knows_all);
+
+    /// Whether the cached rows are all that was listed before this term.
+    [[nodiscard]] bool is_complete(const job_id& job,
+                                   store_revision term) const;
 
     /// Reads the results that the cache doesn't have yet from the store.
     boost::asio::awaitable<outcome<done>> refresh(job_id job);
--- a/servers/batch/listed_rows.cpp
+++ b/servers/batch/listed_rows.cpp
@@ -29,38 +29,4 @@
     return found;
 }
 
-void listed_rows::on_read_complete(store_revision term) {
-    complete_in_term_ = term;
-    const bool is_fenced_off = commit_term_ < term;
-    const bool is_position_taken = commit_position_ < rows_.size();
-    if (is_fenced_off || is_position_taken) {
-        commit_sent_at_.reset();
-        has_open_commit_ = false;
-    }
-}
-
-void listed_rows::on_commit_sent(store_revision term, std::size_t position,
-                                 steady_time now) {
-    commit_term_ = term;
-    commit_position_ = position;
-    commit_sent_at_ = now;
-}
-
-void listed_rows::on_commit_listed() {
-    commit_sent_at_.reset();
-    has_open_commit_ = false;
-}
-
-void listed_rows::on_commit_failed(bool may_be_listed) {
-    commit_sent_at_.reset();
-    has_open_commit_ = has_open_commit_ || may_be_listed;
-}
-
-bool listed_rows::is_complete(store_revision term, steady_time now) const {
-    const bool is_commit_open =
-        has_open_commit_ ||
-        (commit_sent_at_ && now >= *commit_sent_at_ + max_commit_time);
-    return term != 0 && complete_in_term_ == term && !is_commit_open;
-}
-
 } // namespace savorydock
--- a/servers/batch/listed_rows.hpp
+++ b/servers/batch/listed_rows.hpp
@@ -1,11 +1,8 @@
 #pragma once
 
-#include "core/clock.hpp"
 #include "core/ids.hpp"
 
-#include <chrono>
 #include <cstddef>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,10 +20,6 @@
 /// Not thread safe; deterministic.
 class listed_rows {
 public:
-    /// A commit without an outcome for this long may have been listed, so the
-    /// planner no longer knows all rows.
-    static constexpr std::chrono::milliseconds max_commit_time{300};
-
     /// Adds rows that begin at a position. Ignores those already known, and all
     /// if rows before the position are missing (`has_gap_before`). Returns
     /// whether rows were added.
@@ -47,35 +40,20 @@
     [[nodiscard]] const std::vector<std::string>& rows() const { return rows_; }
 
     /// All rows listed in terms before this one have been read from the store,
-    /// after the term began. A commit of the same term whose position is still
-    /// free stays open: it may be listed after the read.
-    void on_read_complete(store_revision term);
-    /// A commit of rows from `position` on was sent, provided that `term`
-    /// holds.
-    void on_commit_sent(store_revision term, std::size_t position,
-                        steady_time now);
-    /// The rows of the commit are listed, and were appended.
-    void on_commit_listed();
-    /// `may_be_listed`: the store may still list the rows of the commit. The
-    /// next commit is for the same position, so only one of them takes effect.
-    void on_commit_failed(bool may_be_listed);
+    /// after the term began.
+    void on_read_complete(store_revision term) { complete_in_term_ = term; }
 
     /// Whether `rows` are all that is listed, given that this instance holds
-    /// the job's term now.
-    [[nodiscard]] bool is_complete(store_revision term, steady_time now) const;
+    /// the job's term now and has no open commit (`open_commits`).
+    [[nodiscard]] bool is_complete(store_revision term) const {
+        return term != 0 && complete_in_term_ == term;
+    }
 
 private:
     std::vector<std::string> rows_;
     std::size_t bytes_ = 0;
     /// The term in which the rows were read; 0 if in none.
     store_revision complete_in_term_ = 0;
-    /// The last commit that was sent.
-    store_revision commit_term_ = 0;
-    std::size_t commit_position_ = 0;
-    /// Absent if the outcome of that commit is known.
-    std::optional<steady_time> commit_sent_at_;
-    /// A commit failed that may still be listed.
-    bool has_open_commit_ = false;
 };
 
 } // namespace savorydock
