Read results again after an event of a watch that can't be read

What callers would see: no results from a position on, for good, at an instance that met a value that is no base64.

Cause: a watch took an unreadable event for one without rows and moved its last key past it; a read of the same value is a failure.

Evidence: result_reader_test.unreadable_event_of_a_watch_is_read_again failed before and passes now. Nothing of ours writes such a value; found by the review.

--- a/drivers/batch/result_reader.cpp
+++ b/drivers/batch/result_reader.cpp
@@ -242,7 +242,7 @@
     cache_.entry(job).can_resume_watch = false;
     const auto changes = co_await client_.watch(
         results_prefix(job), cache_.entry(job).revision, wait);
-    if (!changes) {
+    if (!changes || changes->unreadable > 0) {
         co_return false;
     }
     bool has_gap = false;
--- a/tests/drivers/batch/result_reader_test.cpp
+++ b/tests/drivers/batch/result_reader_test.cpp
@@ -136,6 +136,15 @@
     EXPECT_EQ(read(1, 50ms), std::vector{row(1)});
 }
 
+// LOST: a value that could not be read was skipped by all later reads.
+TEST_F(result_reader_test, unreadable_event_of_a_watch_is_read_again) {
+    read_by_watch(0);
+    store.put_unreadable(results_key(record.id, 1));
+    EXPECT_FALSE(run(jobs.read_results(record.id, 1, 1s)));
+    list(1);
+    EXPECT_EQ(read(1, 0ms), std::vector{row(1)});
+}
+
 // LOST: the planner took a job without any row for one whose rows it knew.
 TEST_F(result_reader_test, job_evicted_while_it_is_loaded_is_read_whole) {
     constexpr store_revision term = 7;
