Answer reads from the end of a job without a call

Cause: a read from the position after the last result asked the planner and, since the store is read before a page is answered without rows, the store too.

Change: nothing follows the last position, so such a read is answered at once.

Result: result_reader_test.read_from_the_end_makes_no_call failed before (one read of the store) and passes now.

--- a/drivers/batch/result_reader.cpp
+++ b/drivers/batch/result_reader.cpp
@@ -150,7 +150,7 @@
                          std::chrono::milliseconds wait) {
     const steady_time end = std::chrono::steady_clock::now() + wait;
     result_page page = make_page(record, first, result_origin::cache);
-    if (!page.rows.empty()) {
+    if (!page.rows.empty() || first >= record.total) {
         co_return page;
     }
     if (source_ != nullptr) {
--- a/tests/drivers/batch/result_reader_test.cpp
+++ b/tests/drivers/batch/result_reader_test.cpp
@@ -145,6 +145,11 @@
     EXPECT_EQ(read(1, 0ms), std::vector{row(1)});
 }
 
+TEST_F(result_reader_test, read_from_the_end_makes_no_call) {
+    EXPECT_TRUE(read(3, 1s).empty());
+    EXPECT_EQ(client.counters().calls, 0U);
+}
+
 // LOST: the planner took a job without any row for one whose rows it knew.
 TEST_F(result_reader_test, job_evicted_while_it_is_loaded_is_read_whole) {
     constexpr store_revision term = 7;
