Log reads without results only if they didn't wait

Cause: each poll of an open job wrote a line, two with a remote planner, into a buffer of 2,048 lines.

Change: 2223 and 2224 are written if the job has ended or the answer didn't wait; the counters tell the others. What the lines are for, pages that come at once or of ended jobs, still shows.

Result: by reading; the volume on large deployments was not measured.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -105,11 +105,11 @@
                     "a run made no progress for too long and is stopped"},
     log_event_entry{result_read_empty, info, "result_read_empty",
                     "a read of a job's results found none at a position that "
-                    "is not the end; the detail says from where it was "
-                    "answered"},
+                    "is not the end, and the job has ended or the read didn't "
+                    "wait; the detail says from where it was answered"},
     log_event_entry{result_reply_empty, info, "result_reply_empty",
-                    "a planner replied to an instance that no results are "
-                    "listed from a position on"},
+                    "a planner replied to an instance, without a wait, that no "
+                    "results are listed from a position on"},
     log_event_entry{job_standing_changed, info, "job_standing_changed",
                     "a job yields to others of its priority or no longer does; "
                     "the detail says why"},
--- a/drivers/batch/result_exchange.cpp
+++ b/drivers/batch/result_exchange.cpp
@@ -149,6 +149,7 @@
 asio::awaitable<void> result_exchange::serve(instance_id reader,
                                              result_request request) {
     const job_id job = request.job;
+    const steady_time begin = std::chrono::steady_clock::now();
     auto rows = co_await read_own(job, request.first, request.wait);
     result_reply reply{.number = request.number,
                        .is_known = rows.has_value(),
@@ -156,7 +157,10 @@
                        .job = job};
     if (rows) {
         reply.rows = std::move(*rows);
-        if (reply.rows.empty()) {
+        const bool has_waited =
+            request.wait.count() > 0 &&
+            std::chrono::steady_clock::now() >= begin + request.wait;
+        if (reply.rows.empty() && !has_waited) {
             log_.write(log_event::result_reply_empty,
                        "job=" + job.text() +
                            " first=" + std::to_string(request.first) +
--- a/drivers/batch/result_reader.cpp
+++ b/drivers/batch/result_reader.cpp
@@ -117,6 +117,10 @@
         return;
     }
     ++counters_.empty.at(origin);
+    if (!record.is_ended && wait.count() > 0 && duration >= wait) {
+        // Nothing was listed during the wait.
+        return;
+    }
     const cached_results* const known = cache_.find(record.id);
     const auto milliseconds =
         std::chrono::duration_cast<std::chrono::milliseconds>(duration);
