--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -326,9 +326,6 @@
         loaded_jobs_.erase(id);
         if (planned_jobs_.erase(id) > 0) {
             (record.is_ended ? ended : moved).push_back(id);
-            if (!is_own_job(record)) {
-                jobs_.on_planned_elsewhere(id);
-            }
             log_.write(
                 log_event::job_dropped,
                 "job=" + id.text() + " service=" + options_.service.text() +
--- a/drivers/batch/job_store.hpp
+++ b/drivers/batch/job_store.hpp
@@ -115,12 +115,6 @@
     boost::asio::awaitable<outcome<loaded_job>> load(job_record record,
                                                      store_revision term);
 
-    /// The job's route moved to a service that another instance may plan. This
-    /// one no longer knows which results are listed until it loads the job.
-    void on_planned_elsewhere(const job_id& job) {
-        results_.rows(job).on_planned_elsewhere();
-    }
-
     /// Returns the rows from `first` on if this instance knows all that are
     /// listed; waits up to `wait` for the first one. `term` returns the term in
     /// which this instance plans the job now, or 0. Makes no call to the store.
--- a/servers/batch/listed_rows.hpp
+++ b/servers/batch/listed_rows.hpp
@@ -43,9 +43,6 @@
     /// after the term began.
     void on_read_complete(store_revision term) { complete_in_term_ = term; }
 
-    /// Another planner may list rows although this instance keeps its term.
-    void on_planned_elsewhere() { complete_in_term_ = 0; }
-
     /// Whether `rows` are all that is listed, given that this instance holds
     /// the job's term now and has no open commit (`open_commits`).
     [[nodiscard]] bool is_complete(store_revision term) const {
