Let the soak's readers read any position at any instance

Cause: its readers followed their own job to its end and read again from the start, without a wait, once all faults were over; pages without results were not judged.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,6 +5,7 @@
 import pathlib
 import signal
 import subprocess
+import time
 
 SETTINGS = """node_name = "{name}"
 role = "entry"
@@ -195,6 +196,7 @@
         self.proxy, self.folder = proxy, pathlib.Path(folder)
         self.process = None
         self.starts = 0
+        self.started_at = 0.0
         self.writes = 400
 
     def write_settings(self):
@@ -206,6 +208,7 @@
 
     def start(self):
         self.starts += 1
+        self.started_at = time.monotonic()
         log = open(self.folder / (self.name + ".log"), "ab")
         self.process = subprocess.Popen(
             [self.program, "entry"], stdout=log, stderr=log,
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -7,6 +7,8 @@
 # a job none of its items may start, and a fault has effects for up to CONTACT_S.
 CANCEL_S = 3.0
 CONTACT_S = 3.0
+# How long after a result was read, at any instance, the others may lack it.
+SETTLE_S = 1.0
 # First tries at instances that are cut off from all upstreams must be served at
 # least this share as often as those at the others.
 CUT_OFF_SHARE = 2 / 3
@@ -30,21 +32,36 @@
         self.terms = {}
         self.holders = {}
         self.rows = collections.defaultdict(dict)
+        # When each position of a job was first read.
+        self.read_at = {}
         self.jobs = {}
         self.jobs_of_items = {}
         self.refused_calls = set()
         self.active_faults = 0
         self.last_fault = 0.0
+        self.active_faults_of = collections.Counter()
+        self.last_fault_of = collections.defaultdict(float)
         self.counts = collections.Counter()
 
     def fail(self, text):
         if len(self.violations) < 20:
             self.violations.append(text)
 
-    def record_fault(self, change):
-        """Records the begin (1) or the end (-1) of a fault."""
+    def record_fault(self, change, nodes=()):
+        """Records the begin (1) or the end (-1) of a fault, and the names of
+        the instances that it affects."""
         self.active_faults += change
         self.last_fault = time.monotonic()
+        for node in nodes:
+            self.active_faults_of[node] += change
+            self.last_fault_of[node] = time.monotonic()
+
+    def calm_since(self, node):
+        """When the last fault of an instance ended; infinity while one is
+        active."""
+        if self.active_faults_of[node]:
+            return float("inf")
+        return self.last_fault_of[node]
 
     def faults_ended_at(self):
         """When the effects of the last fault ended; infinity while one is
@@ -134,11 +151,22 @@
             if known != row:
                 self.fail(f"TWICE: position {at} of {job['id']} changed")
             elif known is row:
+                self.read_at[job["id"], at] = time.monotonic()
                 self.check_row(job, row, event_text, events_of)
         ids = [row["id"] for row in self.rows[job["id"]].values()]
         if len(set(ids)) != len(ids):
             self.fail(f"TWICE: an item of {job['id']} stands twice")
 
+    def on_empty_page(self, job, first, node, sent_at, calm_since):
+        """An instance that has had no fault since `calm_since` found no result
+        from a position on."""
+        read_at = self.read_at.get((job["id"], first), float("inf"))
+        if (sent_at >= read_at + SETTLE_S and
+                sent_at >= calm_since + CONTACT_S):
+            self.fail(f"LOST: {node} has nothing at position {first} of "
+                      f"{job['id']}, {sent_at - read_at:.1f} s after it was "
+                      "read")
+
     def check_text(self, item, events, count, event_text):
         """Checks that `events` are the first `count` events of the item, all
         from one software version."""
@@ -164,7 +192,8 @@
             self.fail(f"MIXED: {item} is no item of {job['id']}")
             return
         if row["state"] == "lost":
-            if not job["ended_at"]:
+            # An end whose answer was lost may have taken effect.
+            if not job["ended_at"] and not job.get("is_end_sent"):
                 self.fail(f"MIXED: {item} is lost without a reason")
             return
         numbers = range(1, events_of(item) + 1)
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -49,6 +49,16 @@
         self.answer(200, 1)
         self.assertEqual(self.judge.violations, [])
 
+    def test_empty_page_at_a_calm_instance_is_caught(self):
+        self.page(self.row)
+        now = time.monotonic()
+        self.judge.on_empty_page(self.job, 0, "n", now + 0.5, 0.0)
+        self.judge.on_empty_page(self.job, 1, "n", now + 9, 0.0)
+        self.judge.on_empty_page(self.job, 0, "n", now + 9, now + 8)
+        self.assertEqual(self.judge.violations, [])
+        self.judge.on_empty_page(self.job, 0, "n", now + 9, 0.0)
+        self.assert_violation("LOST")
+
     def test_text_with_a_missing_event_is_caught(self):
         self.page({**self.row, "text": self.row["text"].partition("\n")[2]})
         self.assert_violation("ORDER")
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -21,6 +21,7 @@
 
 from faults import Network, Node, Proxy
 from judge import CONTACT_S, Judge
+from readers import Readers
 from store import Store
 from workers import Worker, event_text, events_of
 
@@ -181,7 +182,7 @@
             return False, status
 
     def make_job(self):
-        job = {"id": uuid.uuid4().hex,
+        job = {"id": uuid.uuid4().hex, "body": b"",
                "min_version": max(1, self.target_version - 1),
                "ended_at": 0.0, "items": []}
         rows = []
@@ -200,11 +201,12 @@
                 "scorer_url": {
                     "id": score, "host": "h.example", "path": "/safe/score",
                     "body": base64.b64encode(score.encode()).decode()}})
-        return job, json.dumps({
+        job["body"] = json.dumps({
             "step": self.target_version, "model": "m", "target_groups": 3,
             "min_version": job["min_version"], "items": rows}).encode()
+        return job
 
-    async def submit(self, job, body):
+    async def submit(self, job):
         """Retries until the job is accepted. Marks a job that was refused by
         every attempt, because none of its items may run."""
         headers = {"Request-Id": job["id"], "Content-Type": "application/json"}
@@ -212,7 +214,7 @@
         answers = []
         for _ in range(20):
             status, _, _ = await self.send("POST", self.url("/job/s"), headers,
-                                           body)
+                                           job["body"])
             answers.append(status)
             if status == 202:
                 return True
@@ -221,9 +223,10 @@
             job["is_refused"] = True
         return False
 
-    async def read(self, job, limit):
-        """Reads results as they become available. Returns whether all arrived
-        within `limit` seconds."""
+    async def read(self, job, limit, count=None):
+        """Reads results as they become available. Returns whether the first
+        `count`, or all, arrived within `limit` seconds."""
+        count = count or len(job["items"])
         end = time.monotonic() + limit
         while time.monotonic() < end:
             known = len(self.judge.rows[job["id"]])
@@ -236,35 +239,49 @@
                                    events_of)
             elif status in (404, 410):
                 self.judge.fail(f"LOST: {status} for job {job['id']}")
-            if len(self.judge.rows[job["id"]]) == len(job["items"]):
+            if len(self.judge.rows[job["id"]]) >= count:
                 return True
             await asyncio.sleep(0.2)
         return False
 
     async def run_trainer(self):
         while not self.is_over:
-            job, body = self.make_job()
-            if await self.submit(job, body):
+            job = self.make_job()
+            if await self.submit(job):
                 self.judge.counts["jobs"] += 1
-                await self.read(job, 12)
-                status, _, _ = await self.send(
-                    "DELETE", self.url(f"/savorydock/lots/{job['id']}"), {})
-                if status == 200:
-                    job["ended_at"] = time.monotonic()
+                # Half of the jobs end while results are still being listed.
+                count = len(job["items"])
+                await self.read(job, 12, self.random.choice(
+                    [count, self.random.randint(1, count)]))
+                await self.end(job)
                 if self.random.random() < 0.5:
                     self.target_version += 1
                     await self.store.put("op/version/m", json.dumps(
                         {"model": "m", "version": self.target_version}))
 
+    async def end(self, job):
+        job["is_end_sent"] = True
+        status, _, _ = await self.send(
+            "DELETE", self.url(f"/savorydock/lots/{job['id']}"), {})
+        if status == 200 and not job["ended_at"]:
+            job["ended_at"] = time.monotonic()
+
+    def calm_since(self, node):
+        """Since when an instance has run without faults."""
+        return max(node.started_at, self.judge.calm_since(node.name))
+
     async def apply_fault(self, kind, seconds, target, begin, end):
         """Applies one fault for `seconds` and reports it to the judge."""
+        names = [node.name for node in self.nodes]
+        affected = names if target in ("store", "all instances") else [
+            name for name in names if name == target and kind != "reload"]
         print(f"{time.monotonic() - self.begin:7.2f} {kind} {target} "
               f"{seconds:.1f} s", file=self.events)
-        self.judge.record_fault(1)
+        self.judge.record_fault(1, affected)
         begin()
         await asyncio.sleep(seconds)
         end()
-        self.judge.record_fault(-1)
+        self.judge.record_fault(-1, affected)
 
     def make_faults(self, node, worker, seconds):
         """Maps each kind of fault to its target and its begin and end
@@ -386,8 +403,8 @@
         """Checks, after all faults, that a new job completes within RECOVERY_S
         and that no result that was read before is lost."""
         begin = time.monotonic()
-        job, body = self.make_job()
-        is_served = await self.submit(job, body) and await self.read(
+        job = self.make_job()
+        is_served = await self.submit(job) and await self.read(
             job, RECOVERY_S)
         if not is_served or time.monotonic() > begin + RECOVERY_S:
             self.judge.fail(f"RECOVER: a new job takes "
@@ -397,6 +414,7 @@
                     "GET", f"http://{node.ip}:8167/savorydock/ready", {})
                 print(f"{node.name}: process {node.state()}, ready {status}, "
                       f"proxy {node.proxy.mode}", file=self.events)
+        await self.readers.read_everywhere()
         for job in list(self.judge.jobs.values()):
             if job.get("is_refused") and any(
                     self.judge.item_starts[item] for item in job["items"]):
@@ -429,6 +447,7 @@
         self.events = open(self.folder / "faults.txt", "w", buffering=1)
         self.faults = []
         self.begin = time.monotonic()
+        self.readers = Readers(self)
         await self.start()
         helpers = [asyncio.ensure_future(self.store.expire_leases()),
                    asyncio.ensure_future(self.supervise())]
@@ -437,13 +456,14 @@
             self.inject_faults(), self.run_trainer(), self.run_trainer(),
             self.call_plain_services(), self.call_plain_services(),
             self.call_plain_services(), self.call_streams(),
-            self.call_streams(), self.call_streams())]
+            self.call_streams(), self.call_streams(),
+            *self.readers.tasks())]
         await asyncio.sleep(self.options.seconds)
         tasks[0].cancel()
         await asyncio.gather(*self.faults)
         if self.options.cut_off:
             await self.cut_off(self.options.cut_off)
-        await asyncio.sleep(3)
+        await asyncio.sleep(2 * CONTACT_S)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
