Aim the soak's faults at the planner, and give readers what they haven't seen

Change: size small has six instances; jobs have 4 to 32 items; three in ten faults are aimed at the planner; half of the runs leave out faults of the store and of all instances, during which the judge excuses all; four in five reads have a wait. The judge's conditions are as they were.

--- a/tests/soak/fault_play.py
+++ b/tests/soak/fault_play.py
@@ -1,13 +1,23 @@
 """Plays random faults, which may overlap, and reports them to the judge."""
 
 import asyncio
+import random
 import signal
 import time
 
+# During these, and CONTACT_S after, the judge excuses what any instance does
+# not find. Half of the runs leave them out.
+FLEET_FAULTS = {"store", "history", "kill_all"}
+# Faults that are aimed at the planner, and their share of all.
+PLANNER_FAULTS = ["kill", "pause", "proxy", "term"]
+PLANNER_SHARE = 0.3
+
 
 class FaultPlay:
-    def __init__(self, soak):
-        self.soak, self.judge, self.random = soak, soak.judge, soak.random
+    def __init__(self, soak, seed):
+        self.soak, self.judge = soak, soak.judge
+        # Not shared with callers, whose draws depend on scheduling.
+        self.random = random.Random(seed)
         # The faults that have begun, as tasks.
         self.begun = []
 
@@ -74,14 +84,25 @@
         for network in self.soak.networks:
             network.apply()
 
+    def planner(self):
+        """The instance that plans the jobs, if there is one."""
+        term = self.soak.store.values.get("c/term/engine")
+        return next((node for node in self.soak.nodes if term and
+                     term[0].partition("/")[0] == node.name), None)
+
     async def inject(self):
         """Starts random faults, which may overlap."""
+        left_out = self.random.choice([FLEET_FAULTS, set()])
         while not self.soak.is_over:
             await asyncio.sleep(self.random.uniform(0.3, 1.6))
             seconds = self.random.uniform(0.5, 4.0)
-            faults = self.make_faults(self.random.choice(self.soak.nodes),
-                                      self.random.choice(self.soak.workers),
-                                      seconds)
-            kind = self.random.choice(list(faults))
+            node = self.random.choice(self.soak.nodes)
+            is_aimed = self.random.random() < PLANNER_SHARE
+            if is_aimed:
+                node = self.planner() or node
+            faults = self.make_faults(
+                node, self.random.choice(self.soak.workers), seconds)
+            kind = self.random.choice(PLANNER_FAULTS if is_aimed else sorted(
+                set(faults) - left_out))
             self.begun.append(asyncio.ensure_future(
                 self.apply_fault(kind, seconds, *faults[kind])))
--- a/tests/soak/readers.py
+++ b/tests/soak/readers.py
@@ -9,6 +9,9 @@
 
 READERS = 6
 WAIT_MS = 1000
+# A read without a wait always reads the store or asks the planner; most callers
+# wait.
+NO_WAIT_SHARE = 0.2
 # How much longer than its wait a caller waits for the answer.
 PATIENCE_S = 1.5
 
@@ -35,7 +38,7 @@
                 await self.read(
                     job, self.random.choice(self.soak.nodes),
                     self.random.randint(0, len(self.judge.rows[job["id"]])),
-                    self.random.choice([0, WAIT_MS]))
+                    0 if self.random.random() < NO_WAIT_SHARE else WAIT_MS)
             await asyncio.sleep(self.random.uniform(0.02, 0.2))
 
     async def read(self, job, node, first, wait_ms):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -25,12 +25,14 @@
 from store import Store
 from workers import Worker, event_text, events_of
 
-SIZES = {"small": (3, 3, 2), "usual": (6, 6, 4), "large": (24, 16, 8)}
+SIZES = {"small": (6, 3, 2), "usual": (6, 6, 4), "large": (24, 16, 8)}
 # The platform's bound on the time until service works again after all faults.
 RECOVERY_S = 15.0
 # The exit code of a drain that timed out with requests still open. It is
 # accepted, because store faults can delay requests beyond the timeout.
 DRAIN_TIMED_OUT = 4
+# How many items the trainers' jobs have.
+JOB_SIZES = [4, 8, 16, 32]
 ROUTES = [
     {"name": "safe", "prefix": "/safe/", "route_type": "safe",
      "service": "plain", "max_attempts": 3, "timeout_ms": 2000,
@@ -181,12 +183,12 @@
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
             return False, status
 
-    def make_job(self):
+    def make_job(self, count=12):
         job = {"id": uuid.uuid4().hex, "body": b"",
                "min_version": max(1, self.target_version - 1),
                "ended_at": 0.0, "items": []}
         rows = []
-        for at in range(12):
+        for at in range(count):
             item = uuid.uuid4().hex[:16]
             job["items"].append(item)
             self.judge.jobs_of_items[item] = job["id"]
@@ -202,8 +204,9 @@
                     "id": score, "host": "h.example", "path": "/safe/score",
                     "body": base64.b64encode(score.encode()).decode()}})
         job["body"] = json.dumps({
-            "step": self.target_version, "model": "m", "target_groups": 3,
-            "min_version": job["min_version"], "items": rows}).encode()
+            "step": self.target_version, "model": "m",
+            "target_groups": count // 4, "min_version": job["min_version"],
+            "items": rows}).encode()
         return job
 
     async def submit(self, job):
@@ -246,7 +249,7 @@
 
     async def run_trainer(self):
         while not self.is_over:
-            job = self.make_job()
+            job = self.make_job(self.random.choice(JOB_SIZES))
             if await self.submit(job):
                 self.judge.counts["jobs"] += 1
                 # Half of the jobs end while results are still being listed.
@@ -373,7 +376,8 @@
     async def run(self):
         self.events = open(self.folder / "faults.txt", "w", buffering=1)
         self.begin = time.monotonic()
-        self.readers, self.faults = Readers(self), FaultPlay(self)
+        self.readers = Readers(self)
+        self.faults = FaultPlay(self, self.options.seed)
         await self.start()
         helpers = [asyncio.ensure_future(self.store.expire_leases()),
                    asyncio.ensure_future(self.supervise())]
