--- a/tests/main/caller_memory_test.cpp
+++ b/tests/main/caller_memory_test.cpp
@@ -6,11 +6,6 @@
 namespace {
 
 constexpr std::size_t mega = 1U << 20U;
-/// How far a body that never ends stops short of its announced end.
-constexpr std::size_t missing_bytes = 1'000;
-/// Sent by each connection that would send without end.
-constexpr std::size_t endless_bytes = 12 * mega;
-constexpr std::size_t piece_bytes = 65'536;
 
 class caller_memory_test : public caller_memory_fixture {
 protected:
@@ -18,18 +13,10 @@
     [[nodiscard]] crowd_plan make_short_body(const std::string& target,
                                              std::size_t piece,
                                              std::chrono::milliseconds pause) {
-        const std::size_t sent = limits_.max_body_bytes - missing_bytes;
-        return {.head = make_head(target, make_length(limits_.max_body_bytes)),
-                .piece = std::string(piece, 'a'),
-                .pieces = sent / piece,
-                .tail = std::string(sent % piece, 'a'),
-                .pause = pause};
-    }
-
-    static std::string make_chunk(std::size_t size) {
-        char digits[20];
-        std::snprintf(digits, sizeof(digits), "%zx\r\n", size);
-        return digits + std::string(size, 'a') + "\r\n";
+        crowd_plan plan = process_memory_fixture::make_short_body(
+            make_head(target, make_length(limits_.max_body_bytes)), piece);
+        plan.pause = pause;
+        return plan;
     }
 
     static std::string chunked_head() {
@@ -41,13 +28,7 @@
 
 // Trailers were buffered without a limit: 3.1 GB after 8 s.
 TEST_F(caller_memory_test, endless_trailers_leave_memory_bounded) {
-    std::string piece;
-    while (piece.size() < piece_bytes) {
-        piece += "X-Trailer: " + std::string(100, 'a') + "\r\n";
-    }
-    expect_sound_under({.head = chunked_head() + "0\r\n",
-                        .piece = piece,
-                        .pieces = endless_bytes / piece.size()});
+    expect_sound_under(make_endless_trailers(chunked_head()));
 }
 
 // One trailer without a line end was buffered without a limit.
--- a/tests/main/internal_port_memory_test.cpp
+++ b/tests/main/internal_port_memory_test.cpp
@@ -4,22 +4,12 @@
 
 namespace {
 
-constexpr std::size_t piece_bytes = 65'536;
-/// Sent by each connection that would send without end.
-constexpr std::size_t endless_bytes = 12U << 20U;
-
 /// Sends what harms the port for callers to the other ports of an instance.
 class internal_port_memory_test : public caller_memory_fixture {
 protected:
     static crowd_plan endless_trailers() {
-        std::string piece;
-        while (piece.size() < piece_bytes) {
-            piece += "X-Trailer: " + std::string(100, 'a') + "\r\n";
-        }
-        return {.head =
-                    make_head("/", "Transfer-Encoding: chunked\r\n") + "0\r\n",
-                .piece = piece,
-                .pieces = endless_bytes / piece.size()};
+        return make_endless_trailers(
+            make_head("/", "Transfer-Encoding: chunked\r\n"));
     }
 
     static crowd_plan short_bodies() {
