Hold one copy of a forwarded body

Cause: plain_call_request held the request by value, so that a body being forwarded existed twice: in the exchange, where the callers' budget counts it, and in the call, where nothing does. 24 bodies of 4 MB for an upstream that doesn't read them took 40 MB beside the process's 13, with a budget of 21.6.

Change: the call refers to the exchange's request, which outlives it.

--- a/drivers/batch/item_runner.cpp
+++ b/drivers/batch/item_runner.cpp
@@ -262,9 +262,11 @@
                                        .host = task->host,
                                        .path = task->path,
                                        .body = task->body};
+            const http_request request =
+                platform::make_scoring_request(scoring);
             plain_call_request call{
                 .route = *route,
-                .request = platform::make_scoring_request(scoring),
+                .request = request,
                 .id = scoring.id,
                 .deadline = std::chrono::steady_clock::now() + time,
                 .is_urgent = true,
--- a/drivers/front/plain_caller.hpp
+++ b/drivers/front/plain_caller.hpp
@@ -25,7 +25,8 @@
 struct plain_call_request {
     /// Must stay valid during the call.
     const route_rule& route;
-    http_request request;
+    /// Must stay valid during the call, so that all attempts share its body.
+    const http_request& request;
     std::string id;
     /// The organisation of the caller; empty if it has none.
     organisation_id organisation;
