Return freed large blocks to the system at once

Cause: glibc raises its thresholds whenever a large block is freed, up to 32 MB for mapping a block on its own and 64 MB of free memory kept at the end of the heap. After the first large bodies and answers were freed, later ones came from a heap that stayed, beside the budgets, and the pages that a body reserves but hasn't received yet were taken already. Crowds of one kind hid it, those of several kinds don't.

Change: both programs fix the thresholds at their start: 128 KiB (glibc's own initial value) and 1 MiB.

Ruled out: the other ports; crowds on them alone leave the peak at 13 MB.

--- a/main/savorydock_entry.cpp
+++ b/main/savorydock_entry.cpp
@@ -1,4 +1,5 @@
 #include "drivers/entry/entry_instance.hpp"
+#include "drivers/process/process_resources.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -48,6 +49,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    savorydock::return_freed_blocks();
     gflags::SetUsageMessage("runs one entry instance\n\n"
                             "  savorydock-entry --settings FILE [--check]\n\n"
                             "SIGTERM drains the instance. Exit codes: "
--- a/main/savorydock_node.cpp
+++ b/main/savorydock_node.cpp
@@ -1,6 +1,7 @@
 #include "core/text_file.hpp"
 #include "drivers/logging/log4cxx_logger.hpp"
 #include "drivers/node/node_instance.hpp"
+#include "drivers/process/process_resources.hpp"
 #include "platform/settings_file.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -53,6 +54,7 @@
 
 int main(int argc, char** argv) {
     using namespace savorydock;
+    return_freed_blocks();
     gflags::SetUsageMessage(
         "runs one instance on the users' platform\n\n"
         "  savorydock-node [--check] entry|store\n\n"
