Bound the memory and connections of savorydock-entry

Cause: the own interface made its HTTP servers without a budget. Each body was bounded, their sum was not; operators' addresses took bodies of the callers' size; connections were accepted up to the last descriptor.

Change: a setting memory_mb, by default what the system reports. The plan that savorydock-node uses divides it, in equal parts for the traffic threads: callers, answers of upstreams, kept answers, messages of peers. Too little memory for one largest body on each thread is refused as a faulty setting (exit code 3); if the memory isn't set, such a body is received whatever the machine has. Callers' connections stay below two thirds of the descriptors; the process raises its limit to the hard one. Operators get 64 connections, bodies of 64 KiB and 2 MB. Refused callers are logged (caller_limited) and counted (savorydock_callers_limited_total).

The fixture of the tests sets memory_mb to the bound that it checked before (64 and 120 MB), which the code before refused as an unknown member. Crowds and bounds are the same.

--- a/core/instance_settings.cpp
+++ b/core/instance_settings.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr integer_range thread_range{1, 64};
+constexpr integer_range memory_mb_range{32, 16'777'216};
 constexpr integer_range lease_seconds_range{4, 300};
 constexpr integer_range order_ms_range{1'000, 3'600'000};
 constexpr integer_range drain_ms_range{0, 3'600'000};
@@ -94,6 +95,8 @@
     });
     settings.traffic_threads = static_cast<std::uint32_t>(
         root.integer("traffic_threads", thread_range, 2));
+    settings.memory_mb = static_cast<std::uint32_t>(
+        root.integer("memory_mb", memory_mb_range, 0));
     settings.drain_timeout = root.milliseconds(
         "drain_timeout_ms", drain_ms_range, settings.drain_timeout);
     settings.log_file = root.text("log_file", "-");
--- a/core/instance_settings.hpp
+++ b/core/instance_settings.hpp
@@ -56,6 +56,8 @@
     std::vector<endpoint> platform;
     std::vector<peer_rule> peers;
     std::uint32_t traffic_threads = 2;
+    /// The memory of the machine; 0 for what the system reports.
+    std::uint32_t memory_mb = 0;
     std::chrono::milliseconds drain_timeout{60'000};
     std::string log_file = "-";
     std::string log_level = "info";
--- a/drivers/entry/entry_instance.cpp
+++ b/drivers/entry/entry_instance.cpp
@@ -11,10 +11,13 @@
 #include "drivers/operator_http/operator_api.hpp"
 #include "drivers/peer/peer_link.hpp"
 #include "drivers/platform_kv/etcd_gateway_client.hpp"
+#include "drivers/process/process_resources.hpp"
+#include "servers/admission/memory_plan.hpp"
 #include "servers/routing/snapshot_router.hpp"
 
 #include <boost/json/object.hpp>
 
+#include <algorithm>
 #include <random>
 #include <sstream>
 #include <thread>
@@ -27,6 +30,60 @@
 
 constexpr std::chrono::milliseconds drain_check_interval{20};
 
+/// Operators send no bodies.
+constexpr std::uint32_t max_operator_body_bytes = 65'536;
+constexpr std::uint32_t max_operator_connections = 64;
+constexpr std::size_t operator_memory_bytes = 2U << 20U;
+constexpr std::size_t bytes_per_mb = 1U << 20U;
+
+/// Divides the memory of the settings, or else of the machine. In that case one
+/// body of the largest size is received whatever the machine's memory, because
+/// the settings promise it.
+memory_plan make_plan(const instance_settings& settings) {
+    const std::size_t threads = settings.traffic_threads;
+    if (settings.memory_mb > 0) {
+        return make_memory_plan(settings.memory_mb * bytes_per_mb, threads);
+    }
+    memory_plan plan = make_memory_plan(find_machine_memory(), threads);
+    plan.caller_bytes =
+        std::max(plan.caller_bytes,
+                 min_caller_bytes(settings.limits.max_body_bytes, threads));
+    return plan;
+}
+
+caller_limits limit_callers(const instance_settings& settings,
+                            std::size_t max_descriptors) {
+    caller_limits limits = settings.limits;
+    limits.max_connections =
+        max_caller_connections(max_descriptors, limits.max_connections);
+    return limits;
+}
+
+caller_limits limit_operators(const instance_settings& settings) {
+    caller_limits limits = settings.limits;
+    limits.max_connections =
+        std::min(limits.max_connections, max_operator_connections);
+    limits.max_body_bytes =
+        std::min(limits.max_body_bytes, max_operator_body_bytes);
+    return limits;
+}
+
+std::string write_limited(const http_server_counters& counters) {
+    std::string text;
+    const auto write = [&](std::string_view reason, std::uint64_t count) {
+        text += "savorydock_callers_limited_total{reason=\"" +
+                std::string(reason) + "\"} " + std::to_string(count) + "\n";
+    };
+    write("malformed", counters.malformed);
+    write("too_large", counters.too_large);
+    write("request_memory", counters.overloaded);
+    write("answer_memory", counters.answers_dropped);
+    write("slow", counters.too_slow);
+    write("closed_for_room", counters.closed_for_room);
+    write("not_accepted", counters.not_accepted);
+    return text;
+}
+
 std::uint64_t make_random_seed() {
     std::random_device device;
     return (std::uint64_t{device()} << 32U) | device();
@@ -57,12 +114,14 @@
                  .zone = settings.zone,
                  .listen = settings.peer_listen,
                  .peer_key = settings.peer_key,
+                 .max_incoming_bytes = plan.peer_bytes,
                  .seed = seed},
                 log)
         , executor(control_io.context(0), peers, platform)
         , runtime({}, executor, log)
         , router(settings.zone, seed)
-        , keys(key_ledger_options{})
+        , keys({.max_answer_bytes = std::min(
+                    key_ledger_options{}.max_answer_bytes, plan.result_bytes)})
         , decisions(decision_log_options{})
         , control(
               {.settings = settings,
@@ -93,15 +152,22 @@
                       [this](upstream_observation seen) {
                           runtime.post_observation(std::move(seen));
                       }}
-        , caller_server(traffic_io, settings.limits, make_caller_api(traffic))
-        , operator_server(control_io, settings.limits,
-                          make_operator_api(operators)) {
+        , caller_server(traffic_io,
+                        limit_callers(settings, raise_descriptor_limit()),
+                        make_caller_api(traffic),
+                        {.memory_bytes = plan.caller_bytes, .log = &log})
+        , operator_server(control_io, limit_operators(settings),
+                          make_operator_api(operators),
+                          {.memory_bytes = operator_memory_bytes,
+                           .name = "operators",
+                           .log = &log}) {
         traffic.incarnation = to_hex(seed);
         traffic.statistics.resize(traffic_io.size());
         for (std::size_t i = 0; i < traffic_io.size(); ++i) {
             traffic.contexts.emplace_back(traffic_io.context(i));
-            traffic.clients.push_back(
-                std::make_unique<upstream_client>(traffic_io.context(i)));
+            traffic.clients.push_back(std::make_unique<upstream_client>(
+                traffic_io.context(i),
+                answer_limits{.max_total_body_bytes = plan.answer_bytes}));
         }
         bind_operator_services();
     }
@@ -115,6 +181,7 @@
     json::object make_status(steady_time now);
 
     instance_settings settings;
+    memory_plan plan = make_plan(settings);
     entry_charts charts;
     std::uint64_t seed;
     seeded_random_source random;
@@ -195,7 +262,8 @@
                "savorydock_chart_violations_total " +
                std::to_string(traffic.chart_violations.load()) + "\n" +
                "savorydock_active_requests " +
-               std::to_string(caller_server.active_requests()) + "\n";
+               std::to_string(caller_server.active_requests()) + "\n" +
+               write_limited(caller_server.total_counters());
     };
     operators.start_drain = [this] { is_drain_wanted = true; };
     operators.clear_suspect = [this](std::string fingerprint, auto answer) {
@@ -244,6 +312,7 @@
     caller_address = *caller;
     log.write(log_event::instance_started,
               "zone=" + settings.zone.text() +
+                  " caller_memory_bytes=" + std::to_string(plan.caller_bytes) +
                   " caller=" + to_text(caller_address) + " operator=" +
                   to_text(operator_address) + " peer=" + to_text(peer_address));
     return done{};
@@ -264,8 +333,23 @@
 
 entry_instance::~entry_instance() = default;
 
+outcome<done> entry_instance::check(const instance_settings& settings) {
+    const std::size_t least =
+        min_memory_mb(settings.limits.max_body_bytes, settings.traffic_threads);
+    if (settings.memory_mb > 0 && settings.memory_mb < least) {
+        return failure{result_code::invalid_settings,
+                       "memory_mb: at least " + std::to_string(least) +
+                           " for limits.max_body_bytes and traffic_threads"};
+    }
+    return done{};
+}
+
 outcome<std::unique_ptr<entry_instance>>
 entry_instance::start(const instance_settings& settings) {
+    const auto checked = check(settings);
+    if (!checked) {
+        return checked.reason();
+    }
     auto charts = entry_charts::load(settings.chart_folder);
     if (!charts) {
         return charts.reason();
--- a/drivers/entry/entry_instance.hpp
+++ b/drivers/entry/entry_instance.hpp
@@ -15,9 +15,13 @@
 /// operators' interface.
 class entry_instance {
 public:
-    /// Starts an instance. Errors: `invalid_settings` if it can't listen on an
-    /// address; `not_found` or `invalid_chart` if a chart file is missing or
-    /// invalid.
+    /// Checks what the settings' members say together. Errors:
+    /// `invalid_settings`. Thread safe.
+    [[nodiscard]] static outcome<done> check(const instance_settings& settings);
+
+    /// Starts an instance. Errors: as `check`, and `invalid_settings` if it
+    /// can't listen on an address; `not_found` or `invalid_chart` if a chart
+    /// file is missing or invalid.
     [[nodiscard]] static outcome<std::unique_ptr<entry_instance>>
     start(const instance_settings& settings);
 
--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -145,7 +145,7 @@
 void http_server::state::record(std::uint64_t http_server_counters::*counter,
                                 std::string_view reason, std::size_t worker) {
     worker_state& own = workers[worker];
-    ++(own.counters.*counter);
+    ++std::atomic_ref(own.counters.*counter);
     const auto now = std::chrono::steady_clock::now();
     if (options.log == nullptr || now < own.logged_at + log_interval) {
         ++own.unlogged;
@@ -515,4 +515,20 @@
     return counters;
 }
 
+http_server_counters http_server::total_counters() const {
+    http_server_counters total;
+    for (state::worker_state& worker : state_->workers) {
+        for (const auto counter : {&http_server_counters::malformed,
+                                   &http_server_counters::too_large,
+                                   &http_server_counters::overloaded,
+                                   &http_server_counters::too_slow,
+                                   &http_server_counters::answers_dropped,
+                                   &http_server_counters::closed_for_room,
+                                   &http_server_counters::not_accepted}) {
+            total.*counter += std::atomic_ref(worker.counters.*counter).load();
+        }
+    }
+    return total;
+}
+
 } // namespace savorydock
--- a/drivers/http/http_server.hpp
+++ b/drivers/http/http_server.hpp
@@ -129,6 +129,9 @@
     [[nodiscard]] std::size_t open_connections() const;
     /// Precondition: called on the pool's thread, of which there is one.
     [[nodiscard]] http_server_counters counters() const;
+    /// The counters of all threads together, without `memory_bytes`. Thread
+    /// safe.
+    [[nodiscard]] http_server_counters total_counters() const;
 
 private:
     struct state;
--- a/drivers/upstream_http/upstream_client.hpp
+++ b/drivers/upstream_http/upstream_client.hpp
@@ -46,8 +46,9 @@
     using event_sink =
         std::function<boost::asio::awaitable<bool>(const stream_event&)>;
 
-    explicit upstream_client(boost::asio::io_context& context)
-        : client_(context) {}
+    explicit upstream_client(boost::asio::io_context& context,
+                             answer_limits limits = {})
+        : client_(context, unframed_answer::refuse, std::move(limits)) {}
 
     /// Forwards a plain call. Calls that are not idempotent use a new
     /// connection: on a half-closed one, whether they ran would be unknown.
--- a/main/savorydock_entry.cpp
+++ b/main/savorydock_entry.cpp
@@ -65,6 +65,11 @@
         std::cerr << settings.reason().detail << '\n';
         return to_int(exit_code::invalid_settings);
     }
+    const auto checked = savorydock::entry_instance::check(*settings);
+    if (!checked) {
+        std::cerr << FLAGS_settings << ": " << checked.reason().detail << '\n';
+        return to_int(exit_code::invalid_settings);
+    }
     if (FLAGS_check) {
         std::cout << FLAGS_settings << ": valid\n";
         return to_int(exit_code::ok);
--- a/servers/admission/memory_plan.cpp
+++ b/servers/admission/memory_plan.cpp
@@ -16,10 +16,15 @@
 constexpr std::size_t result_percent = 10;
 constexpr std::size_t peer_percent = 10;
 constexpr std::size_t reserved_descriptors = 200;
+/// What a body may use of the memory of its thread; the rest is for small
+/// requests.
+constexpr std::size_t body_percent = 75;
+/// For the head and the bytes of one read.
+constexpr std::size_t head_bytes = 262'144;
 
 } // namespace
 
-memory_plan make_memory_plan(std::size_t memory_bytes) {
+memory_plan make_memory_plan(std::size_t memory_bytes, std::size_t threads) {
     if (memory_bytes == 0) {
         return {.caller_bytes = std::numeric_limits<std::size_t>::max(),
                 .answer_bytes = most_answer_bytes,
@@ -30,11 +35,22 @@
         return memory_bytes / percent * share;
     };
     return {.caller_bytes = part(caller_percent),
-            .answer_bytes = std::min(most_answer_bytes, part(answer_percent)),
+            .answer_bytes =
+                std::min(most_answer_bytes, part(answer_percent) / threads),
             .result_bytes = std::min(most_result_bytes, part(result_percent)),
             .peer_bytes = part(peer_percent)};
 }
 
+std::size_t min_caller_bytes(std::size_t max_body_bytes, std::size_t threads) {
+    return (max_body_bytes + head_bytes) * percent / body_percent * threads;
+}
+
+std::size_t min_memory_mb(std::size_t max_body_bytes, std::size_t threads) {
+    const std::size_t bytes =
+        min_caller_bytes(max_body_bytes, threads) * percent / caller_percent;
+    return (bytes >> 20U) + 1;
+}
+
 std::uint32_t max_caller_connections(std::size_t max_descriptors,
                                      std::uint32_t unlimited) {
     if (max_descriptors <= reserved_descriptors) {
--- a/servers/admission/memory_plan.hpp
+++ b/servers/admission/memory_plan.hpp
@@ -9,7 +9,7 @@
 struct memory_plan {
     /// Requests of callers, and answers that they have not read yet.
     std::size_t caller_bytes;
-    /// Answers that are being received from upstreams.
+    /// Answers that are being received from upstreams, for each traffic thread.
     std::size_t answer_bytes;
     /// Results of jobs that are kept for their readers.
     std::size_t result_bytes;
@@ -18,8 +18,20 @@
 };
 
 /// Divides the memory of a machine; 0 if it isn't known. The rest, a tenth and
-/// more, is for the process itself, which takes some 16 MB. Thread safe.
-[[nodiscard]] memory_plan make_memory_plan(std::size_t memory_bytes);
+/// more, is for the process itself, which takes some 16 MB. Precondition:
+/// threads > 0. Thread safe.
+[[nodiscard]] memory_plan make_memory_plan(std::size_t memory_bytes,
+                                           std::size_t threads = 1);
+
+/// The least memory of callers with which a body of this size can be received
+/// by each thread. Thread safe.
+[[nodiscard]] std::size_t min_caller_bytes(std::size_t max_body_bytes,
+                                           std::size_t threads);
+
+/// The least memory of a machine, in units of 1 MiB, for which
+/// `make_memory_plan` gives callers that much. Thread safe.
+[[nodiscard]] std::size_t min_memory_mb(std::size_t max_body_bytes,
+                                        std::size_t threads);
 
 /// The number of callers' connections, so that upstreams, peers and the store
 /// keep a third of the descriptors that aren't reserved. `max_descriptors` is 0
--- a/tests/main/entry_memory_test.cpp
+++ b/tests/main/entry_memory_test.cpp
@@ -42,6 +42,8 @@
                         to_text(*platform) +
                         R"("], "chart_folder": ")" SAVORYDOCK_SOURCE_DIR
                         R"(/charts",
+            "memory_mb": )" +
+                        std::to_string(limits.memory_mb) + R"(,
             "limits": {"max_body_bytes": )" +
                         std::to_string(limits.max_body_bytes) + "}}"));
     }
--- a/tests/servers/admission/caller_memory_test.cpp
+++ b/tests/servers/admission/caller_memory_test.cpp
@@ -136,6 +136,22 @@
     EXPECT_EQ(make_memory_plan(0).answer_bytes, 48 * mega);
 }
 
+TEST(memory_plan_test, threads_share_the_memory_for_answers) {
+    EXPECT_EQ(make_memory_plan(100 * mega, 2).answer_bytes, 10 * mega);
+    EXPECT_EQ(make_memory_plan(4'000 * mega, 2).answer_bytes, 48 * mega);
+}
+
+// Each thread divides its part: three quarters of it are for large bodies.
+TEST(memory_plan_test, least_memory_takes_the_largest_body_on_each_thread) {
+    for (const std::size_t threads : {1U, 2U, 64U}) {
+        const std::size_t least = min_memory_mb(8 * mega, threads);
+        const std::size_t callers = make_memory_plan(least * mega).caller_bytes;
+        EXPECT_GE(callers, min_caller_bytes(8 * mega, threads));
+        EXPECT_GT(callers / threads / 4 * 3, 8 * mega);
+        EXPECT_LT(least, threads * 27);
+    }
+}
+
 TEST(memory_plan_test, callers_leave_a_third_of_the_descriptors) {
     EXPECT_EQ(max_caller_connections(3'200, 10'000), 2'000U);
     EXPECT_EQ(max_caller_connections(0, 10'000), 10'000U);
