Reserve memory before a large JSON body is parsed

Cause: completions and steps are parsed into a tree, at 16 bytes a value and up to three times as much while it grows. A legal body of 4 MB that is mostly commas took some 100 MB on each traffic thread, and nothing counted it.

Change: a body over 64 KiB reserves its size and 64 bytes for each value that its text can hold, from the callers' budget; without room it is refused as not run (503, code 100). Smaller ones are parsed in any case, so that ordinary callers are served while memory is short.

--- a/drivers/caller_http/caller_api.cpp
+++ b/drivers/caller_http/caller_api.cpp
@@ -5,6 +5,7 @@
 #include "drivers/caller_http/model_call.hpp"
 #include "drivers/caller_http/plain_call.hpp"
 #include "drivers/caller_http/step_call.hpp"
+#include "servers/admission/memory_plan.hpp"
 
 namespace savorydock {
 
@@ -16,6 +17,8 @@
 constexpr std::string_view steps_path = "/v1/steps";
 constexpr std::string_view services_path = "/v1/services/";
 
+constexpr std::size_t small_body_bytes = 65'536;
+
 enum class api_call : std::uint8_t { none, completion, step, plain };
 
 struct api_target {
@@ -84,9 +87,25 @@
     co_await exchange.respond(std::move(answer));
 }
 
+/// Reserves memory for parsing a large body. Small ones are parsed in any case,
+/// so that ordinary callers are served while memory is short.
+bool reserve_parsing(http_exchange& exchange) {
+    const http_request& request = exchange.request();
+    const std::string_view path = request.path();
+    const bool is_parsed = path == completions_path || path == steps_path;
+    return !is_parsed || request.body.size() <= small_body_bytes ||
+           exchange.reserve_memory(estimate_parsed_bytes(request.body));
+}
+
 asio::awaitable<void> serve(http_exchange& exchange,
                             traffic_services& services) {
     const request_id id = id_of(exchange.request(), services);
+    if (!reserve_parsing(exchange)) {
+        const failure reason{result_code::not_run_overloaded,
+                             "no memory to parse the body"};
+        co_await refuse(exchange, id, reason, services);
+        co_return;
+    }
     api_target target = read_target(exchange.request());
     if (target.call == api_call::none) {
         const failure reason{result_code::not_found, "no such path or method"};
--- a/servers/admission/memory_plan.cpp
+++ b/servers/admission/memory_plan.cpp
@@ -19,6 +19,9 @@
 /// What a body may use of the memory of its thread; the rest is for small
 /// requests.
 constexpr std::size_t body_percent = 75;
+/// A parsed value takes 16 bytes; the parser's stack and its copies while it
+/// grows take three times as much.
+constexpr std::size_t value_bytes = 64;
 /// For the head and the bytes of one read.
 constexpr std::size_t head_bytes = 262'144;
 
@@ -51,6 +54,15 @@
     return (bytes >> 20U) + 1;
 }
 
+std::size_t estimate_parsed_bytes(std::string_view json) {
+    const auto begins_value = [](char sign) {
+        return sign == ',' || sign == ':' || sign == '[' || sign == '{';
+    };
+    const auto values =
+        std::count_if(json.begin(), json.end(), begins_value) + 1;
+    return json.size() + static_cast<std::size_t>(values) * value_bytes;
+}
+
 std::uint32_t max_caller_connections(std::size_t max_descriptors,
                                      std::uint32_t unlimited) {
     if (max_descriptors <= reserved_descriptors) {
--- a/servers/admission/memory_plan.hpp
+++ b/servers/admission/memory_plan.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 namespace savorydock {
 
@@ -33,6 +34,10 @@
 [[nodiscard]] std::size_t min_memory_mb(std::size_t max_body_bytes,
                                         std::size_t threads);
 
+/// An upper bound of the memory that a JSON text takes while it is parsed,
+/// beside the text itself. Thread safe.
+[[nodiscard]] std::size_t estimate_parsed_bytes(std::string_view json);
+
 /// The number of callers' connections, so that upstreams, peers and the store
 /// keep a third of the descriptors that aren't reserved. `max_descriptors` is 0
 /// if it isn't limited. Thread safe.
--- a/tests/servers/admission/caller_memory_test.cpp
+++ b/tests/servers/admission/caller_memory_test.cpp
@@ -152,6 +152,11 @@
     }
 }
 
+TEST(memory_plan_test, many_values_count_for_more_than_their_text) {
+    EXPECT_LT(estimate_parsed_bytes(R"({"a": "text"})"), 250U);
+    EXPECT_GE(estimate_parsed_bytes("[0,0,0,0,0,0,0,0]"), 8 * 50U);
+}
+
 TEST(memory_plan_test, callers_leave_a_third_of_the_descriptors) {
     EXPECT_EQ(max_caller_connections(3'200, 10'000), 2'000U);
     EXPECT_EQ(max_caller_connections(0, 10'000), 10'000U);
