--- a/tests/drivers/batch/engine_driver_test.cpp
+++ b/tests/drivers/batch/engine_driver_test.cpp
@@ -146,16 +146,25 @@
         return jobs.records().at(record.id);
     }
 
-    /// Sets organisations, and a route "r" of the engine with priority 5.
-    void configure(std::vector<organisation_rule> organisations) {
+    /// Sets organisations, and a route "r" of a service with priority 5.
+    void configure(std::vector<organisation_rule> organisations,
+                   const char* service = "e") {
         fleet.routes = std::make_shared<const route_table>(
             std::make_shared<const fleet_configuration>(fleet_configuration{
                 .routes = {{.name = "r",
                             .priority = 5,
-                            .services = {{.service = service_name("e")}}}},
+                            .services = {{.service = service_name(service)}}}},
                 .organisations = std::move(organisations)}));
     }
 
+    /// The results from the first position on that the planner tells readers.
+    std::optional<std::vector<std::string>> read_own(const job_id& job) {
+        return run_call(context,
+                        jobs.read_own_results(job, 0, 0ms, [this, job] {
+                            return driver.term_of(job);
+                        }));
+    }
+
     void end(job_record record) {
         record.is_ended = true;
         jobs.on_record(record.id, record);
@@ -266,6 +275,32 @@
     EXPECT_LT(std::chrono::steady_clock::now() - begin, 1s);
 }
 
+// LOST: the planner of the service to which a route had moved listed results,
+// and the former planner, back in charge in the same term, told of none.
+TEST_F(engine_driver_test, job_that_was_at_another_service_is_not_told_of) {
+    configure({});
+    const job_id job = accept("j", two_items).id;
+    driver.on_jobs_changed();
+    ASSERT_TRUE(wait([&] { return read_own(job).has_value(); }));
+    configure({}, "other");
+    driver.on_jobs_changed();
+    EXPECT_FALSE(read_own(job));
+    fake.put(results_key(job, 0), "{}");
+    configure({});
+    driver.on_jobs_changed();
+    EXPECT_FALSE(read_own(job));
+    const auto reloaded = [&, term = driver.statistics().term] {
+        const auto rows =
+            run_call(context, jobs.read_own_results(job, 0, 0ms,
+                                                    [term] { return term; }));
+        return rows && rows->size() == 1;
+    };
+    ASSERT_TRUE(wait(reloaded));
+    // The other planner may not know the last configuration yet.
+    fake.put(results_key(job, 1), "{}");
+    EXPECT_FALSE(read_own(job));
+}
+
 // Guards against keys that reach another instance, and items that run without
 // the organisation of their job. A record without one is of an older build.
 TEST_F(engine_driver_test, runs_name_the_organisation_and_hold_no_key) {
