Tell of results from memory only for jobs that were never elsewhere

What callers would see: a planner answers that no row is listed at a position that others have read, after a route moved to another service and back.

Cause: a planner takes the rows that it read in its term for all that are listed, because only the holder of the term lists rows. A job whose route leads to another service is planned in that service's term, which this one doesn't fence off. Back in the same term, the planner told of the rows that it knew before; and the planner of the other service may list more until it knows the configuration.

Change: term_of is 0 for jobs that were accepted for another service, or whose route has led to one since. Reads of their results go to the store.

Not seen on processes; found by reading.

Open: a job accepted by an instance that knows a newer configuration than the planner of the old service, and a planner that never sees a configuration in between.

--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -323,6 +323,9 @@
             }
             continue;
         }
+        if (record.service == options_.service && !is_own_job(record)) {
+            moved_jobs_.insert(id);
+        }
         loaded_jobs_.erase(id);
         if (planned_jobs_.erase(id) > 0) {
             (record.is_ended ? ended : moved).push_back(id);
@@ -332,6 +335,9 @@
                     " reason=" + (record.is_ended ? "ended" : "other_service"));
         }
     }
+    std::erase_if(moved_jobs_, [this](const job_id& id) {
+        return !jobs_.records().contains(id);
+    });
     if (ended.empty() && moved.empty()) {
         return;
     }
@@ -932,10 +938,14 @@
 
 store_revision engine_driver::term_of(const job_id& job) const {
     const auto record = jobs_.records().find(job);
-    return term_.is_held_now() && record != jobs_.records().end() &&
-                   is_own_job(record->second)
-               ? term_.term()->revision
-               : 0;
+    if (!term_.is_held_now() || record == jobs_.records().end() ||
+        !is_own_job(record->second)) {
+        return 0;
+    }
+    // The term doesn't fence off the planners of other services.
+    const bool has_moved =
+        record->second.service != options_.service || moved_jobs_.contains(job);
+    return has_moved ? 0 : term_.term()->revision;
 }
 
 engine_statistics engine_driver::statistics() const {
--- a/drivers/batch/engine_driver.hpp
+++ b/drivers/batch/engine_driver.hpp
@@ -82,7 +82,8 @@
     boost::asio::awaitable<void> drain(std::chrono::milliseconds time);
 
     /// Returns the term in which this instance plans the job now, or 0. Checks
-    /// the lease, also against the time that the machine was suspended.
+    /// the lease, also against the time that the machine was suspended. 0 for
+    /// jobs that were accepted for another service or have been there.
     [[nodiscard]] store_revision term_of(const job_id& job) const;
 
     [[nodiscard]] engine_statistics statistics() const;
@@ -181,6 +182,8 @@
     std::set<job_id> planned_jobs_;
     /// Jobs that the planner has received from the store in this term.
     std::set<job_id> loaded_jobs_;
+    /// Jobs accepted for this service whose route led to another one since.
+    std::set<job_id> moved_jobs_;
     /// Jobs that are being loaded for the planner.
     std::set<job_id> loading_jobs_;
     boost::asio::steady_timer wake_timer_;
