Keep the state of an open commit when its rows are evicted

What callers would see: the planner answers that no row is listed at a position that others have read from the store.

Cause: the state of a job's last commit was part of the rows in memory and evicted with them. A planner that then read the job again in the same term, as it does after its lease lapsed and was renewed, took its rows for all there are, while a commit without an answer could still be listed.

Change: an eviction removes the rows and keeps that state while the commit is open.

Evidence: result_cache_test.open_commit_outlasts_the_eviction_of_its_rows failed before and passes now, with listed_rows_test, engine_driver_test, result_reader_test and result_exchange_test (33). Not seen on processes; found by reading.

--- a/servers/batch/listed_rows.cpp
+++ b/servers/batch/listed_rows.cpp
@@ -29,6 +29,12 @@
     return found;
 }
 
+void listed_rows::evict() {
+    rows_ = {};
+    bytes_ = 0;
+    complete_in_term_ = 0;
+}
+
 void listed_rows::on_read_complete(store_revision term) {
     complete_in_term_ = term;
     const bool is_fenced_off = commit_term_ < term;
--- a/servers/batch/listed_rows.hpp
+++ b/servers/batch/listed_rows.hpp
@@ -42,6 +42,10 @@
         return position > rows_.size();
     }
 
+    /// Removes the rows. They are no longer complete; the state of a commit is
+    /// kept.
+    void evict();
+
     [[nodiscard]] std::size_t size() const { return rows_.size(); }
     [[nodiscard]] std::size_t bytes() const { return bytes_; }
     [[nodiscard]] const std::vector<std::string>& rows() const { return rows_; }
@@ -60,6 +64,11 @@
     /// next commit is for the same position, so only one of them takes effect.
     void on_commit_failed(bool may_be_listed);
 
+    /// Whether a commit has no outcome, or failed and may still be listed.
+    [[nodiscard]] bool has_open_commit() const {
+        return has_open_commit_ || commit_sent_at_;
+    }
+
     /// Whether `rows` are all that is listed, given that this instance holds
     /// the job's term now.
     [[nodiscard]] bool is_complete(store_revision term, steady_time now) const;
--- a/servers/batch/result_cache.cpp
+++ b/servers/batch/result_cache.cpp
@@ -35,8 +35,15 @@
     while (bytes_ > max_bytes_ && recently_read_.size() > 1) {
         const auto oldest = entries_.find(recently_read_.front());
         recently_read_.pop_front();
-        if (oldest != entries_.end()) {
-            bytes_ -= oldest->second.rows.bytes();
+        if (oldest == entries_.end()) {
+            continue;
+        }
+        listed_rows& rows = oldest->second.rows;
+        bytes_ -= rows.bytes();
+        if (rows.has_open_commit()) {
+            rows.evict();
+            oldest->second = {.rows = std::move(rows)};
+        } else {
             entries_.erase(oldest);
         }
     }
--- a/servers/batch/result_cache.hpp
+++ b/servers/batch/result_cache.hpp
@@ -25,7 +25,7 @@
 
 /// The listed results of all jobs that an instance knows, up to a limit on
 /// their memory. The least recently read job is evicted first, also while a
-/// call for it is under way.
+/// call for it is under way. Only the state of its open commit is kept.
 ///
 /// Not thread safe; deterministic.
 class result_cache {
