Keep a commit open whose rows could not be added to those known

What callers would see: the planner answers that no row is listed at a position that it listed itself and that others have read.

Cause: the rows of a commit are added to those known. After an eviction the rows before are missing, so they were not added, and the commit was closed all the same. A read of the job that the store had answered before the commit, but that arrived after it, then counted as all that is listed.

Change: such a commit stays open until a read finds its position taken.

Not seen on processes; found by reading.

--- a/drivers/batch/job_store.cpp
+++ b/drivers/batch/job_store.cpp
@@ -440,8 +440,16 @@
         is_listed = *present && (*present)->value == text;
     }
     if (is_listed) {
+        const std::size_t end = results.first_position + rows.size();
         results_.append(results.job, results.first_position, std::move(rows));
-        results_.rows(results.job).on_commit_listed();
+        listed_rows& known = results_.rows(results.job);
+        if (known.has_gap_before(end)) {
+            // The rows before were evicted. A read of the store that is under
+            // way may have missed these.
+            known.on_commit_failed(true);
+        } else {
+            known.on_commit_listed();
+        }
         co_return commit_end::listed;
     }
     // What is listed there is known only after the job has been read again.
