Show requests that are closed unread at the end of a drain

Change: planned_stop_test stops the process shortly before the end of its grace, opens 300 connections with requests meanwhile, and lets it go on after that time.

--- a/tests/main/planned_stop_test.cpp
+++ b/tests/main/planned_stop_test.cpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <memory>
 #include <mutex>
 #include <thread>
 
@@ -208,6 +209,29 @@
     EXPECT_LT(std::chrono::steady_clock::now(), stopped_at_ + grace);
 }
 
+// LOST: requests that arrived while the process got no time, until the end of
+// the grace, were closed without an answer.
+TEST_F(planned_stop_test, requests_that_wait_unread_at_the_exit_are_answered) {
+    raw_caller busy(address());
+    ASSERT_TRUE(busy.write(make_request("/safe/9000", "busy")));
+    stop();
+    wait_after_stop(3'500ms);
+    instance_->send(SIGSTOP);
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    for (int i = 0; i < 300; ++i) {
+        callers.push_back(std::make_unique<raw_caller>(address()));
+        ASSERT_TRUE(
+            callers.back()->write(make_request("/safe/0", std::to_string(i))));
+    }
+    wait_after_stop(4'500ms);
+    instance_->send(SIGCONT);
+    for (const auto& caller : callers) {
+        const auto answer = caller->read_answer(2s);
+        ASSERT_TRUE(answer) << "the connection was closed without an answer";
+        EXPECT_EQ(answer->header("Connection"), "close");
+    }
+}
+
 // An answer during the drain invited the caller to use its connection again.
 TEST_F(planned_stop_test, answer_to_an_earlier_request_announces_the_close) {
     raw_caller caller(address());
