Answer the requests that have arrived unread when an instance exits

What callers saw: connections closed without an answer at the end of a drain.

Cause: the stop ended the accept loop, which closed the listener with all connections that the system had opened and nobody accepted, and ended the traffic thread at once. Requests that the thread had not come to read were closed, and callers that connected until the process was gone got no answer either.

Change: the stop accepts what waits, then closes the listener. A connection that was accepted gets one answer, which is 503 (not run) after the stop. The drain ends when no request is in progress, 300 ms later at the latest, of the 700 ms kept for the exit.

--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -105,6 +105,8 @@
     }
 
     asio::awaitable<void> accept_all(std::shared_ptr<tcp::acceptor> acceptor);
+    /// Serves a connection on its traffic thread.
+    void start(tcp::socket socket, std::size_t worker);
     asio::awaitable<void> serve(tcp::socket socket, std::size_t worker);
     asio::awaitable<bool> serve_request(http_connection& connection,
                                         std::size_t worker);
@@ -164,11 +166,11 @@
 asio::awaitable<void>
 http_server::state::accept_all(std::shared_ptr<tcp::acceptor> acceptor) {
     const auto self = shared_from_this();
-    for (std::size_t next = 0; !is_stopping; ++next) {
+    for (std::size_t next = 0; acceptor->is_open(); ++next) {
         const std::size_t worker = next % pool.size();
         auto [error, socket] =
             co_await acceptor->async_accept(pool.context(worker), await);
-        if (error == asio::error::operation_aborted || is_stopping) {
+        if (error == asio::error::operation_aborted) {
             co_return;
         }
         if (error) {
@@ -178,13 +180,18 @@
             co_await timer.async_wait(await);
             continue;
         }
-        ++connections;
-        asio::co_spawn(
-            pool.context(worker), self->serve(std::move(socket), worker),
-            [self](const std::exception_ptr&) { --self->connections; });
+        start(std::move(socket), worker);
     }
 }
 
+void http_server::state::start(tcp::socket socket, std::size_t worker) {
+    ++connections;
+    asio::co_spawn(pool.context(worker), serve(std::move(socket), worker),
+                   [self = shared_from_this()](const std::exception_ptr&) {
+                       --self->connections;
+                   });
+}
+
 asio::awaitable<void> http_server::state::serve(tcp::socket socket,
                                                 std::size_t worker) {
     const auto self = shared_from_this();
@@ -201,9 +208,10 @@
     beast::error_code ignored;
     connection->socket().set_option(tcp::no_delay(true), ignored);
     bool is_open = true;
-    while (is_open && !is_stopping) {
+    // A connection that was opened before the stop gets an answer, too.
+    do {
         is_open = co_await serve_request(*connection, worker);
-    }
+    } while (is_open && !is_stopping);
     connection->socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
@@ -493,10 +501,21 @@
         return;
     }
     asio::post(state_->pool.context(0), [self = state_] {
-        beast::error_code ignored;
-        if (const auto acceptor = self->accepting.lock()) {
-            acceptor->close(ignored);
+        const auto acceptor = self->accepting.lock();
+        if (!acceptor) {
+            return;
+        }
+        // The system resets connections that it has opened and nobody accepted.
+        beast::error_code error;
+        acceptor->non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket(self->pool.context(0));
+            acceptor->accept(socket, error);
+            if (!error) {
+                self->start(std::move(socket), 0);
+            }
         }
+        acceptor->close(error);
     });
 }
 
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -70,6 +70,8 @@
 /// Time reserved for the process to exit before the platform kills it.
 constexpr std::chrono::milliseconds exit_margin{700};
 constexpr std::chrono::milliseconds drain_check_interval{40};
+/// Maximum time for the answers to requests that arrived before the exit.
+constexpr std::chrono::milliseconds last_answer_time{300};
 /// Limits of the ports for readiness and metrics, whose requests have no
 /// bodies.
 constexpr std::uint32_t max_probe_connections = 64;
@@ -1031,6 +1033,10 @@
             // Must not suspend before this call: a request that arrived on an
             // open connection meanwhile would be cut off.
             caller_server_->stop_accepting();
+            do {
+                co_await pause(drain_check_interval);
+            } while (caller_server_->active_requests() > 0 &&
+                     std::chrono::steady_clock::now() < now + last_answer_time);
             if (duties_) {
                 duties_->flush();
             }
