Let the counts of open requests outlive the requests that the exit cuts

What callers would see: an instance that ends by itself during its exit, if the allocator notices the damage; no such end was seen.

Cause: requests in progress at the exit are destroyed with the traffic pool, after the fleet state in which each of them counts itself.

Change: the fleet state is declared before the traffic pool.

No test of the suite shows it: the process ends as before.

--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -208,6 +208,9 @@
     std::string settings_text_;
     logger& log_;
     memory_plan memory_plan_ = make_memory_plan(settings_.memory_bytes);
+    /// Outlives the requests that the end of the process cuts, which are
+    /// destroyed with `traffic_`.
+    fleet_state fleet_;
     traffic_pool traffic_{1};
     asio::io_context& context_;
     seeded_random_source random_;
@@ -215,7 +218,6 @@
     control_mailbox control_;
     store_client store_;
     limit_sharing limit_sharing_;
-    fleet_state fleet_;
     upstream_paths paths_;
     std::shared_ptr<path_connector> connector_;
     /// Shared by the clients of all upstreams.
@@ -266,10 +268,6 @@
     : settings_(std::move(settings))
     , settings_file_(std::move(settings_file))
     , log_(log)
-    , context_(traffic_.context(0))
-    , random_(random_seed())
-    , store_(context_, settings_.store, log)
-    , limit_sharing_({.self = settings_.instance})
     , fleet_{.pool = upstream_pool({.zone = settings_.zone,
                                     .divide_limit =
                                         [this](const upstream_id& upstream,
@@ -278,6 +276,10 @@
                                                                  limit, now);
                                         },
                                     .by_cost = placement_of(settings_)})}
+    , context_(traffic_.context(0))
+    , random_(random_seed())
+    , store_(context_, settings_.store, log)
+    , limit_sharing_({.self = settings_.instance})
     , paths_({.self = settings_.instance, .zone = settings_.zone}, random_)
     , connector_(std::make_shared<path_connector>(
           context_, paths_,
