Destroy the traffic threads of stream_forwarding_test before its fleet

Cause: requests in progress are destroyed with the traffic pool, after the fleet state in which they count themselves. The test ended with a heap error (malloc: mismatching next->prev_size) in one run of all drivers_tests and in two of four runs of its own with MALLOC_PERTURB_=165; valgrind named ~open_request.

Change: the fleet is declared before the pool. No check changed.

--- a/tests/drivers/front/stream_forwarding_test.cpp
+++ b/tests/drivers/front/stream_forwarding_test.cpp
@@ -212,8 +212,9 @@
     null_logger log;
     metrics_registry metrics;
     seeded_random_source random{1};
-    traffic_pool pool{1};
+    // Outlives the requests that are destroyed with the pool.
     fleet_state fleet{.pool = upstream_pool({})};
+    traffic_pool pool{1};
     http_client client{pool.context(0)};
     fake_users_store fake;
     store_client store{pool.context(0), {.address = fake.address()}, log};
