--- a/tests/drivers/batch/result_reader_test.cpp
+++ b/tests/drivers/batch/result_reader_test.cpp
@@ -230,6 +230,35 @@
     EXPECT_TRUE(!rows || rows->size() == 1);
 }
 
+// LOST: a commit without an answer was evicted with the rows of its job, which
+// then counted as complete although the commit could still be listed.
+TEST_F(result_reader_test, commit_without_an_answer_outlasts_an_eviction) {
+    job_store small(client, log, 1);
+    job_record other = record;
+    other.id = job_id("k");
+    for (const job_record& job : {record, other}) {
+        ASSERT_EQ(run(small.accept(job, R"({"model":"m","items":[]})",
+                                   std::chrono::steady_clock::now() + 1s)),
+                  accept_end::accepted);
+        store.put(results_key(job.id, 0), row(0));
+    }
+    store.put("term", "t");
+    const auto key = run(client.read_key("term"));
+    const held_term term{.key = "term", .revision = (*key)->modified};
+    ASSERT_TRUE(run(small.load(record, term.revision)));
+    store.fail_transactions(store_fault::lose_answer, 1);
+    ASSERT_EQ(run(small.commit(term, {.job = record.id,
+                                      .first_position = 1,
+                                      .results = {{.item = item_id("1")}}})),
+              commit_end::not_listed);
+    // It has not taken effect yet.
+    store.remove(results_key(record.id, 1));
+    ASSERT_TRUE(run(small.read_results(other.id, 0, 0ms)));
+    ASSERT_EQ(run(small.load(record, term.revision))->listed.size(), 1U);
+    EXPECT_FALSE(run(small.read_own_results(record.id, 1, 0ms,
+                                            [&] { return term.revision; })));
+}
+
 // LOST: a read whose planner was silent waited once more at the store, longer
 // than its caller did.
 TEST_F(result_reader_test, time_that_a_planner_took_counts_towards_the_wait) {
