--- a/tests/drivers/batch/result_reader_test.cpp
+++ b/tests/drivers/batch/result_reader_test.cpp
@@ -89,17 +89,72 @@
         jobs.on_record(record.id, record);
     }
 
+    /// Stores the job and another one, each with one listed row, and takes the
+    /// term of their planner, whose cache holds the rows of one job only.
+    held_term plan_two_jobs() {
+        other.id = job_id("k");
+        for (const job_record& job : {record, other}) {
+            EXPECT_EQ(run(small.accept(job, R"({"model":"m","items":[]})",
+                                       std::chrono::steady_clock::now() + 1s)),
+                      accept_end::accepted);
+            store.put(results_key(job.id, 0), row(0));
+        }
+        store.put("term", "t");
+        return {.key = "term",
+                .revision = run(client.read_key("term"))->value().modified};
+    }
+
+    void evict() { EXPECT_TRUE(run(small.read_results(other.id, 0, 0ms))); }
+
+    /// The planner loads the job; the store's response is held.
+    void begin_load(const held_term& term) {
+        store.hold_next_range();
+        asio::co_spawn(context,
+                       store_value(small.load(record, term.revision), loading),
+                       asio::detached);
+        while (!store.holds_range()) {
+            context.restart();
+            context.run_for(1ms);
+        }
+    }
+
+    outcome<loaded_job> end_load() {
+        store.release_range();
+        while (!loading) {
+            context.restart();
+            context.run_one();
+        }
+        return std::move(*loading);
+    }
+
+    commit_end commit_second_row(const held_term& term) {
+        return run(small.commit(term, {.job = record.id,
+                                       .first_position = 1,
+                                       .results = {{.item = item_id("1")}}}));
+    }
+
+    /// What the planner tells readers.
+    std::optional<std::vector<std::string>> read_own(std::size_t first,
+                                                     const held_term& term) {
+        return run(small.read_own_results(
+            record.id, first, 0ms,
+            [revision = term.revision] { return revision; }));
+    }
+
     fake_users_store store;
     null_logger log;
     asio::io_context context;
     store_client client;
     job_store jobs;
+    job_store small{client, log, 1};
+    std::optional<outcome<loaded_job>> loading;
     unaware_planner planner;
     job_record record{.id = job_id("j"),
                       .route = "r",
                       .host = "h",
                       .service = service_name("e"),
                       .total = 3};
+    job_record other = record;
 };
 
 } // namespace
@@ -152,39 +207,14 @@
 
 // LOST: the planner took a job without any row for one whose rows it knew.
 TEST_F(result_reader_test, job_evicted_while_it_is_loaded_is_read_whole) {
-    constexpr store_revision term = 7;
-    job_store small(client, log, 1);
-    job_record other = record;
-    other.id = job_id("k");
-    for (const job_record& job : {record, other}) {
-        ASSERT_EQ(
-            run(small.accept(
-                job,
-                R"({"model":"m","items":[{"id":"0","path":"/p","body":""}]})",
-                std::chrono::steady_clock::now() + 1s)),
-            accept_end::accepted);
-    }
-    list(0);
-    store.put(results_key(other.id, 0), row(0));
-    ASSERT_EQ(run(small.load(record, term))->listed.size(), 1U);
-    store.hold_next_range();
-    std::optional<outcome<loaded_job>> loaded;
-    asio::co_spawn(context, store_value(small.load(record, term), loaded),
-                   asio::detached);
-    while (!store.holds_range()) {
-        context.restart();
-        context.run_for(1ms);
-    }
-    ASSERT_EQ(run(small.read_results(other.id, 0, 0ms))->rows.size(), 1U);
-    store.release_range();
-    while (!loaded) {
-        context.restart();
-        context.run_one();
-    }
-    ASSERT_TRUE(*loaded);
-    EXPECT_EQ((*loaded)->listed.size(), 1U);
-    const auto rows =
-        run(small.read_own_results(record.id, 0, 0ms, [] { return term; }));
+    const held_term term = plan_two_jobs();
+    ASSERT_EQ(run(small.load(record, term.revision))->listed.size(), 1U);
+    begin_load(term);
+    evict();
+    const auto loaded = end_load();
+    ASSERT_TRUE(loaded);
+    EXPECT_EQ(loaded->listed.size(), 1U);
+    const auto rows = read_own(0, term);
     ASSERT_TRUE(rows);
     EXPECT_EQ(*rows, std::vector{row(0)});
 }
@@ -192,71 +222,28 @@
 // LOST: as above, with a row that was listed during the read of the store. The
 // eviction left no rows to which it could be added.
 TEST_F(result_reader_test, row_listed_while_its_job_is_read_whole_is_told_of) {
-    job_store small(client, log, 1);
-    job_record other = record;
-    other.id = job_id("k");
-    for (const job_record& job : {record, other}) {
-        ASSERT_EQ(run(small.accept(job, R"({"model":"m","items":[]})",
-                                   std::chrono::steady_clock::now() + 1s)),
-                  accept_end::accepted);
-    }
-    list(0);
-    store.put(results_key(other.id, 0), row(0));
-    store.put("term", "t");
-    const auto key = run(client.read_key("term"));
-    const held_term term{.key = "term", .revision = (*key)->modified};
+    const held_term term = plan_two_jobs();
     ASSERT_EQ(run(small.load(record, term.revision))->listed.size(), 1U);
-    ASSERT_TRUE(run(small.read_results(other.id, 0, 0ms)));
-    store.hold_next_range();
-    std::optional<outcome<loaded_job>> loaded;
-    asio::co_spawn(context,
-                   store_value(small.load(record, term.revision), loaded),
-                   asio::detached);
-    while (!store.holds_range()) {
-        context.restart();
-        context.run_for(1ms);
-    }
-    ASSERT_EQ(run(small.commit(term, {.job = record.id,
-                                      .first_position = 1,
-                                      .results = {{.item = item_id("1")}}})),
-              commit_end::listed);
-    store.release_range();
-    while (!loaded) {
-        context.restart();
-        context.run_one();
-    }
-    const auto rows = run(small.read_own_results(
-        record.id, 1, 0ms, [&] { return term.revision; }));
+    evict();
+    begin_load(term);
+    ASSERT_EQ(commit_second_row(term), commit_end::listed);
+    ASSERT_TRUE(end_load());
+    const auto rows = read_own(1, term);
     EXPECT_TRUE(!rows || rows->size() == 1);
 }
 
 // LOST: a commit without an answer was evicted with the rows of its job, which
 // then counted as complete although the commit could still be listed.
 TEST_F(result_reader_test, commit_without_an_answer_outlasts_an_eviction) {
-    job_store small(client, log, 1);
-    job_record other = record;
-    other.id = job_id("k");
-    for (const job_record& job : {record, other}) {
-        ASSERT_EQ(run(small.accept(job, R"({"model":"m","items":[]})",
-                                   std::chrono::steady_clock::now() + 1s)),
-                  accept_end::accepted);
-        store.put(results_key(job.id, 0), row(0));
-    }
-    store.put("term", "t");
-    const auto key = run(client.read_key("term"));
-    const held_term term{.key = "term", .revision = (*key)->modified};
+    const held_term term = plan_two_jobs();
     ASSERT_TRUE(run(small.load(record, term.revision)));
     store.fail_transactions(store_fault::lose_answer, 1);
-    ASSERT_EQ(run(small.commit(term, {.job = record.id,
-                                      .first_position = 1,
-                                      .results = {{.item = item_id("1")}}})),
-              commit_end::not_listed);
+    ASSERT_EQ(commit_second_row(term), commit_end::not_listed);
     // It has not taken effect yet.
     store.remove(results_key(record.id, 1));
-    ASSERT_TRUE(run(small.read_results(other.id, 0, 0ms)));
+    evict();
     ASSERT_EQ(run(small.load(record, term.revision))->listed.size(), 1U);
-    EXPECT_FALSE(run(small.read_own_results(record.id, 1, 0ms,
-                                            [&] { return term.revision; })));
+    EXPECT_FALSE(read_own(1, term));
 }
 
 // LOST: a read whose planner was silent waited once more at the store, longer
