Wake the soak's store watches without a lock

A dump of its tasks showed four cancelled watches of the stand-in's store that all waited for the condition's lock (Condition.wait, acquire), which no task held any more. A watch that is cancelled while it waits for that lock can leave it locked; a write would wait for good then, too.

Change: an event that is replaced at each change.

The hang itself wasn't provoked again.

--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -27,7 +27,9 @@
         self.next_lease = 1000
         self.mode = "ok"
         self.writes = 0
-        self.changed = asyncio.Condition()
+        # Set at the next change. A condition could stay locked for good by a
+        # watch that is cancelled while it waits for the lock.
+        self.changed = asyncio.Event()
 
     def app(self):
         app = web.Application(client_max_size=64 << 20)
@@ -60,18 +62,21 @@
         self.values[key] = (value, self.revision, created, lease)
         self.history.append((self.revision, self.item(key)))
 
+    def notify(self):
+        """Wakes all watches."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     async def put(self, key, value):
         """Writes as the operator, a trainer or a worker, bypassing faults."""
         self.change(key, value)
-        async with self.changed:
-            self.changed.notify_all()
+        self.notify()
 
     async def drop_lease(self, lease):
         self.leases.pop(lease, None)
         for key in [k for k, v in self.values.items() if v[3] == lease]:
             self.change(key, None)
-        async with self.changed:
-            self.changed.notify_all()
+        self.notify()
 
     async def expire_leases(self):
         while True:
@@ -116,11 +121,10 @@
             if events or left <= 0:
                 return self.answer({"events": events,
                                     "current_rev": self.revision})
-            async with self.changed:
-                try:
-                    await asyncio.wait_for(self.changed.wait(), left)
-                except asyncio.TimeoutError:
-                    pass
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
 
     async def transact(self, request):
         if self.mode == "refuse":
@@ -142,8 +146,7 @@
             self.change(key, None)
         # Other writes may raise self.revision before the response is sent.
         revision = self.revision
-        async with self.changed:
-            self.changed.notify_all()
+        self.notify()
         self.writes += 1
         if self.mode == "lose" and self.writes % 3 == 0:
             request.transport.abort()
