--- a/tests/drivers/front/leaving_upstream_test.cpp
+++ b/tests/drivers/front/leaving_upstream_test.cpp
@@ -175,8 +175,7 @@
     fleet.pool.limits().on_answer(upstream_id("u"), 2,
                                   std::chrono::steady_clock::now());
     std::size_t ended = 0;
-    const http_request content{.target = "/",
-                               .headers = {{"Request-Id", "r"}}};
+    const http_request content{.target = "/", .headers = {{"Request-Id", "r"}}};
     for (int at = 0; at < 6; ++at) {
         plain_call_request request{.route = route,
                                    .request = content,
