Show that accepted items are never run (review case 6)

Cause: an instance registers without a condition. If the answer of the first write is lost and it takes effect late, the entry ends with a lease that nobody renews. An instance without an entry claims no term, so a service whose planner loses its term has none until a process restarts.

Done: a script that loses three answers of the store at the start and, much later, stops the planner for 3.2 s. Nothing is fixed.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -153,6 +153,10 @@
         self.changed = asyncio.Event()
         self.server = Server(self.handle)
         self.loop_task = None
+        # Returns after how many seconds a transaction is carried out whose
+        # answer is lost; None for one that is answered at once.
+        self.lose_answer = lambda body: None
+        self.writes = 0
 
     async def start(self, ip):
         self.loop_task = asyncio.ensure_future(self.expire())
@@ -218,8 +222,17 @@
         if path == "/savorydock/kv-watch":
             return await self.watch(request.query)
         if path == "/savorydock/kv-txn":
-            return self.transact(json.loads(request.body))
+            body = json.loads(request.body)
+            self.writes += 1
+            delay = self.lose_answer(body)
+            if delay is not None:
+                asyncio.get_running_loop().call_later(delay, self.transact,
+                                                      body)
+                # The connection returns nothing further.
+                await asyncio.sleep(3600)
+            return self.transact(body)
         if path == "/savorydock/kv-lease":
+            self.writes += 1
             ttl = json.loads(request.body)["ttl_ms"]
             self.next_lease += 1
             self.leases[self.next_lease] = (ttl, time.monotonic() + ttl / 1000)
@@ -303,6 +316,7 @@
     worker answers calls with its signature."""
 
     EVENT_S = 0.02
+    EVENTS = 6
     LOAD_S = 0.9
 
     def __init__(self, service, store, zone, record, models=(), slots=8):
@@ -391,7 +405,7 @@
         name = request.headers["request-id"]
         number = int(request.headers.get("last-event-id", 0))
         version = self.versions[request.headers["model"]]
-        last = 6 + int(hashlib.sha256(name.encode()).hexdigest()[:2], 16) % 6
+        last = self.EVENTS + int(hashlib.sha256(name.encode()).hexdigest()[:2], 16) % 6
         self.record("item", worker=self.id, id=name, after=number)
         writer = request.writer
         writer.write(head_of(200, {
