--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -401,6 +401,9 @@
         stamp = "s-" + uuid.uuid4().hex[:12]
         return 200, {"Request-Id": name, "Server-Stamp": stamp}, b"done"
 
+    def event_data(self, name, number):
+        return f"{name}.{number}".encode()
+
     async def stream(self, request):
         name = request.headers["request-id"]
         number = int(request.headers.get("last-event-id", 0))
@@ -416,7 +419,8 @@
         while number < last:
             await asyncio.sleep(self.EVENT_S)
             number += 1
-            event = f"id: {number}\ndata: {name}.{number}\n\n".encode()
+            event = (f"id: {number}\ndata: ".encode() +
+                     self.event_data(name, number) + b"\n\n")
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
