--- a/drivers/store/scope_term.cpp
+++ b/drivers/store/scope_term.cpp
@@ -83,8 +83,10 @@
 void scope_term::begin_term(held_term term) {
     term_ = std::move(term);
     suspended_.reset();
-    log_.write(log_event::lease_acquired, "scope=" + options_.key + " term=" +
-                                              std::to_string(term_->revision));
+    log_.write(log_event::lease_acquired,
+               "scope=" + options_.key +
+                   " term=" + std::to_string(term_->revision) + " previous=" +
+                   (last_holder_.is_empty() ? "none" : last_holder_.text()));
     on_gained_(*term_);
 }
 
