Keep the lease time between a holder's calls before and after another holder

Cause: an order was allowed as soon as the term is held. Nothing kept a distance to orders that this instance had sent before another holder. Calls for duties did, but from the memory of the process only, which a restart clears.

holder_separation decides for both, by subject, from when on a holder may make calls: the lease time after the end of its own last call in an earlier term, and after a restart the lease time after the start. The key t/SCOPE names the last settled term, so that a holder that restarts in its own term doesn't wait. The previous build writes no such key, and its terms count as not settled. Only orders wait; upstreams that weren't ordered lately, placing and listing go on. Orders now end with their term, a planned hand-over and a stop wait for orders under way, and a draining instance sends none.

usage_reporter_test loses an option that moved to the term; its tests run with the default of 3 s instead of 100 ms.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -218,6 +218,10 @@
                     "an upstream refused an order"},
     log_event_entry{order_outcome_unknown, warning, "order_outcome_unknown",
                     "it is not known whether an order took effect"},
+    log_event_entry{orders_delayed, info, "orders_delayed",
+                    "this instance ordered upstreams before another holder, "
+                    "or may have before it restarted, and waits before it "
+                    "orders them again"},
     log_event_entry{rollout_started, info, "rollout_started",
                     "a roll-out of weights began"},
     log_event_entry{rollout_finished, info, "rollout_finished",
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -107,6 +107,7 @@
     order_done = 3401,
     order_refused = 3402,
     order_outcome_unknown = 3403,
+    orders_delayed = 3404,
     rollout_started = 3410,
     rollout_finished = 3411,
     rollout_stopped = 3412,
--- a/drivers/batch/engine_driver.cpp
+++ b/drivers/batch/engine_driver.cpp
@@ -102,6 +102,8 @@
            .lease_time = options_.lease_time,
            .processor_share = options_.processor_share,
            .claim_delay = options_.claim_delay,
+           .settled_key = settled_term_key(options_.service.text()),
+           .process_start = options_.process_start,
            .seed = options_.seed},
           [this](const held_term& term) { on_gained(term); },
           [this](term_end reason) { on_lost(reason); }, log)
@@ -121,8 +123,9 @@
     while (true) {
         co_await pause(context_, rank_check_interval);
         const auto held_for = std::chrono::steady_clock::now() - gained_at_;
+        // An order under way could arrive after the next holder's first one.
         if (!term_.is_held_now() || held_for < min_hold_time ||
-            !options_.is_outranked()) {
+            orders_in_progress_ > 0 || !options_.is_outranked()) {
             continue;
         }
         log_.write(log_event::term_handed_over,
@@ -176,13 +179,45 @@
         last_term_ = term.revision;
         begin_takeover();
     }
-    post_step([fencing = term.revision](engine_control& control,
-                                        steady_time now, engine_commands& out) {
-        control.on_term(fencing, now, out);
-    });
+    post_step(
+        [fencing = term.revision, delays = find_order_delays()](
+            engine_control& control, steady_time now, engine_commands& out) {
+            control.on_term(fencing, delays, now, out);
+        });
     on_jobs_changed();
 }
 
+order_delays engine_driver::find_order_delays() const {
+    const steady_time now = std::chrono::steady_clock::now();
+    const boot_clock::time_point boot_now = boot_clock::now();
+    const auto to_steady = [&](boot_clock::time_point time) {
+        return now + std::chrono::duration_cast<steady_time::duration>(
+                         time - boot_now);
+    };
+    const holder_separation& separation = term_.separation();
+    order_delays delays;
+    boot_clock::time_point last = separation.earliest_first_call();
+    if (last > boot_now) {
+        delays.all_until = to_steady(last);
+    }
+    for (const auto& [upstream, until] : separation.waiting_subjects()) {
+        delays.upstreams.emplace(upstream_id(upstream), to_steady(until));
+        last = std::max(last, until);
+    }
+    if (last > boot_now) {
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+            last - boot_now);
+        log_.write(log_event::orders_delayed,
+                   "service=" + options_.service.text() + " term=" +
+                       std::to_string(term_.term()->revision) + " upstreams=" +
+                       (delays.all_until > now
+                            ? "all"
+                            : std::to_string(delays.upstreams.size())) +
+                       " milliseconds=" + std::to_string(wait.count()));
+    }
+    return delays;
+}
+
 void engine_driver::reset_run_tables() {
     runners_ = runner_pool({.self = options_.self});
     result_locations_.clear();
@@ -262,7 +297,7 @@
     if (reason == term_end::suspended) {
         post_step(
             [](engine_control& control, steady_time now, engine_commands& out) {
-                control.on_term(std::nullopt, now, out);
+                control.on_term(std::nullopt, {}, now, out);
             });
         return;
     }
@@ -272,7 +307,7 @@
     post_step(
         [](engine_control& control, steady_time now, engine_commands& out) {
             control.planner().drop_all(out.planner);
-            control.on_term(std::nullopt, now, out);
+            control.on_term(std::nullopt, {}, now, out);
         });
 }
 
@@ -855,24 +890,50 @@
     }
 }
 
+bool engine_driver::may_send(const version_order& order) const {
+    return !is_draining_ && term_.is_held_now() &&
+           term_.term()->revision == order.fencing &&
+           boot_clock::now() >=
+               term_.separation().earliest_call(order.upstream.text());
+}
+
 asio::awaitable<void> engine_driver::send_order(version_order order) {
     const upstream_entry* const upstream = find_upstream(order.upstream);
-    // The machine may be suspended after the roll-out issued the order, or
-    // while the connection is being opened.
-    const auto is_held = [this, fencing = order.fencing] {
-        return term_.is_held_now() && term_.term()->revision == fencing;
-    };
     order_answer answer = order_answer::unknown;
-    if (upstream != nullptr && is_held()) {
+    if (upstream != nullptr && may_send(order)) {
         ++statistics_.orders_sent;
+        ++orders_in_progress_;
         attempt_log attempt(fleet_, log_, "order", order.model, order.upstream);
-        call_options options{.may_write = is_held, .trace = attempt.trace()};
+        const auto record_call = [this, &order] {
+            term_.separation().on_call(order.upstream.text(), order.fencing,
+                                       boot_clock::now());
+        };
+        // The machine may be suspended after the roll-out issued the order, or
+        // while the connection is being opened.
+        call_options options{.may_write =
+                                 [this, &order, &record_call] {
+                                     const bool may_write = may_send(order);
+                                     if (may_write) {
+                                         record_call();
+                                     }
+                                     return may_write;
+                                 },
+                             .trace = attempt.trace()};
         http_request request = platform::make_version_order(order);
+        // Bytes of an order must not arrive after the term.
+        const auto left = std::min<std::chrono::nanoseconds>(
+            term_.held_until() - boot_clock::now(), order_timeout);
         const steady_time deadline =
-            std::chrono::steady_clock::now() + order_timeout;
+            std::chrono::steady_clock::now() +
+            std::chrono::duration_cast<steady_time::duration>(left);
         const auto response =
             co_await engines_.call(upstream->address, std::move(request),
                                    deadline, std::move(options));
+        --orders_in_progress_;
+        if (attempt.trace()->stage >= call_stage::writing) {
+            // The order may have arrived until now.
+            record_call();
+        }
         if (response) {
             attempt.on_answered();
             answer = platform::decode_order_answer(*response);
@@ -923,15 +984,16 @@
 }
 
 asio::awaitable<void> engine_driver::drain(std::chrono::milliseconds time) {
+    is_draining_ = true;
     post_step([](engine_control& control, steady_time, engine_commands&) {
         control.planner().stop_starting();
     });
     // Runs continue under the next planner, so the drain waits only for results
-    // that are being listed.
+    // that are being listed and for orders that are under way.
     const steady_time end = std::chrono::steady_clock::now() + time;
     do {
         co_await pause(context_, drain_check_interval);
-    } while (commits_in_progress_ > 0 &&
+    } while ((commits_in_progress_ > 0 || orders_in_progress_ > 0) &&
              std::chrono::steady_clock::now() < end);
     co_await term_.retire();
 }
--- a/drivers/batch/engine_driver.hpp
+++ b/drivers/batch/engine_driver.hpp
@@ -38,6 +38,8 @@
     /// Receives the open work each second and when a job arrives; empty if
     /// nobody needs it.
     std::function<void(const worker_demand&)> on_demand;
+    /// See `scope_term_options::process_start`.
+    std::optional<boot_clock::time_point> process_start;
     std::uint64_t seed = 1;
 };
 
@@ -140,6 +142,10 @@
     boost::asio::awaitable<void> load_job(job_record record);
     boost::asio::awaitable<void> save(std::vector<save_progress> texts);
     boost::asio::awaitable<void> commit(commit_results results);
+    /// Logs and returns from when on this new holder may send orders.
+    [[nodiscard]] order_delays find_order_delays() const;
+    /// Whether the order may be written now.
+    [[nodiscard]] bool may_send(const version_order& order) const;
     boost::asio::awaitable<void> send_order(version_order order);
     boost::asio::awaitable<void> request_load(upstream_id upstream);
 
@@ -190,6 +196,8 @@
     boost::asio::steady_timer runner_timer_;
     bool is_runner_timer_set_ = false;
     std::size_t commits_in_progress_ = 0;
+    std::size_t orders_in_progress_ = 0;
+    bool is_draining_ = false;
     engine_statistics statistics_;
 };
 
--- a/drivers/duties/duty_caller.cpp
+++ b/drivers/duties/duty_caller.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds longest_hand_over_time{60'000};
+/// All calls are made to one subject, the platform.
+const std::string subject = "platform";
 
 } // namespace
 
@@ -33,18 +35,16 @@
     if (term.revision != seen_term_) {
         seen_term_ = term.revision;
         usable_from_ = boot_clock::now() + options_.safety_margin;
-        if (called_term_ != 0 && called_term_ != term.revision) {
-            usable_from_ =
-                std::max(usable_from_, last_call_ + options_.lease_time +
-                                           options_.safety_margin);
-        }
     }
     return is_usable(term) ? std::optional(term) : std::nullopt;
 }
 
 bool duty_caller::is_usable(const held_term& term) const {
     return term_.is_held_now() && term_.term()->revision == term.revision &&
-           term.revision != fenced_term_ && boot_clock::now() >= usable_from_;
+           term.revision != fenced_term_ &&
+           boot_clock::now() >=
+               std::max(usable_from_,
+                        term_.separation().earliest_call(subject));
 }
 
 asio::awaitable<void> duty_caller::wait_for_turn() {
@@ -73,18 +73,25 @@
     const steady_time deadline =
         std::chrono::steady_clock::now() +
         std::chrono::duration_cast<steady_time::duration>(left);
-    call_options options{.may_write = [this, &term] {
-        const bool may_write = is_usable(term);
-        if (may_write) {
-            called_term_ = term.revision;
-            last_call_ = boot_clock::now();
+    bool is_written = false;
+    const auto record_call = [this, &term] {
+        term_.separation().on_call(subject, term.revision, boot_clock::now());
+    };
+    call_options options{.may_write = [this, &term, &record_call, &is_written] {
+        is_written = is_usable(term);
+        if (is_written) {
+            record_call();
         }
-        return may_write;
+        return is_written;
     }};
     ++counters_.calls;
     auto answer =
         co_await client_.call(options_.settings.address, std::move(request),
                               deadline, std::move(options));
+    if (is_written) {
+        // The call may have arrived until now.
+        record_call();
+    }
     record_result(answer);
     if (!answer) {
         co_await hand_over_if_unanswered();
--- a/drivers/duties/duty_caller.hpp
+++ b/drivers/duties/duty_caller.hpp
@@ -20,9 +20,7 @@
 struct duty_caller_options {
     duty_settings settings;
     instance_id self;
-    /// The minimum time between two successive holders of the term, and how
-    /// much sooner a holder assumes that its lease ends.
-    std::chrono::milliseconds lease_time{3'000};
+    /// How long the first call of a term waits after the term was gained.
     std::chrono::milliseconds safety_margin{300};
     std::chrono::milliseconds answer_timeout{1'500};
     /// The part of the platform's call rate that this caller uses.
@@ -45,10 +43,9 @@
 ///
 /// A call is written only while the term is held, and its connection is reset
 /// before the term ends, so that its bytes can't arrive after a successor's.
-/// The first call of a term waits for the term's safety margin. An instance
-/// that acted in an earlier term, before another holder, waits for the lease
-/// time after its last call. Not thread safe: all calls must come from one
-/// traffic thread.
+/// The first call of a term waits for the term's safety margin, and until the
+/// term's `holder_separation` allows it. Not thread safe: all calls must come
+/// from one traffic thread.
 class duty_caller {
 public:
     /// All references must outlive `context`.
@@ -87,9 +84,6 @@
     /// The term that was seen last, and from when it may be used.
     store_revision seen_term_ = 0;
     boot_clock::time_point usable_from_{};
-    /// The last term in which a call was made.
-    store_revision called_term_ = 0;
-    boot_clock::time_point last_call_{};
     store_revision fenced_term_ = 0;
     steady_time next_call_{};
     /// Since when calls have had no answer.
--- a/drivers/duties/duty_driver.cpp
+++ b/drivers/duties/duty_driver.cpp
@@ -50,7 +50,6 @@
     , caller_(context, term,
               {.settings = *settings.duties,
                .self = settings.instance,
-               .lease_time = settings.holder_separation,
                .has_other_instances =
                    [&directory] { return directory.size() > 1; }},
               log) {
--- a/drivers/node/node_instance.cpp
+++ b/drivers/node/node_instance.cpp
@@ -204,6 +204,7 @@
     asio::awaitable<void> answer_metrics(http_exchange& exchange);
 
     node_settings settings_;
+    const boot_clock::time_point process_start_ = boot_clock::now();
     std::string settings_file_;
     std::string settings_text_;
     logger& log_;
@@ -385,6 +386,9 @@
                [this](const instance_id& last_holder) {
                    return claim_delay_of(fleet_scope, last_holder);
                },
+           .settled_key =
+               settings_.duties ? settled_term_key(fleet_scope) : std::string(),
+           .process_start = process_start_,
            .seed = random_seed()},
           [this](const held_term&) {
               complete_retirements();
@@ -567,6 +571,7 @@
                     },
                 .is_outranked = [this] { return is_outranked(); },
                 .on_demand = duties_ ? duties_->demand_handler() : nullptr,
+                .process_start = process_start_,
                 .seed = random_seed()});
         driver->start();
         for (const auto& [model, version] : fleet_mirror_.wanted_versions()) {
--- a/drivers/store/scope_term.cpp
+++ b/drivers/store/scope_term.cpp
@@ -1,6 +1,8 @@
 #include "drivers/store/scope_term.hpp"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -27,7 +29,10 @@
     , on_lost_(std::move(on_lost))
     , log_(log)
     , random_(options_.seed)
-    , timer_(context) {}
+    , timer_(context)
+    , separation_({.lease_time = options_.lease_time,
+                   .safety_margin = options_.safety_margin,
+                   .process_start = options_.process_start}) {}
 
 asio::awaitable<void> scope_term::wait(std::chrono::milliseconds time) {
     timer_.expires_after(time);
@@ -83,11 +88,14 @@
 void scope_term::begin_term(held_term term) {
     term_ = std::move(term);
     suspended_.reset();
+    separation_.on_term(term_->revision, follows_settled_term_,
+                        boot_clock::now());
     log_.write(log_event::lease_acquired,
                "scope=" + options_.key +
                    " term=" + std::to_string(term_->revision) + " previous=" +
                    (last_holder_.is_empty() ? "none" : last_holder_.text()));
     on_gained_(*term_);
+    record_if_settled();
 }
 
 void scope_term::on_condition_failed() {
@@ -133,6 +141,10 @@
     }
     const store_revision replaced =
         observed_value_ ? observed_value_->modified : 0;
+    bool follows_settled_term = false;
+    if (observed_value_) {
+        follows_settled_term = co_await is_settled_term(observed_value_->value);
+    }
     const boot_clock::time_point sent = boot_clock::now();
     const auto lease = co_await client_.grant(options_.lease_time);
     if (!lease) {
@@ -145,6 +157,8 @@
     store_transaction transaction = make_write(
         {.key = options_.key, .revision = replaced},
         {.key = options_.key, .value = claim_value_, .lease = lease_});
+    follows_settled_term_ = follows_settled_term;
+    is_settled_recorded_ = false;
     const auto result = co_await client_.commit(std::move(transaction));
     if (!result) {
         // The claim may have taken effect; if so, the mirror reports it.
@@ -192,6 +206,7 @@
     }
     if (renewed) {
         lease_until_ = sent + options_.lease_time - options_.safety_margin;
+        record_if_settled();
         co_return;
     }
     if (renewed.reason().code == result_code::lease_not_held) {
@@ -200,6 +215,36 @@
     }
 }
 
+asio::awaitable<bool> scope_term::is_settled_term(std::string value) {
+    if (options_.settled_key.empty()) {
+        co_return false;
+    }
+    const auto settled = co_await client_.read_key(options_.settled_key);
+    co_return settled&&* settled && (*settled)->value == value;
+}
+
+void scope_term::record_if_settled() {
+    if (term_ && !options_.settled_key.empty() && !is_settled_recorded_ &&
+        boot_clock::now() >= separation_.settled_from()) {
+        is_settled_recorded_ = true;
+        // Doesn't delay renewals.
+        asio::co_spawn(timer_.get_executor(), record_settled_term(*term_),
+                       asio::detached);
+    }
+}
+
+asio::awaitable<void> scope_term::record_settled_term(held_term term) {
+    // Not a part of the claim: the store may count each change of a
+    // transaction, and a term's number must be the revision of its own key.
+    store_transaction transaction =
+        make_write({.key = term.key, .revision = term.revision},
+                   {.key = options_.settled_key, .value = claim_value_});
+    const auto written = co_await client_.commit(std::move(transaction));
+    if (!written && term_ && term_->revision == term.revision) {
+        is_settled_recorded_ = false;
+    }
+}
+
 asio::awaitable<void> scope_term::resume() {
     const boot_clock::time_point sent = boot_clock::now();
     const auto renewed = co_await client_.renew(lease_);
--- a/drivers/store/scope_term.hpp
+++ b/drivers/store/scope_term.hpp
@@ -4,6 +4,7 @@
 #include "core/logger.hpp"
 #include "core/random_source.hpp"
 #include "drivers/store/store_client.hpp"
+#include "servers/control/holder_separation.hpp"
 #include "servers/feed/term_value.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -52,6 +53,12 @@
     std::function<std::optional<std::chrono::milliseconds>(const instance_id&)>
         claim_delay =
             [](const instance_id&) { return std::chrono::milliseconds(0); };
+    /// Key that names the last settled term (see `holder_separation`), so that
+    /// a holder that restarts needs no distance to its own calls. Empty if the
+    /// holder makes no calls to which `separation` applies.
+    std::string settled_key;
+    /// When this process started; see `holder_separation_options`.
+    std::optional<boot_clock::time_point> process_start;
     std::uint64_t seed = 1;
 };
 
@@ -102,6 +109,13 @@
         return lease_until_;
     }
 
+    /// The distance that this holder's calls keep to those of other holders.
+    /// Its owner reports the calls to it.
+    [[nodiscard]] holder_separation& separation() { return separation_; }
+    [[nodiscard]] const holder_separation& separation() const {
+        return separation_;
+    }
+
 private:
     boost::asio::awaitable<void> claim();
     boost::asio::awaitable<void> keep_renewed();
@@ -110,6 +124,11 @@
     /// may then be replaced at once: the process that held it is gone, and its
     /// writes fail by the key's new revision.
     [[nodiscard]] bool is_left_by_own_restart() const;
+    /// Whether the store names the term with this value as settled.
+    boost::asio::awaitable<bool> is_settled_term(std::string value);
+    /// Records in the store that the current term is settled, once it is.
+    void record_if_settled();
+    boost::asio::awaitable<void> record_settled_term(held_term term);
     void begin_term(held_term term);
     boost::asio::awaitable<void> wait(std::chrono::milliseconds time);
     void end_term(term_end reason);
@@ -133,6 +152,10 @@
     /// still be renewed.
     std::optional<held_term> suspended_;
     std::string claim_value_;
+    /// Whether the last claim replaced a settled term of this instance.
+    bool follows_settled_term_ = false;
+    bool is_settled_recorded_ = false;
+    holder_separation separation_;
     bool is_retired_ = false;
 };
 
--- a/servers/batch/engine_control.cpp
+++ b/servers/batch/engine_control.cpp
@@ -16,8 +16,9 @@
     , rollout_(std::move(rollout), work_) {}
 
 void engine_control::on_term(std::optional<fencing_number> term,
-                             steady_time now, engine_commands& out) {
-    rollout_.on_term(term);
+                             order_delays delays, steady_time now,
+                             engine_commands& out) {
+    rollout_.on_term(term, std::move(delays));
     planner_.on_term(term.has_value());
     advance(now, out);
 }
--- a/servers/batch/engine_control.hpp
+++ b/servers/batch/engine_control.hpp
@@ -34,8 +34,9 @@
     [[nodiscard]] item_planner& planner() { return planner_; }
     [[nodiscard]] version_rollout& rollout() { return rollout_; }
 
-    void on_term(std::optional<fencing_number> term, steady_time now,
-                 engine_commands& out);
+    /// `delays` as for `version_rollout`.
+    void on_term(std::optional<fencing_number> term, order_delays delays,
+                 steady_time now, engine_commands& out);
     void on_upstreams(const std::vector<upstream_entry>& upstreams,
                       const engine_settings& settings, steady_time now,
                       engine_commands& out);
--- a/servers/batch/job_keys.cpp
+++ b/servers/batch/job_keys.cpp
@@ -34,6 +34,10 @@
     return std::string(term_prefix) + service.text();
 }
 
+std::string settled_term_key(std::string_view scope) {
+    return "t/" + std::string(scope);
+}
+
 std::string submission_prefix(const job_id& job) {
     return "d/" + job.text() + '/';
 }
--- a/servers/batch/job_keys.hpp
+++ b/servers/batch/job_keys.hpp
@@ -14,6 +14,7 @@
 ///
 /// c/job/JOB          job record; small, mirrored by all instances
 /// c/term/SERVICE     planner of an engine service, with its lease
+/// t/SCOPE            value of the scope's last settled term key
 /// d/JOB/PART         submission as received, split into parts
 /// p/JOB/TERM-NUMBER  saved parts of the texts of unfinished items
 /// r/JOB/POSITION     results from this position on, one encoded row per line
@@ -31,6 +32,8 @@
 
 [[nodiscard]] std::string job_key(const job_id& job);
 [[nodiscard]] std::string term_key(const service_name& service);
+/// The key that names the last settled term of a scope; not mirrored.
+[[nodiscard]] std::string settled_term_key(std::string_view scope);
 [[nodiscard]] std::string submission_prefix(const job_id& job);
 [[nodiscard]] std::string submission_key(const job_id& job, std::size_t part);
 [[nodiscard]] std::string results_prefix(const job_id& job);
--- a/servers/versions/version_rollout.cpp
+++ b/servers/versions/version_rollout.cpp
@@ -12,8 +12,10 @@
     : options_(std::move(options))
     , workload_(workload) {}
 
-void version_rollout::on_term(std::optional<fencing_number> term) {
+void version_rollout::on_term(std::optional<fencing_number> term,
+                              order_delays delays) {
     term_ = term;
+    delays_ = std::move(delays);
     for (auto& [id, progress] : upstreams_) {
         progress.current.reset();
         progress.is_accepted = false;
@@ -133,6 +135,11 @@
             progress.current->version >= target);
 }
 
+steady_time version_rollout::order_time(const upstream_id& upstream) const {
+    const auto delay = delays_.upstreams.find(upstream);
+    return delay == delays_.upstreams.end() ? delays_.all_until : delay->second;
+}
+
 version_rollout::model_views
 version_rollout::view_models(steady_time now) const {
     model_views models;
@@ -189,7 +196,8 @@
     std::vector<load_candidate> found;
     for (auto& [id, progress] : upstreams_) {
         if (progress.current || progress.not_before > now ||
-            progress.entry.is_draining || progress.is_load_report_requested) {
+            order_time(id) > now || progress.entry.is_draining ||
+            progress.is_load_report_requested) {
             continue;
         }
         const std::size_t first = found.size();
@@ -325,11 +333,12 @@
             const auto ordered = progress.ordered.find(model);
             const bool is_pending = ordered != progress.ordered.end() &&
                                     ordered->second >= target->second;
+            const steady_time first =
+                std::max(progress.not_before, order_time(id));
             const steady_time due =
-                is_pending ? std::max(progress.not_before,
-                                      progress.ordered_at.at(model) +
-                                          options_.confirm_time)
-                           : progress.not_before;
+                is_pending ? std::max(first, progress.ordered_at.at(model) +
+                                                 options_.confirm_time)
+                           : first;
             // Work that is already due waits for other loads to end, which
             // causes an input or a separate wakeup.
             if (due > last_advance_) {
--- a/servers/versions/version_rollout.hpp
+++ b/servers/versions/version_rollout.hpp
@@ -41,6 +41,14 @@
     std::vector<upstream_id> load_report_requests;
 };
 
+/// From when on a new holder may send orders, because it keeps a distance to
+/// orders that it sent before another holder.
+struct order_delays {
+    /// To upstreams that aren't named below.
+    steady_time all_until{};
+    std::map<upstream_id, steady_time> upstreams;
+};
+
 /// Gives the roll-out access to the work of the engines.
 class engine_workload {
 public:
@@ -84,7 +92,7 @@
                     const engine_workload& workload);
 
     /// Starts a term as the holder with this fencing number, or ends the term.
-    void on_term(std::optional<fencing_number> term);
+    void on_term(std::optional<fencing_number> term, order_delays delays = {});
 
     void on_target_version(const std::string& model, weight_version version);
 
@@ -153,6 +161,8 @@
         std::size_t other_models = 0;
     };
 
+    /// When the upstream may get orders of this term.
+    [[nodiscard]] steady_time order_time(const upstream_id& upstream) const;
     [[nodiscard]] model_views view_models(steady_time now) const;
     [[nodiscard]] bool is_load_pending(const upstream_progress& progress,
                                        const std::string& model,
@@ -178,6 +188,7 @@
     version_rollout_options options_;
     const engine_workload& workload_;
     std::optional<fencing_number> term_;
+    order_delays delays_;
     std::map<std::string, weight_version> targets_;
     std::map<upstream_id, upstream_progress> upstreams_;
     /// The number of models that the engines serve; at least 1.
--- a/tests/drivers/duties/duty_driver_test.cpp
+++ b/tests/drivers/duties/duty_driver_test.cpp
@@ -151,3 +151,27 @@
                std::string::npos;
     }));
 }
+
+// Guards against holders that take turns within the lease time over a restart:
+// the earlier process of this instance may have called, and another holder
+// since.
+TEST_F(duty_driver_test, first_call_after_a_restart_keeps_the_lease_time) {
+    constexpr auto lease_time = 1'200ms;
+    const auto process_start = boot_clock::now();
+    scope_term restarted(
+        context, store,
+        {.key = "c/term/~restarted",
+         .self = instance_id("self"),
+         .lease_time = lease_time,
+         .process_start = process_start},
+        [](const held_term&) {}, [](term_end) {}, log);
+    duty_caller caller(
+        context, restarted,
+        {.settings = *settings().duties, .self = instance_id("self")}, log);
+    asio::co_spawn(context, restarted.run(), asio::detached);
+    restarted.on_key(nullptr, 1);
+    ASSERT_TRUE(wait([&] { return restarted.is_held_now(); }));
+    ASSERT_TRUE(wait([&] { return caller.usable_term().has_value(); }));
+    EXPECT_GE(boot_clock::now() - process_start, lease_time);
+    context.stop();
+}
--- a/tests/drivers/duties/usage_reporter_test.cpp
+++ b/tests/drivers/duties/usage_reporter_test.cpp
@@ -39,10 +39,7 @@
                .seed = 1},
               [](const held_term&) {}, [](term_end) {}, log)
         , caller(context, term,
-                 {.settings = settings(),
-                  .self = instance_id("self"),
-                  .lease_time = 100ms},
-                 log)
+                 {.settings = settings(), .self = instance_id("self")}, log)
         , reporter(context, store, transport, directory, term, caller,
                    {.settings = settings(),
                     .self = instance_id("self"),
--- a/tests/drivers/store/store_test.cpp
+++ b/tests/drivers/store/store_test.cpp
@@ -596,3 +596,53 @@
     EXPECT_EQ(scope.term()->revision, first);
     context.stop();
 }
+
+// Guards against a wait after each restart of a holder: the record of a settled
+// term shows that nobody else held the scope.
+TEST_F(store_test, term_after_a_settled_one_of_this_instance_is_settled) {
+    fake.put("c/term/e", "n/77");
+    fake.put("t/e", "n/77");
+    const auto left = fake.values().at("c/term/e");
+    scope_term scope(
+        context, client,
+        {.key = "c/term/e",
+         .self = instance_id("n"),
+         .settled_key = "t/e",
+         .process_start = boot_clock::now()},
+        [](const held_term&) {}, [](term_end) {}, log);
+    asio::co_spawn(context, scope.run(), asio::detached);
+    scope.on_key(&left, left.modified);
+    ASSERT_TRUE(wait([&] { return scope.is_held_now(); }));
+    EXPECT_LE(scope.separation().earliest_call("u"), boot_clock::now());
+    const std::string claimed = fake.values().at("c/term/e").value;
+    EXPECT_TRUE(wait([&] { return fake.values().at("t/e").value == claimed; }));
+    EXPECT_EQ(scope.term()->revision, fake.values().at("c/term/e").modified);
+    context.stop();
+}
+
+// Rolling upgrade: the previous build writes the term's key only. Its term is
+// never settled, whatever an older record names.
+TEST_F(store_test, term_after_one_of_the_previous_build_is_settled_later) {
+    fake.put("t/e", "n/76");
+    fake.put("c/term/e", "n/77");
+    const auto left = fake.values().at("c/term/e");
+    const auto process_start = boot_clock::now();
+    scope_term scope(
+        context, client,
+        {.key = "c/term/e",
+         .self = instance_id("n"),
+         .lease_time = 900ms,
+         .safety_margin = 100ms,
+         .settled_key = "t/e",
+         .process_start = process_start},
+        [](const held_term&) {}, [](term_end) {}, log);
+    asio::co_spawn(context, scope.run(), asio::detached);
+    scope.on_key(&left, left.modified);
+    ASSERT_TRUE(wait([&] { return scope.is_held_now(); }));
+    EXPECT_EQ(scope.separation().earliest_call("u"), process_start + 1s);
+    EXPECT_EQ(fake.values().at("t/e").value, "n/76");
+    const std::string claimed = fake.values().at("c/term/e").value;
+    EXPECT_TRUE(wait([&] { return fake.values().at("t/e").value == claimed; }));
+    EXPECT_GE(boot_clock::now(), process_start + 1s);
+    context.stop();
+}
--- a/tests/servers/versions/version_rollout_test.cpp
+++ b/tests/servers/versions/version_rollout_test.cpp
@@ -390,3 +390,36 @@
     }
     EXPECT_EQ(loads, 45U);
 }
+
+// Load pattern: a holder that ordered some engines a moment ago, before another
+// holder, has the term again while new versions come. Only those engines wait.
+TEST_F(version_rollout_test, delayed_engines_wait_while_others_load) {
+    const steady_time delayed_until = now + 30s;
+    rollout.on_term(9, {.upstreams = {{upstream_id("e0"), delayed_until},
+                                      {upstream_id("e1"), delayed_until}}});
+    rollout.on_target_version("m", 2);
+    std::set<std::string> loaded;
+    for (auto wave = orders(); !wave.empty(); wave = orders()) {
+        for (const version_order& order : wave) {
+            loaded.insert(order.upstream.text());
+        }
+        accept(wave);
+        finish(wave);
+    }
+    EXPECT_EQ(loaded.size(), 7U);
+    EXPECT_FALSE(loaded.contains("e0"));
+    EXPECT_FALSE(loaded.contains("e1"));
+    EXPECT_EQ(rollout.next_wakeup(), delayed_until);
+    now = delayed_until;
+    EXPECT_EQ(orders().size(), 2U);
+}
+
+// Guards against a roll-out that isn't woken when its first orders may be sent.
+TEST_F(version_rollout_test, delay_of_all_engines_ends_with_a_wakeup) {
+    rollout.on_term(9, {.all_until = now + 2s});
+    rollout.on_target_version("m", 2);
+    EXPECT_TRUE(orders().empty());
+    EXPECT_EQ(rollout.next_wakeup(), now + 2s);
+    now += 2s;
+    EXPECT_EQ(orders().size(), 2U);
+}
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -7,6 +7,8 @@
 # a job none of its items may start, and a fault has effects for up to CONTACT_S.
 CANCEL_S = 3.0
 CONTACT_S = 3.0
+# Holders must not act in the order A, B, A within this time.
+LEASE_S = 3.0
 # How long after a result was read, at any instance, the others may lack it.
 SETTLE_S = 1.0
 # First tries at instances that are cut off from all upstreams must be served at
@@ -31,6 +33,8 @@
         self.versions = collections.defaultdict(set)
         self.terms = {}
         self.holders = {}
+        # Time and holder of the latest orders of each upstream.
+        self.orders = collections.defaultdict(list)
         self.rows = collections.defaultdict(dict)
         # When each position of a job was first read.
         self.read_at = {}
@@ -79,6 +83,20 @@
             self.fail(f"ONE: {holder} and {known} order with term {term}")
         self.terms[worker.id] = max(self.terms.get(worker.id, 0), term)
         self.counts["orders"] += 1
+        self.check_turns(worker, holder)
+
+    def check_turns(self, worker, holder):
+        """Checks that no holder returns within LEASE_S after another one."""
+        now = time.monotonic()
+        recent = [(at, name) for at, name in self.orders[worker.id]
+                  if now - at < LEASE_S]
+        self.orders[worker.id] = recent + [(now, holder)]
+        names = [name for _, name in recent]
+        if holder in names and any(
+                name != holder for name in names[names.index(holder):]):
+            self.fail(f"ONE: {worker.id} gets orders of "
+                      f"{', '.join([*names, holder])} within "
+                      f"{now - recent[names.index(holder)][0]:.2f} s")
 
     def on_call(self, request, path, body):
         self.calls[request] += 1
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+import unittest.mock
 
 from judge import CANCEL_S, CONTACT_S, Judge
 from workers import event_text, events_of
@@ -169,6 +170,30 @@
         self.judge.on_order(worker, {"fence": 7, "holder": "b"})
         self.assert_violation("ONE")
 
+    def order(self, worker, fence, holder, at):
+        with unittest.mock.patch("judge.time.monotonic", return_value=at):
+            self.judge.on_order(type("worker", (), {"id": worker}),
+                                {"fence": fence, "holder": holder})
+
+    def test_holders_that_take_turns_are_caught(self):
+        self.order("w", 7, "a", 10.0)
+        self.order("w", 8, "b", 11.0)
+        self.order("w", 9, "a", 12.9)
+        self.assert_violation("ONE")
+
+    def test_holder_that_returns_after_the_lease_time_is_allowed(self):
+        self.order("w", 7, "a", 10.0)
+        self.order("w", 8, "b", 11.0)
+        self.order("w", 9, "a", 13.0)
+        self.order("w", 9, "a", 13.5)
+        self.assertEqual(self.judge.violations, [])
+
+    def test_turns_at_different_upstreams_are_allowed(self):
+        self.order("w", 7, "a", 10.0)
+        self.order("v", 8, "b", 11.0)
+        self.order("w", 9, "a", 12.0)
+        self.assertEqual(self.judge.violations, [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,6 +10,7 @@
 import pathlib
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -25,7 +26,8 @@
 from store import Store
 from workers import Worker, event_text, events_of
 
-SIZES = {"small": (6, 3, 2), "usual": (6, 6, 4), "large": (24, 16, 8)}
+SIZES = {"pair": (2, 1, 2), "small": (6, 3, 2), "usual": (6, 6, 4),
+         "large": (24, 16, 8)}
 # The platform's bound on the time until service works again after all faults.
 RECOVERY_S = 15.0
 # The exit code of a drain that timed out with requests still open. It is
@@ -321,6 +323,43 @@
             how, [is_served for is_cut, is_served in judged if is_cut],
             [is_served for is_cut, is_served in judged if not is_cut])
 
+    async def name_versions(self):
+        while True:
+            self.target_version += 1
+            await self.store.put("op/version/m", json.dumps(
+                {"model": "m", "version": self.target_version}))
+            await asyncio.sleep(0.5)
+
+    async def relay_planners(self, stops):
+        """Names versions all the time and stops each planner that has ordered
+        an engine, `stops` times. The one before it is killed while it still
+        exits, so that it starts again without a memory of its orders."""
+        namer = asyncio.ensure_future(self.name_versions())
+        stopped = None
+        for _ in range(stops):
+            planner, end = None, time.monotonic() + 2 * RECOVERY_S
+            while planner is None and time.monotonic() < end:
+                await asyncio.sleep(0.02)
+                holder = self.faults.planner()
+                if holder not in (None, stopped) and any(
+                        orders and orders[-1][1] == holder.name
+                        for orders in self.judge.orders.values()):
+                    planner = holder
+            if planner is None:
+                self.judge.fail("SOAK: no planner ordered an engine")
+                break
+            self.judge.record_fault(1, [planner.name])
+            planner.send(signal.SIGTERM)
+            if stopped:
+                stopped.send(signal.SIGKILL)
+            print(f"{time.monotonic() - self.begin:7.2f} planner "
+                  f"{planner.name} stopped", file=self.events)
+            self.judge.record_fault(-1, [planner.name])
+            self.judge.counts["planners stopped"] += 1
+            stopped = planner
+        await asyncio.sleep(CONTACT_S)
+        namer.cancel()
+
     async def supervise(self):
         while not self.is_over:
             for node in self.nodes:
@@ -393,6 +432,8 @@
         await asyncio.gather(*self.faults.begun)
         if self.options.cut_off:
             await self.cut_off(self.options.cut_off)
+        if self.options.stop_planners:
+            await self.relay_planners(self.options.stop_planners)
         await asyncio.sleep(2 * CONTACT_S)
         for task in tasks:
             task.cancel()
@@ -433,6 +474,9 @@
     parser.add_argument("--cut-off", choices=["hang", "reset", "refuse"],
                         help="after the faults, cut half of the instances off "
                         "from all upstreams in this way")
+    parser.add_argument("--stop-planners", type=int, default=0, metavar="N",
+                        help="after the faults, stop planners N times in "
+                        "series while versions are named")
     parser.add_argument("--size", choices=SIZES, default="usual")
     options = parser.parse_args()
     # Instances close streams during faults; aiohttp would log each of them.
