List only what can be read back, and never take an unreadable row for none

Cause: an event's bytes went into a result as they came. On load the row couldn't be decoded, its item's id came out empty, and the item was taken for unlisted. The log shows it: job_loaded items=48 listed=48, then results_listed first=48 count=1 in the new term.

An event that isn't UTF-8 now interrupts its run, which goes on behind the last sound one; a scoring call with such a signature is made again. Planners check what runners of the previous build report and what these have saved. Stored rows of the previous build are repaired when they are read, so that their items are known and pages are JSON. A row that names no item fails the load of its job instead.

Ruled out: a row missing from the planner's copy (listed=48), and a late commit of the first planner (the second row is of the new term).

--- a/drivers/batch/item_runner.cpp
+++ b/drivers/batch/item_runner.cpp
@@ -1,5 +1,6 @@
 #include "drivers/batch/item_runner.hpp"
 
+#include "core/utf8.hpp"
 #include "drivers/front/attempt_log.hpp"
 #include "drivers/front/leaving_notice.hpp"
 #include "drivers/front/request_limit.hpp"
@@ -74,7 +75,8 @@
             return std::nullopt;
         }
         item_progress& progress = record_.progress;
-        if (*event.number != progress.events + 1) {
+        // Event streams are UTF-8. Other bytes can't be listed as a result.
+        if (*event.number != progress.events + 1 || !is_utf8(event.data)) {
             return run_end::interrupted;
         }
         const bool is_too_long =
@@ -209,6 +211,11 @@
             break;
         }
         if (const auto verdict = builder.feed(*bytes)) {
+            if (*verdict == run_end::interrupted) {
+                attempt.on_failed({result_code::failed_by_upstream,
+                                   "an event is out of order, too long or not "
+                                   "UTF-8"});
+            }
             co_return *verdict;
         }
         if (record->progress.events > events) {
@@ -273,9 +280,15 @@
                 .max_limit_wait = std::chrono::milliseconds(0)};
             auto result = co_await scorers_.call(std::move(call));
             if (result.answer && result.answer->status / 100 == 2) {
-                co_return platform::decode_answer_metadata(
-                    result.answer->headers)
-                    .stamp;
+                auto answer =
+                    platform::decode_answer_metadata(result.answer->headers);
+                if (is_utf8(answer.stamp)) {
+                    co_return std::move(answer.stamp);
+                }
+                // A damaged signature; the result couldn't be read with it.
+                log_.write(log_event::attempt_failed,
+                           "use=scoring id=" + task->id +
+                               " reason=\"the signature isn't UTF-8\"");
             }
             failures += result.failures;
             const std::uint32_t allowed =
--- a/drivers/batch/job_store.cpp
+++ b/drivers/batch/job_store.cpp
@@ -1,5 +1,6 @@
 #include "drivers/batch/job_store.hpp"
 
+#include "core/utf8.hpp"
 #include "core/wire_codec.hpp"
 #include "platform/batch_codec.hpp"
 #include "platform/store_codec.hpp"
@@ -40,8 +41,12 @@
 
 /// Appends a saved part to a text of the same origin, or replaces the text if
 /// the part begins with the first event and has more events. Ignores a part
-/// whose predecessor was not saved.
+/// whose predecessor was not saved or that can't be listed as a result: the
+/// previous build saves any bytes.
 void merge_saved_part(item_progress& text, const saved_progress& part) {
+    if (!is_utf8(part.text)) {
+        return;
+    }
     if (part.base_events == 0 && part.events > text.events) {
         text = {.text = part.text,
                 .events = part.events,
@@ -81,11 +86,6 @@
     return std::nullopt;
 }
 
-/// The item to which an encoded result belongs.
-item_id item_of(const std::string& row) {
-    return platform::decode_result_item(row);
-}
-
 } // namespace
 
 job_store::job_store(store_client& client, logger& log,
@@ -335,7 +335,16 @@
     open_commits_.on_positions_taken(record.id, listed.size());
     loaded_job loaded{.job = std::move(*submission)};
     for (const std::string& row : listed.rows()) {
-        loaded.listed.push_back(item_of(row));
+        auto item = platform::decode_result_item(row);
+        if (!item) {
+            // Its item would be taken for unlisted and listed once more.
+            log_.write(log_event::job_unreadable,
+                       "job=" + record.id.text() +
+                           " position=" + std::to_string(loaded.listed.size()) +
+                           " reason=\"" + item.reason().detail + '"');
+            co_return item.reason();
+        }
+        loaded.listed.push_back(std::move(*item));
     }
     co_return loaded;
 }
--- a/drivers/batch/result_reader.cpp
+++ b/drivers/batch/result_reader.cpp
@@ -1,5 +1,6 @@
 #include "drivers/batch/result_reader.hpp"
 
+#include "core/utf8.hpp"
 #include "servers/batch/job_keys.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -19,6 +20,16 @@
 /// Reads of a job's results, if they are evicted meanwhile.
 constexpr int max_result_reads = 2;
 
+/// Makes rows that the previous build encoded valid: it lists any bytes, and a
+/// page with such a row isn't JSON.
+void repair_rows(std::vector<std::string>& rows) {
+    for (std::string& row : rows) {
+        if (!is_utf8(row)) {
+            row = replace_invalid_utf8(row);
+        }
+    }
+}
+
 } // namespace
 
 std::string_view name_of(result_origin origin) {
@@ -61,7 +72,9 @@
     if (rows(job).has_gap_before(*position)) {
         return false;
     }
-    append(job, *position, split_rows(value.value));
+    std::vector<std::string> rows_there = split_rows(value.value);
+    repair_rows(rows_there);
+    append(job, *position, std::move(rows_there));
     cached_results& known = cache_.entry(job);
     known.last_key = std::max(known.last_key, value.key);
     return true;
@@ -161,6 +174,7 @@
         auto rows = co_await source_->read(record, first, wait);
         if (rows) {
             page.rows = std::move(*rows);
+            repair_rows(page.rows);
             page.next_position = first + page.rows.size();
             page.origin = result_origin::planner;
             append(record.id, first, page.rows);
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -1,5 +1,6 @@
 #include "servers/batch/item_planner.hpp"
 
+#include "core/utf8.hpp"
 #include "servers/batch/item_ranking.hpp"
 #include "servers/batch/job_demand.hpp"
 
@@ -144,16 +145,18 @@
     }
     run_state& run = found->second;
     run.last_event_at = now;
-    if (held.events > run.progress.events) {
+    const bool is_valid = is_utf8(held.text);
+    if (held.events > run.progress.events && is_valid) {
         run.progress.text = held.text;
         run.progress.events = held.events;
         run.progress.versions = held.versions;
     }
     if (held.has_ended) {
-        on_run_ended({.ticket = held.ticket,
-                      .end = run_end::complete,
-                      .last_delta = {.ticket = held.ticket}},
-                     now);
+        on_run_ended(
+            {.ticket = held.ticket,
+             .end = is_valid ? run_end::complete : run_end::interrupted,
+             .last_delta = {.ticket = held.ticket}},
+            now);
     }
     return true;
 }
@@ -194,7 +197,7 @@
             std::find(item.unreleased_tickets.begin(),
                       item.unreleased_tickets.end(),
                       held.text_ticket) != item.unreleased_tickets.end();
-        if (held.has_ended && is_of_this_text &&
+        if (held.has_ended && is_of_this_text && is_utf8(held.score) &&
             item.phase == item_phase::to_score) {
             std::erase(to_score_, std::pair(job.record.id, index));
             item.score = std::move(held.score);
@@ -210,6 +213,7 @@
     const bool is_usable = held.has_ended ? has_allowed_versions(progress, job)
                                           : is_reusable(progress, job);
     if (item.phase != item_phase::waiting || !is_usable ||
+        !is_utf8(progress.text) ||
         is_oversized(job.submission->items[index], progress)) {
         if (!held.has_ended) {
             out.emplace_back(stop_run{.ticket = held.ticket});
@@ -243,7 +247,8 @@
     if (delta.events <= progress.events) {
         return true;
     }
-    if (delta.base_events != progress.events) {
+    // Instances of the previous build report any bytes.
+    if (delta.base_events != progress.events || !is_utf8(delta.text)) {
         return false;
     }
     progress.text += progress.events == 0 ? "" : "\n";
@@ -574,12 +579,7 @@
         scoring != scorings_.end()) {
         const scoring_state lost = scoring->second;
         scorings_.erase(scoring);
-        const auto owner = jobs_.find(lost.job);
-        if (owner != jobs_.end() &&
-            owner->second.items[lost.item].phase == item_phase::scoring) {
-            owner->second.items[lost.item].phase = item_phase::to_score;
-            to_score_.emplace_back(lost.job, lost.item);
-        }
+        requeue_scoring(lost);
         return;
     }
     const auto run = runs_.find(ticket);
@@ -595,6 +595,15 @@
                  now);
 }
 
+void item_planner::requeue_scoring(const scoring_state& scoring) {
+    const auto owner = jobs_.find(scoring.job);
+    if (owner != jobs_.end() &&
+        owner->second.items[scoring.item].phase == item_phase::scoring) {
+        owner->second.items[scoring.item].phase = item_phase::to_score;
+        to_score_.emplace_back(scoring.job, scoring.item);
+    }
+}
+
 std::optional<run_ticket> item_planner::active_run_of(const job_id& job,
                                                       std::size_t item) const {
     const auto found =
@@ -658,6 +667,10 @@
     }
     const scoring_state scoring = found->second;
     scorings_.erase(found);
+    if (report.score && !is_utf8(*report.score)) {
+        requeue_scoring(scoring);
+        return;
+    }
     const auto owner = jobs_.find(scoring.job);
     if (owner == jobs_.end()) {
         return;
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -574,6 +574,8 @@
     /// Updates the group of an item that becomes ready or listed. Call before
     /// the phase changes.
     void count_finished_item(job_state& job, std::size_t item);
+    /// Scores the text of the item again.
+    void requeue_scoring(const scoring_state& scoring);
     void requeue(job_state& job, std::size_t item);
     /// The text is complete: scores the item next, or makes it ready.
     void finish_text(job_state& job, std::size_t item, item_progress progress);
--- a/tests/drivers/batch/item_runner_test.cpp
+++ b/tests/drivers/batch/item_runner_test.cpp
@@ -175,3 +175,79 @@
     EXPECT_EQ(run(upstream), run_end::oversized);
     EXPECT_EQ(record->progress.events, 3U);
 }
+
+/// The parameter is the data of the second event.
+class damaged_event_test : public item_runner_test,
+                           public ::testing::WithParamInterface<const char*> {};
+
+// Guards against an item that is listed twice: a result with such bytes can't
+// be read back, so that its item was taken for unlisted.
+TEST_P(damaged_event_test, run_is_interrupted_before_the_event) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write(
+            stream_header("i") + chunk(event(1)) +
+            chunk("id: 2\ndata: " + std::string(GetParam()) + "\n\n") +
+            chunk(event(3)) + "0\r\n\r\n");
+        connection.read_request();
+    });
+    EXPECT_EQ(run(upstream), run_end::interrupted);
+    EXPECT_EQ(record->progress.events, 1U);
+    EXPECT_EQ(record->progress.text, "t1");
+}
+
+INSTANTIATE_TEST_SUITE_P(bytes, damaged_event_test,
+                         ::testing::Values("\xff", "a\xc0\x80", "\xed\xa0\x80",
+                                           "\xe2\x82"));
+
+TEST_F(item_runner_test, control_characters_of_an_event_are_kept) {
+    const std::string data("\0\x01\"\\", 4);
+    raw_upstream upstream([&](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write(stream_header("i") +
+                         chunk("id: 1\ndata: " + data + "\n\n") + "0\r\n\r\n");
+        connection.read_request();
+    });
+    EXPECT_EQ(run(upstream), run_end::complete);
+    EXPECT_EQ(record->progress.text, data);
+}
+
+// Guards against a result that can't be read back because of its score: the
+// signature of a scoring call's answer was damaged.
+TEST_F(item_runner_test, scoring_with_a_damaged_signature_is_repeated) {
+    raw_upstream scorer([](raw_connection& connection, std::size_t number) {
+        while (!connection.read_request().empty()) {
+            connection.write(
+                std::string("HTTP/1.1 200 OK\r\nRequest-Id: s\r\n") +
+                "Server-Stamp: " +
+                (number == 0 ? "a\xff"
+                               "b"
+                             : "sound") +
+                "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+            return;
+        }
+    });
+    const service_name service("plain");
+    auto configuration = std::make_shared<fleet_configuration>();
+    configuration->routes = {{.name = "r",
+                              .host = "h",
+                              .prefix = "/s/",
+                              .kind = request_kind::idempotent,
+                              .services = {{.service = service}}}};
+    configuration->routes.front().max_attempts = 3;
+    configuration->services = {{.name = service}};
+    fleet.routes = std::make_shared<route_table>(configuration);
+    fleet.pool.set_upstreams({{.id = upstream_id("u"),
+                               .service = service,
+                               .address = scorer.address(),
+                               .slots = 2}});
+    const auto score =
+        run_call(context, runner.score(std::make_shared<const run_task>(
+                              run_task{.ticket = 1,
+                                       .is_scoring = true,
+                                       .job = job_id("j"),
+                                       .id = "s",
+                                       .host = "h",
+                                       .path = "/s/1"})));
+    EXPECT_EQ(score, "sound");
+}
--- a/tests/drivers/store/store_test.cpp
+++ b/tests/drivers/store/store_test.cpp
@@ -646,3 +646,44 @@
     EXPECT_GE(boot_clock::now(), process_start + 1s);
     context.stop();
 }
+
+// Guards against an item that is listed twice after a change of planner: the
+// previous build lists texts with any bytes, and its row wasn't decoded. The
+// row is one of its stored results.
+TEST_F(store_test, stored_row_that_is_not_utf8_still_names_its_item) {
+    ASSERT_EQ(accept(), accept_end::accepted);
+    fake.put("r/j/00000000",
+             "{\"id\":\"i\",\"state\":\"completed\",\"text\":\"i.1\\n\xff.2\","
+             "\"versions\":[1]}");
+    ASSERT_TRUE(results_position(job_id("j"), "r/j/00000000"));
+    const auto loaded = run(jobs.load(jobs.records().at(job_id("j")), 5));
+    ASSERT_TRUE(loaded);
+    EXPECT_EQ(loaded->listed, std::vector{item_id("i")});
+    const auto page = run(jobs.read_results(job_id("j"), 0, 50ms));
+    ASSERT_EQ(page->rows.size(), 1U);
+    EXPECT_EQ(page->rows.front(),
+              "{\"id\":\"i\",\"state\":\"completed\",\"text\":\"i.1\\n"
+              "\xef\xbf\xbd.2\",\"versions\":[1]}");
+}
+
+// Guards against a listed item that is run and listed once more: which item a
+// row lists isn't known, so none may be taken for unlisted.
+TEST_F(store_test, job_with_a_row_that_names_no_item_is_not_loaded) {
+    ASSERT_EQ(accept(), accept_end::accepted);
+    fake.put("r/j/00000000", "{\"id\":7}");
+    const auto loaded = run(jobs.load(jobs.records().at(job_id("j")), 5));
+    ASSERT_FALSE(loaded);
+    EXPECT_EQ(loaded.reason().code, result_code::invalid_document);
+}
+
+// Guards against a saved text of the previous build that could be completed and
+// not be listed.
+TEST_F(store_test, saved_text_that_is_not_utf8_is_cut_before_its_part) {
+    ASSERT_EQ(accept(), accept_end::accepted);
+    save_all(hold(),
+             {make_saved("j", 0, 2, "a\nb"), make_saved("j", 2, 3, "\xff"),
+              make_saved("j", 3, 4, "d")});
+    const saved_items saved = run(jobs.load_progress(job_id("j")));
+    EXPECT_EQ(saved.texts.at(0).text, "a\nb");
+    EXPECT_EQ(saved.texts.at(0).events, 2U);
+}
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -271,7 +271,9 @@
                                            .versions = {6, 7},
                                            .score = "sig"});
     EXPECT_EQ(row.find('\n'), std::string::npos);
-    EXPECT_EQ(decode_result_item(row), item_id("i"));
+    const auto item = decode_result_item(row);
+    ASSERT_TRUE(item);
+    EXPECT_EQ(*item, item_id("i"));
     const std::vector<std::string> rows{row};
     const std::string page = encode_result_page(40, 13, rows);
     EXPECT_NE(page.find(R"("total":40,"next_token":13)"), std::string::npos);
@@ -280,6 +282,17 @@
               std::string::npos);
 }
 
+// Guards against a listed item that is taken for unlisted: a row that can't be
+// decoded has an item all the same.
+TEST_F(codec_test, row_without_an_item_is_an_error) {
+    for (const char* const row : {"", "x", "[]", "{}", R"({"id":7})",
+                                  R"({"id":""})", "{\"id\":\"a\xff\"}"}) {
+        const auto item = decode_result_item(row);
+        ASSERT_FALSE(item) << row;
+        EXPECT_EQ(item.reason().code, result_code::invalid_document);
+    }
+}
+
 TEST_F(codec_test, event_lines_give_number_data_and_version) {
     const auto event =
         decode_item_event("weight-versions: 7\nid: 3\ndata: a\ndata:b");
--- a/tests/servers/batch/item_planner_test.cpp
+++ b/tests/servers/batch/item_planner_test.cpp
@@ -1024,3 +1024,48 @@
     EXPECT_EQ(started.size(), 4U);
     EXPECT_NE(started.find('y'), std::string::npos) << started;
 }
+
+// Rolling upgrade: a runner of the previous build reports any bytes. A text
+// with such bytes is run again behind its sound part.
+TEST_F(item_planner_test, reported_text_that_is_not_utf8_is_run_again) {
+    set_engines(2, 1);
+    add_job(make_job("j", 1, {{3}}));
+    const auto first = take_commands<start_run>();
+    ASSERT_EQ(first.size(), 1U);
+    progress(first[0].ticket, 0, 1);
+    report(first[0].ticket, 1, 3, run_end::complete, "b\n\xff");
+    EXPECT_TRUE(take_commands<commit_results>().empty());
+    now += std::chrono::seconds(1);
+    step();
+    const auto second = take_commands<start_run>();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second[0].progress.events, 1U);
+}
+
+TEST_F(item_planner_test, held_text_that_is_not_utf8_is_run_again) {
+    set_engines(1, 1);
+    planner.on_held_run({.ticket = 900,
+                         .job = job_id("j"),
+                         .id = "g0i0",
+                         .has_ended = true,
+                         .upstream = upstream_id("e0"),
+                         .events = 2,
+                         .text = "a\n\xff",
+                         .versions = {1}},
+                        now, commands);
+    add_job(make_job("j", 1, {{2}}));
+    EXPECT_TRUE(take_commands<commit_results>().empty());
+    EXPECT_EQ(take_commands<start_run>().size(), 1U);
+}
+
+TEST_F(item_planner_test, reported_score_that_is_not_utf8_is_scored_again) {
+    set_engines(1, 1);
+    add_job(make_job("j", 1, {{1}}, 0, true));
+    report(take_commands<start_run>().at(0).ticket, 0, 1, run_end::complete);
+    const auto first = take_commands<start_scoring>();
+    ASSERT_EQ(first.size(), 1U);
+    planner.on_scored({.ticket = first[0].ticket, .score = "\xff"});
+    step();
+    EXPECT_TRUE(take_commands<commit_results>().empty());
+    EXPECT_EQ(take_commands<start_scoring>().size(), 1U);
+}
--- a/tests/soak/fault_play.py
+++ b/tests/soak/fault_play.py
@@ -66,6 +66,8 @@
             "history": ("store", store.drop_history, nothing),
             "slow": (worker.id, lambda: setattr(worker, "slowness", 4),
                      lambda: setattr(worker, "slowness", 1)),
+            "damage": (worker.id, lambda: setattr(worker, "is_damaging", True),
+                       lambda: setattr(worker, "is_damaging", False)),
             "crash": (worker.id,
                       lambda: worker.is_down or asyncio.ensure_future(
                           worker.crash(seconds)), nothing),
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -1,6 +1,7 @@
 """Checks savorydock's guarantees against what callers and upstreams see."""
 
 import collections
+import json
 import time
 
 # Bounds from the platform's specification, in seconds: CANCEL_S after the end of
@@ -161,6 +162,15 @@
                       f"tries served, elsewhere {sum(others)} of "
                       f"{len(others)}")
 
+    def parse_page(self, job, body):
+        """Returns the page of results, or nothing if it isn't JSON in
+        UTF-8."""
+        try:
+            return json.loads(body.decode("utf-8"))
+        except ValueError as error:
+            self.fail(f"MIXED: a page of {job['id']} can't be read: {error}")
+            return None
+
     def on_page(self, job, first, page, event_text, events_of):
         if page["total"] != len(job["items"]):
             self.fail(f"MIXED: total {page['total']} of {job['id']}")
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -152,6 +152,12 @@
         self.judge.on_item(ITEM, 0)
         self.assertEqual(self.judge.violations, [])
 
+    def test_page_that_is_not_json_is_caught(self):
+        for body in (b'{"total":1,"results":[{"text":"\xff"}]}', b"{"):
+            self.judge.violations.clear()
+            self.assertIsNone(self.judge.parse_page({"id": "j"}, body))
+            self.assert_violation("MIXED")
+
     def test_worse_service_at_cut_instances_is_caught(self):
         self.judge.on_cut_off("hang", [True] * 13 + [False] * 7, [True] * 20)
         self.assert_violation("RECOVER")
--- a/tests/soak/readers.py
+++ b/tests/soak/readers.py
@@ -2,7 +2,6 @@
 with and without a wait, also after the job's end and after restarts."""
 
 import asyncio
-import json
 import time
 
 from workers import event_text, events_of
@@ -48,8 +47,8 @@
             f"?after={first}", {"Wait-Ms": str(wait_ms)},
             timeout=wait_ms / 1000 + PATIENCE_S)
         self.judge.counts["reads" if status == 200 else "reads failed"] += 1
-        if status == 200:
-            page = json.loads(body)
+        page = self.judge.parse_page(job, body) if status == 200 else None
+        if page:
             self.judge.on_page(job, first, page, event_text, events_of)
             if not page["results"]:
                 self.judge.on_empty_page(job, first, node.name, sent_at,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -240,8 +240,9 @@
                 "GET", self.url(f"/savorydock/lots/{job['id']}?after={first}"),
                 {"Wait-Ms": "500"})
             if status == 200:
-                self.judge.on_page(job, first, json.loads(body), event_text,
-                                   events_of)
+                page = self.judge.parse_page(job, body)
+                if page:
+                    self.judge.on_page(job, first, page, event_text, events_of)
             elif status in (404, 410):
                 self.judge.fail(f"LOST: {status} for job {job['id']}")
             if len(self.judge.rows[job["id"]]) >= count:
@@ -402,8 +403,8 @@
             status, _, body = await self.send(
                 "GET", self.url(f"/savorydock/lots/{job['id']}?after={first}"),
                 {})
-            if status == 200:
-                page = json.loads(body)
+            page = self.judge.parse_page(job, body) if status == 200 else None
+            if page:
                 self.judge.on_page(job, first, page, event_text, events_of)
                 first = page["next_token"]
             else:
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -10,6 +10,10 @@
 
 EVENT_TIME_S = 0.02
 LOAD_TIME_S = 0.5
+# Bytes that are not UTF-8: a stray byte, an overlong form, a surrogate.
+DAMAGE = [b"\xff", b"\xc0\x80", b"\xed\xa0\x80"]
+# One in so many events of a worker that damages its answers is damaged.
+DAMAGE_INTERVAL = 40
 
 
 def events_of(item):
@@ -36,6 +40,8 @@
         self.busy_until = 0.0
         self.heartbeats = 0
         self.slowness = 1
+        self.is_damaging = False
+        self.events_made = 0
         self.tasks = set()
         self.reset_identity()
 
@@ -153,6 +159,13 @@
         return web.Response(body=b"answer:" + body, headers={
             "Request-Id": request_id, "Server-Stamp": stamp})
 
+    def damage(self, data):
+        self.events_made += 1
+        if not self.is_damaging or self.events_made % DAMAGE_INTERVAL:
+            return data
+        self.judge.counts["events damaged"] += 1
+        return DAMAGE[self.judge.counts["events damaged"] % 3] + data[1:]
+
     async def stream(self, request, body):
         request_id = request.headers["Request-Id"]
         number = int(request.headers.get("Last-Event-Id", 0))
@@ -179,8 +192,10 @@
                 version = self.version
                 prefix = f"weight-versions:{version}\n"
             self.judge.on_event(item, number, version)
+            data = event_text(item, number, software).encode()
+            if request.path.startswith("/job/"):
+                data = self.damage(data)
             await response.write(
-                (f"{prefix}id: {number}\n"
-                 f"data: {event_text(item, number, software)}\n\n").encode())
+                f"{prefix}id: {number}\ndata: ".encode() + data + b"\n\n")
         await response.write_eof()
         return response
