Fail calls whose answer has an invalid status

Callers got bytes as a success that no upstream gave: an answer with the status 000 whose body was a signed answer to the request (8 of 8 with two such upstreams of a plain service). With an empty body they waited for the whole deadline, 2.99 s, for 504; the statuses 101 and 199 did the same, and 999 was passed on.

Cause: http_client took each status below 200 for an interim answer and read the body, which an interim answer doesn't have, as the next answer.

The kind of an answer now follows the classes of RFC 9110. An invalid status, or an interim answer that announces a body, fails the call at once and closes its connection. All users of the client take part.

--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -1,5 +1,7 @@
 #include "drivers/http/http_client.hpp"
 
+#include "core/answer_status.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -32,7 +34,6 @@
 constexpr std::uint32_t max_header_bytes = 65'536;
 /// Interim (1xx) answers that are skipped before the final answer.
 constexpr int max_interim_answers = 4;
-constexpr unsigned first_final_status = 200;
 
 /// Idle connections are discarded this long before their peer would close
 /// them, so that no request is sent on a connection that is being closed.
@@ -190,7 +191,15 @@
                 co_return failed_after_write(error);
             }
             pool_->paths->on_answered(address_, connection_->path);
-            if (status() >= first_final_status) {
+            const answer_kind kind = kind_of_status(status());
+            if (kind == answer_kind::invalid ||
+                (kind == answer_kind::interim && announces_body())) {
+                co_return failure{result_code::unknown_upstream_lost,
+                                  "the answer's status " +
+                                      std::to_string(status()) +
+                                      " is invalid or may have no body"};
+            }
+            if (kind == answer_kind::final) {
                 break;
             }
             reset_parser();
@@ -249,6 +258,12 @@
     }
 
 private:
+    [[nodiscard]] bool announces_body() const {
+        const auto& header = parser_->get();
+        return header.find(http::field::content_length) != header.end() ||
+               header.find(http::field::transfer_encoding) != header.end();
+    }
+
     void reset_parser() {
         parser_.emplace();
         parser_->body_limit(boost::none);
--- a/drivers/http/http_client.hpp
+++ b/drivers/http/http_client.hpp
@@ -92,7 +92,8 @@
 /// to one I/O context and is used on that context's thread only.
 ///
 /// Interim (1xx) answers are skipped, up to a limit. An answer that exceeds a
-/// limit or isn't HTTP fails the call and closes its connection.
+/// limit, isn't HTTP, has a status of no class of HTTP (see `kind_of_status`)
+/// or is interim and announces a body fails the call and closes its connection.
 ///
 /// Error codes state whether the upstream may have received the request:
 /// `not_run_bad_request`, `not_run_no_upstream` and `not_run_deadline` mean
--- a/tests/drivers/front/plain_caller_test.cpp
+++ b/tests/drivers/front/plain_caller_test.cpp
@@ -375,3 +375,52 @@
     EXPECT_EQ(fleet.pool.by_cost()->work().own(upstream_id("u"), now).calls,
               0U);
 }
+
+// Guards against a success that no upstream gave: the body of an answer with
+// the status 000 was a signed answer to the request.
+TEST_F(plain_caller_test, answer_in_the_body_of_status_000_is_not_used) {
+    raw_upstream upstream([](raw_connection& connection, std::size_t) {
+        const std::string request = connection.read_request();
+        const std::string hidden = success(header_of(request, "Request-Id"));
+        connection.write("HTTP/1.1 000 X\r\nContent-Length: " +
+                         std::to_string(hidden.size()) + "\r\n\r\n" + hidden);
+        connection.read_request();
+    });
+    use(upstream);
+    const auto begin = std::chrono::steady_clock::now();
+    const auto result = call("a", "/a/", 5s);
+    EXPECT_FALSE(result.answer);
+    EXPECT_TRUE(result.may_have_run);
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 4s);
+}
+
+// Guards against a caller that gets a status of no class of HTTP as the answer
+// although another upstream could serve it.
+TEST_F(plain_caller_test, call_after_an_invalid_status_goes_elsewhere) {
+    raw_upstream faulty([](raw_connection& connection, std::size_t) {
+        const std::string request = connection.read_request();
+        connection.write(answer("999", header_of(request, "Request-Id"),
+                                "Server-Stamp: s\r\n", "x"));
+    });
+    raw_upstream sound([](raw_connection& connection, std::size_t) {
+        std::string request = connection.read_request();
+        while (!request.empty()) {
+            connection.write(success(header_of(request, "Request-Id")));
+            request = connection.read_request();
+        }
+    });
+    fleet.pool.set_upstreams({{.id = upstream_id("u"),
+                               .service = service_name("s"),
+                               .address = faulty.address()},
+                              {.id = upstream_id("v"),
+                               .service = service_name("s"),
+                               .address = sound.address()}});
+    route.kind = request_kind::idempotent;
+    route.max_attempts = 2;
+    for (const char* const id : {"a", "b", "c", "d"}) {
+        const auto result = call(id);
+        ASSERT_TRUE(result.answer);
+        EXPECT_EQ(result.answer->status, 200U);
+        EXPECT_EQ(result.answer->body, id);
+    }
+}
--- a/tests/drivers/http/http_client_faulty_peer_test.cpp
+++ b/tests/drivers/http/http_client_faulty_peer_test.cpp
@@ -279,3 +279,68 @@
     std::this_thread::sleep_for(100ms);
     EXPECT_FALSE(has_request);
 }
+
+struct invalid_answer {
+    std::string status;
+    std::string rest;
+
+    friend std::ostream& operator<<(std::ostream& out,
+                                    const invalid_answer& answer) {
+        return out << answer.status << ' ' << answer.rest;
+    }
+};
+
+/// The parameter is an answer with a status that no answer may have.
+class invalid_status_test
+    : public http_client_faulty_peer_test,
+      public ::testing::WithParamInterface<invalid_answer> {};
+
+// Guards against bytes that reach a caller as its answer: an upstream in
+// trouble sent the status 000, which was skipped like an interim answer, and
+// the body after it was read as the answer. Also against calls that wait for
+// their deadline although the answer has come.
+TEST_P(invalid_status_test, call_fails_at_once_and_closes_its_connection) {
+    const auto& [status, rest] = GetParam();
+    raw_upstream upstream([&](raw_connection& connection, std::size_t number) {
+        connection.read_request();
+        connection.write(number > 0 ? answer("2", "sound")
+                                    : "HTTP/1.1 " + status +
+                                          " X\r\nX-Id: 1\r\n" + rest);
+        connection.read_request();
+    });
+    const auto begin = std::chrono::steady_clock::now();
+    const auto result = call(upstream);
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, 4s);
+    ASSERT_FALSE(result) << result->status << ' ' << result->body;
+    EXPECT_EQ(result.reason().code, result_code::unknown_upstream_lost);
+    const auto next = call(upstream, "2");
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->body, "sound");
+    EXPECT_EQ(upstream.connections(), 2U);
+}
+
+std::vector<invalid_answer> invalid_answers() {
+    const std::string hidden = answer("1", "hidden");
+    const std::string length =
+        "Content-Length: " + std::to_string(hidden.size()) + "\r\n\r\n";
+    std::vector<invalid_answer> answers;
+    for (const char* const status :
+         {"000", "001", "099", "101", "600", "999"}) {
+        answers.push_back({status, "Content-Length: 0\r\n\r\n"});
+        answers.push_back({status, length + hidden});
+        answers.push_back({status, "Transfer-Encoding: chunked\r\n\r\n"
+                                   "1\r\nx\r\n0\r\n\r\n"});
+        answers.push_back({status, "\r\n" + hidden});
+    }
+    // Interim answers have no body.
+    for (const char* const status : {"100", "199"}) {
+        answers.push_back({status, "Content-Length: 0\r\n\r\n"});
+        answers.push_back({status, length + hidden});
+        answers.push_back({status, "Transfer-Encoding: chunked\r\n\r\n"
+                                   "0\r\n\r\n"});
+    }
+    return answers;
+}
+
+INSTANTIATE_TEST_SUITE_P(answers, invalid_status_test,
+                         ::testing::ValuesIn(invalid_answers()));
