--- a/tests/drivers/http/http_client_faulty_peer_test.cpp
+++ b/tests/drivers/http/http_client_faulty_peer_test.cpp
@@ -300,12 +300,12 @@
 // the body after it was read as the answer. Also against calls that wait for
 // their deadline although the answer has come.
 TEST_P(invalid_status_test, call_fails_at_once_and_closes_its_connection) {
-    const auto& [status, rest] = GetParam();
+    const std::string head =
+        "HTTP/1.1 " + GetParam().status + " X\r\nX-Id: 1\r\n";
     raw_upstream upstream([&](raw_connection& connection, std::size_t number) {
         connection.read_request();
         connection.write(number > 0 ? answer("2", "sound")
-                                    : "HTTP/1.1 " + status +
-                                          " X\r\nX-Id: 1\r\n" + rest);
+                                    : head + GetParam().rest);
         connection.read_request();
     });
     const auto begin = std::chrono::steady_clock::now();
--- a/tests/servers/control/holder_separation_test.cpp
+++ b/tests/servers/control/holder_separation_test.cpp
@@ -9,7 +9,7 @@
 
 /// An instance that has just started, in a deployment with a lease time of 3 s.
 class holder_separation_test : public ::testing::Test {
-protected:
+public:
     static constexpr auto distance = 3'300ms;
 
     holder_separation::time_point start{1h};
