Refuse jobs whose id isn't UTF-8, and hash such ids of streams

Found while looking for other text from outside that is kept as it came: the ids of jobs and streams become keys of the store, which are text. A submission with such an id got 503, "not run, come back", on each try, as the store can't have its key. It now gets 400. The record of a stream with such an id could not be written; its key is now made from a hash, as for long ids. Other instances can't hold records under the old keys, so builds may run side by side.

Evidence: front_service_test.job_whose_id_is_not_utf8_* (503 before) and stream_ledger_test.id_that_is_not_utf8_* failed before.

--- a/drivers/front/front_service.cpp
+++ b/drivers/front/front_service.cpp
@@ -1,5 +1,6 @@
 #include "drivers/front/front_service.hpp"
 
+#include "core/utf8.hpp"
 #include "platform/batch_codec.hpp"
 #include "servers/batch/item_check.hpp"
 #include "servers/delivery/request_fingerprint.hpp"
@@ -418,8 +419,9 @@
                           const authenticated_caller& caller) {
     const steady_time begin = now();
     const job_id id(call.id.text());
-    if (id.is_empty()) {
-        co_await refuse(exchange, "", status_bad_request, "no request id");
+    if (id.is_empty() || !is_utf8(id.text())) {
+        co_await refuse(exchange, "", status_bad_request,
+                        "no request id, or one that isn't UTF-8");
         co_return;
     }
     const std::size_t body_bytes = exchange.request().body.size();
--- a/servers/streams/stream_keys.hpp
+++ b/servers/streams/stream_keys.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.hpp"
+#include "core/utf8.hpp"
 #include "servers/membership/stable_hash.hpp"
 
 #include <cstddef>
@@ -19,15 +20,16 @@
 inline constexpr std::string_view stream_record_prefix = "s/";
 inline constexpr std::string_view stream_defaults_key = "c/streams";
 
-/// Longest id of a request that fits into a key of the store.
+/// Longest id of a request that fits into a key of the store. Keys are text.
 inline constexpr std::size_t max_stream_id_bytes = 190;
 
 /// Longer ids are replaced by their hash. Thread safe.
 [[nodiscard]] inline std::string stream_record_key(const request_id& first) {
-    const bool is_long = first.text().size() > max_stream_id_bytes;
+    const bool is_hashed =
+        first.text().size() > max_stream_id_bytes || !is_utf8(first.text());
     return std::string(stream_record_prefix) +
-           (is_long ? '#' + std::to_string(stable_hash(first.text()))
-                    : first.text());
+           (is_hashed ? '#' + std::to_string(stable_hash(first.text()))
+                      : first.text());
 }
 /// @}
 
--- a/tests/drivers/front/front_service_test.cpp
+++ b/tests/drivers/front/front_service_test.cpp
@@ -67,12 +67,13 @@
         return answer ? *answer : http_response{.status = 0};
     }
 
-    outcome<http_response> submit(const std::string& path = "/p") const {
+    outcome<http_response> submit(const std::string& path = "/p",
+                                  const std::string& job = "j") const {
         return call_blocking(
             address,
             {.method = "POST",
              .target = "/job/",
-             .headers = {{"Host", "h"}, {"Request-Id", "j"}},
+             .headers = {{"Host", "h"}, {"Request-Id", job}},
              .body = R"({"items": [{"id": "i", "path": ")" + path +
                      R"(", "headers": {}, "body": "", "tokens": 1}]})"},
             5s);
@@ -158,6 +159,14 @@
     EXPECT_NE(answer->body.find("item 0"), std::string::npos);
 }
 
+// Guards against a submission that is tried until its deadline: the store can't
+// have a key that isn't text.
+TEST_F(front_service_test, job_whose_id_is_not_utf8_is_refused_for_good) {
+    const auto answer = submit("/p", "j\xff");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 400U);
+}
+
 // Calls to jobs ended with the process if the store did not answer in time.
 TEST_F(front_service_test, call_that_runs_at_the_exit_is_answered) {
     raw_upstream silent([](raw_connection& connection, std::size_t) {
--- a/tests/drivers/front/stream_ledger_test.cpp
+++ b/tests/drivers/front/stream_ledger_test.cpp
@@ -79,6 +79,13 @@
     EXPECT_TRUE(wait([&] { return fake.values().empty(); }));
 }
 
+// Guards against a stream that can't be recorded: keys of the store are text.
+TEST_F(stream_ledger_test, id_that_is_not_utf8_has_a_key_of_text) {
+    EXPECT_TRUE(is_utf8(stream_record_key(request_id("a\xff"))));
+    EXPECT_NE(stream_record_key(request_id("a\xff")),
+              stream_record_key(request_id("a\xfe")));
+}
+
 TEST_F(stream_ledger_test, long_id_fits_into_a_key) {
     EXPECT_LE(stream_record_key(request_id(std::string(500, 'x'))).size(),
               200U);
