--- a/drivers/store/scope_term.cpp
+++ b/drivers/store/scope_term.cpp
@@ -220,7 +220,10 @@
         co_return false;
     }
     const auto settled = co_await client_.read_key(options_.settled_key);
-    co_return settled&&* settled && (*settled)->value == value;
+    if (!settled || !settled->has_value()) {
+        co_return false;
+    }
+    co_return settled->value().value == value;
 }
 
 void scope_term::record_if_settled() {
@@ -228,17 +231,19 @@
         boot_clock::now() >= separation_.settled_from()) {
         is_settled_recorded_ = true;
         // Doesn't delay renewals.
-        asio::co_spawn(timer_.get_executor(), record_settled_term(*term_),
+        asio::co_spawn(timer_.get_executor(),
+                       record_settled_term(*term_, claim_value_),
                        asio::detached);
     }
 }
 
-asio::awaitable<void> scope_term::record_settled_term(held_term term) {
+asio::awaitable<void> scope_term::record_settled_term(held_term term,
+                                                      std::string value) {
     // Not a part of the claim: the store may count each change of a
     // transaction, and a term's number must be the revision of its own key.
     store_transaction transaction =
         make_write({.key = term.key, .revision = term.revision},
-                   {.key = options_.settled_key, .value = claim_value_});
+                   {.key = options_.settled_key, .value = std::move(value)});
     const auto written = co_await client_.commit(std::move(transaction));
     if (!written && term_ && term_->revision == term.revision) {
         is_settled_recorded_ = false;
--- a/drivers/store/scope_term.hpp
+++ b/drivers/store/scope_term.hpp
@@ -128,7 +128,8 @@
     boost::asio::awaitable<bool> is_settled_term(std::string value);
     /// Records in the store that the current term is settled, once it is.
     void record_if_settled();
-    boost::asio::awaitable<void> record_settled_term(held_term term);
+    boost::asio::awaitable<void> record_settled_term(held_term term,
+                                                     std::string value);
     void begin_term(held_term term);
     boost::asio::awaitable<void> wait(std::chrono::milliseconds time);
     void end_term(term_end reason);
