Test that records keep the form that the previous build reads

Found by reading the diff against: no message between instances and no field of a stored record changed. New is one key, t/SCOPE, which the old build neither reads nor mirrors, and refusals of bytes that it wrote before. The new build's side has had its tests (store_test, item_planner_test); the old build's side had none.

--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -282,6 +282,20 @@
               std::string::npos);
 }
 
+// Rolling upgrade: the rows that this build lists are those that the previous
+// build writes and reads.
+TEST_F(codec_test, row_has_the_bytes_that_the_previous_build_writes) {
+    EXPECT_EQ(encode_result({.item = item_id("i"),
+                             .is_completed = true,
+                             .text = "a\n\xc3\xa9",
+                             .versions = {6, 7},
+                             .score = "sig"}),
+              "{\"id\":\"i\",\"state\":\"completed\",\"text\":\"a\\n\xc3\xa9\","
+              "\"versions\":[6,7],\"score\":\"sig\"}");
+    EXPECT_EQ(encode_result({.item = item_id("i")}),
+              R"({"id":"i","state":"lost","text":""})");
+}
+
 // Guards against a listed item that is taken for unlisted: a row that can't be
 // decoded has an item all the same.
 TEST_F(codec_test, row_without_an_item_is_an_error) {
--- a/tests/servers/batch/job_keys_test.cpp
+++ b/tests/servers/batch/job_keys_test.cpp
@@ -44,3 +44,14 @@
     ASSERT_TRUE(read);
     EXPECT_EQ(read->organisation, organisation_id("a"));
 }
+
+// Rolling upgrade: instances of the previous build mirror each key under these
+// prefixes, and would take the record for a key of their own.
+TEST(job_keys_test, settled_term_is_not_under_a_mirrored_prefix) {
+    const std::string key = settled_term_key("e");
+    EXPECT_EQ(key, "t/e");
+    EXPECT_FALSE(key.starts_with(control_prefix));
+    for (const char* const prefix : {"op/", "servers/", "status/"}) {
+        EXPECT_FALSE(key.starts_with(prefix)) << prefix;
+    }
+}
