Log ends of jobs, stopped scorings and reported runs that a planner doesn't know

job_end_received tells when an instance learns of an end, unknown_runs_reported that a planner was told of runs or scorings that it doesn't know, item_interrupted also covers scorings, and runner_lost names the instances. An instance that hasn't answered a takeover is left out for 1.5 s, because its report may be older than its answer. Nothing is decided differently.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -74,10 +74,12 @@
     log_event_entry{job_dropped, info, "job_dropped",
                     "the planner of a service doesn't plan a batch job any "
                     "more; the detail says why"},
+    log_event_entry{job_end_received, info, "job_end_received",
+                    "this instance learned that a batch job has ended"},
     log_event_entry{item_started, debug, "item_started",
-                    "an item was sent to an engine"},
+                    "an item was sent to an engine, or its scoring began"},
     log_event_entry{item_interrupted, info, "item_interrupted",
-                    "the run of an item ended early"},
+                    "the run or the scoring of an item ended early"},
     log_event_entry{item_given_up, warning, "item_given_up",
                     "an item was given up and is listed as lost"},
     log_event_entry{item_scored, debug, "item_scored",
@@ -110,6 +112,9 @@
     log_event_entry{result_reply_empty, info, "result_reply_empty",
                     "a planner replied to an instance, without a wait, that no "
                     "results are listed from a position on"},
+    log_event_entry{unknown_runs_reported, info, "unknown_runs_reported",
+                    "an instance reports runs or scorings that its planner "
+                    "doesn't know"},
     log_event_entry{job_standing_changed, info, "job_standing_changed",
                     "a job yields to others of its priority or no longer does; "
                     "the detail says why"},
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -41,6 +41,7 @@
     job_loaded = 2203,
     job_unreadable = 2204,
     job_dropped = 2205,
+    job_end_received = 2206,
     item_started = 2210,
     item_interrupted = 2211,
     item_given_up = 2212,
@@ -56,6 +57,7 @@
     item_stalled = 2222,
     result_read_empty = 2223,
     result_reply_empty = 2224,
+    unknown_runs_reported = 2225,
     job_standing_changed = 2230,
     engines_shared = 2231,
 
--- a/drivers/batch/engine_driver.hpp
+++ b/drivers/batch/engine_driver.hpp
@@ -104,6 +104,7 @@
     void execute_one(start_scoring& command);
     void execute_one(commit_results& command);
     void execute_one(discard_text& command);
+    void execute_one(unknown_runs& command);
     void execute_one(order_change& change);
     /// Releases the term when another instance should plan.
     boost::asio::awaitable<void> hand_over_if_outranked();
@@ -119,6 +120,10 @@
     /// Handles progress of runs whose runner was taken for lost.
     void adopt_found_runs(const instance_id& runner,
                           const runner_update& update, steady_time now);
+    /// Whether the runner may still report its runs of earlier terms, so that
+    /// the planner doesn't know all of its runs yet.
+    [[nodiscard]] bool is_takeover_open(const instance_id& runner,
+                                        steady_time now) const;
     /// Runners refused items because these jobs have ended.
     void on_ends_reported(const std::vector<job_id>& ended);
     /// `has_more`: another part of the runner's answer follows.
--- a/drivers/batch/engine_runners.cpp
+++ b/drivers/batch/engine_runners.cpp
@@ -10,12 +10,23 @@
 /// How often a planner sends heartbeats to its runners and checks them for lost
 /// runs.
 constexpr std::chrono::milliseconds runner_check_interval{500};
+/// After this time an instance that hasn't answered the takeover is expected
+/// not to: the message or its answer was lost.
+constexpr std::chrono::milliseconds takeover_answer_timeout{1'500};
 /// When more locations are known, all are removed. That is safe, because
 /// instances drop the results of ended jobs without a release order.
 constexpr std::size_t max_result_locations = 8'192;
 /// Half of the limit of the link between instances.
 constexpr std::size_t max_order_bytes = 1U << 20U;
 
+std::string to_text(const std::vector<instance_id>& instances) {
+    std::string text;
+    for (const instance_id& instance : instances) {
+        text += (text.empty() ? "" : ",") + instance.text();
+    }
+    return text;
+}
+
 } // namespace
 
 void engine_driver::reset_run_tables() {
@@ -192,6 +203,16 @@
     }
 }
 
+void engine_driver::execute_one(unknown_runs& command) {
+    std::string tickets;
+    for (const run_ticket ticket : command.tickets) {
+        tickets += (tickets.empty() ? "" : ",") + std::to_string(ticket);
+    }
+    log_.write(log_event::unknown_runs_reported,
+               "service=" + options_.service.text() +
+                   " runner=" + command.runner.text() + " tickets=" + tickets);
+}
+
 void engine_driver::send_orders() {
     std::map<instance_id, runner_command> orders;
     orders.swap(orders_);
@@ -244,8 +265,10 @@
         if (!lost_runs.empty()) {
             lost_runs_.insert(lost_runs.begin(), lost_runs.end());
             log_.write(log_event::runner_lost,
-                       "service=" + options_.service.text() +
-                           " runs=" + std::to_string(lost_runs.size()));
+                       "service=" + options_.service.text() + " runs=" +
+                           std::to_string(lost_runs.size()) + " runners=" +
+                           to_text(runners_.lost_runners(
+                               std::chrono::steady_clock::now())));
             post_step([lost_runs](engine_control& control, steady_time now,
                                   engine_commands&) {
                 for (const run_ticket ticket : lost_runs) {
@@ -267,6 +290,12 @@
     });
 }
 
+bool engine_driver::is_takeover_open(const instance_id& runner,
+                                     steady_time now) const {
+    return unanswered_takeovers_.contains(runner) &&
+           now < gained_at_ + takeover_answer_timeout;
+}
+
 void engine_driver::adopt_found_runs(const instance_id& runner,
                                      const runner_update& update,
                                      steady_time now) {
@@ -344,9 +373,12 @@
             runners_.on_ended(ticket);
         }
     }
-    post_step([update = std::move(update), missing](engine_control& control,
-                                                    steady_time at,
-                                                    engine_commands& out) {
+    if (is_takeover_open(runner, now)) {
+        update.active.clear();
+    }
+    post_step([runner, update = std::move(update),
+               missing](engine_control& control, steady_time at,
+                        engine_commands& out) {
         item_planner& planner = control.planner();
         for (const observed_limit& limit : update.limits) {
             planner.on_request_limit(
@@ -372,6 +404,7 @@
         for (const run_ticket ticket : missing) {
             planner.on_run_lost(ticket, at);
         }
+        planner.on_active_runs(runner, update.active, out.planner);
     });
 }
 
--- a/drivers/batch/job_store.cpp
+++ b/drivers/batch/job_store.cpp
@@ -109,6 +109,10 @@
         if (record->organisation.is_empty()) {
             record->organisation = known->second.organisation;
         }
+        if (record->is_ended) {
+            log_.write(log_event::job_end_received,
+                       "job=" + job.text() + " source=record");
+        }
         known->second = std::move(*record);
     }
 }
@@ -119,6 +123,8 @@
         return false;
     }
     known->second.is_ended = true;
+    log_.write(log_event::job_end_received,
+               "job=" + job.text() + " source=runner");
     return true;
 }
 
--- a/drivers/batch/run_host.cpp
+++ b/drivers/batch/run_host.cpp
@@ -333,6 +333,7 @@
     ++statistics_.started;
     log_.write(log_event::item_started,
                "item=" + run->task->id + " job=" + run->task->job.text() +
+                   " ticket=" + std::to_string(run->task->ticket) +
                    " upstream=" + run->task->upstream.text() +
                    " software=" + run->task->origin.software.text() +
                    " after_event=" + std::to_string(run->task->after_event));
@@ -376,6 +377,9 @@
 }
 
 void run_host::start_scoring(const run_pointer& run) {
+    log_.write(log_event::item_started,
+               "scoring=" + run->task->id + " job=" + run->task->job.text() +
+                   " ticket=" + std::to_string(run->task->ticket));
     asio::co_spawn(
         context_, runner_.score(run->task),
         asio::bind_cancellation_slot(
@@ -383,6 +387,14 @@
                                             std::optional<std::string> score) {
                 runs_.erase(run->task->ticket);
                 if (error || run->record->is_stopped) {
+                    log_.write(log_event::item_interrupted,
+                               "job=" + run->task->job.text() +
+                                   " scoring=" + run->task->id +
+                                   " ticket=" +
+                                   std::to_string(run->task->ticket) + " end=" +
+                                   to_word(run->record->is_stopped
+                                               ? run_end::stopped
+                                               : run_end::interrupted));
                     return;
                 }
                 log_.write(log_event::item_scored,
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -218,6 +218,13 @@
     /// this run or the replacement is stopped.
     void on_run_found(const run_delta& delta, bool is_complete, steady_time now,
                       planner_commands& out);
+    /// An instance reports all runs and scorings that it has in progress for
+    /// this planner. Those that the planner doesn't know were given up when the
+    /// instance was taken for lost, or their stop was lost.
+    /// Precondition: the instance has reported the runs of earlier terms.
+    void on_active_runs(const instance_id& runner,
+                        const std::vector<run_ticket>& active,
+                        planner_commands& out) const;
     void on_scored(score_report report);
     /// `number` is the one in the `commit_results`. Reports about earlier
     /// attempts are ignored.
@@ -426,6 +433,8 @@
     void stop_stalled(steady_time now, planner_commands& out);
     [[nodiscard]] bool is_stalled(const run_state& run, steady_time now) const;
     void drop_old_lost_runs(steady_time now);
+    /// Whether the planner needs the run or scoring, or may need it again.
+    [[nodiscard]] bool is_known(run_ticket ticket) const;
     /// The ticket of the item's active run, if it has one.
     [[nodiscard]] std::optional<run_ticket>
     active_run_of(const job_id& job, std::size_t item) const;
--- a/servers/batch/item_planner_adoption.cpp
+++ b/servers/batch/item_planner_adoption.cpp
@@ -2,6 +2,7 @@
 #include "servers/batch/item_planner.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace savorydock {
 
@@ -212,6 +213,29 @@
     runs_[ticket] = std::move(run);
 }
 
+bool item_planner::is_known(run_ticket ticket) const {
+    const auto is_held = [ticket](const auto& row) {
+        return std::any_of(
+            row.second.begin(), row.second.end(),
+            [ticket](const held_run& held) { return held.ticket == ticket; });
+    };
+    return runs_.contains(ticket) || scorings_.contains(ticket) ||
+           lost_runs_.contains(ticket) ||
+           std::any_of(held_runs_.begin(), held_runs_.end(), is_held);
+}
+
+void item_planner::on_active_runs(const instance_id& runner,
+                                  const std::vector<run_ticket>& active,
+                                  planner_commands& out) const {
+    unknown_runs unknown{.runner = runner};
+    std::copy_if(active.begin(), active.end(),
+                 std::back_inserter(unknown.tickets),
+                 [this](run_ticket ticket) { return !is_known(ticket); });
+    if (!unknown.tickets.empty()) {
+        out.emplace_back(std::move(unknown));
+    }
+}
+
 void item_planner::drop_old_lost_runs(steady_time now) {
     std::erase_if(lost_runs_, [&](const auto& row) {
         return now >= row.second.lost_at + options_.lost_run_retention ||
--- a/servers/batch/planner_command.hpp
+++ b/servers/batch/planner_command.hpp
@@ -201,9 +201,16 @@
     std::uint64_t events = 0;
 };
 
+/// An instance reports runs and scorings that the planner doesn't know.
+struct unknown_runs {
+    instance_id runner;
+    std::vector<run_ticket> tickets;
+};
+
 using planner_command =
     std::variant<start_run, stop_run, release_run, start_scoring,
-                 commit_results, save_progress, discard_text, order_change>;
+                 commit_results, save_progress, discard_text, unknown_runs,
+                 order_change>;
 using planner_commands = std::vector<planner_command>;
 
 } // namespace savorydock
