Send no request for an ended job once this instance knows of the end

Cause: item_runner::score repeats a call until it succeeds or fails for good, and plain_caller sends up to eight times within one of these calls. Nothing asked between the sends whether the job goes on; only the planner's order ended a scoring, and a planner that has taken a runner for lost has forgotten what runs there.

Each send of a run or scoring now asks whether the job has ended here, right before the request is written. What is in progress for an ended job is stopped with the periodic report, without an order; the planner learns of the end from the same report and gets no score, because it would list the item as lost.

Metric: runs_stopped_after_end_total.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -115,6 +115,9 @@
     log_event_entry{unknown_runs_reported, info, "unknown_runs_reported",
                     "an instance reports runs or scorings that its planner "
                     "doesn't know"},
+    log_event_entry{ended_runs_stopped, info, "ended_runs_stopped",
+                    "runs or scorings of ended jobs were still in progress "
+                    "here and are stopped"},
     log_event_entry{job_standing_changed, info, "job_standing_changed",
                     "a job yields to others of its priority or no longer does; "
                     "the detail says why"},
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -58,6 +58,7 @@
     result_read_empty = 2223,
     result_reply_empty = 2224,
     unknown_runs_reported = 2225,
+    ended_runs_stopped = 2226,
     job_standing_changed = 2230,
     engines_shared = 2231,
 
--- a/drivers/batch/item_runner.cpp
+++ b/drivers/batch/item_runner.cpp
@@ -134,7 +134,8 @@
     , max_text_bytes_(max_text_bytes) {}
 
 asio::awaitable<run_end> item_runner::run(std::shared_ptr<const run_task> task,
-                                          std::shared_ptr<run_record> record) {
+                                          std::shared_ptr<run_record> record,
+                                          run_check is_wanted) {
     // Planners of the previous build pass on credentials in items' headers.
     platform::forwarding_metadata marks{
         .upstream = task->upstream,
@@ -166,7 +167,7 @@
     }
     attempt_log attempt(fleet_, log_, "run", task->id, task->upstream);
     call_options options{
-        .may_write = [&is_leaving] { return !is_leaving(); },
+        .may_write = [&] { return !is_leaving() && is_wanted(); },
         .is_own_answer =
             [&](const http_headers& received) {
                 return platform::may_answer(
@@ -177,7 +178,7 @@
                                         open_deadline, std::move(options));
     if (!opened) {
         attempt.on_failed(opened.reason());
-        co_return run_end::interrupted;
+        co_return is_wanted() ? run_end::interrupted : run_end::stopped;
     }
     attempt.on_answered();
     http_stream& stream = **opened;
@@ -254,9 +255,9 @@
 }
 
 asio::awaitable<std::optional<std::string>>
-item_runner::score(std::shared_ptr<const run_task> task) {
+item_runner::score(std::shared_ptr<const run_task> task, run_check is_wanted) {
     std::uint32_t failures = 0;
-    while (true) {
+    while (is_wanted()) {
         // Keeps the routes alive: a new configuration may replace them during
         // the call.
         const auto routes = fleet_.routes;
@@ -277,7 +278,8 @@
                 .id = scoring.id,
                 .deadline = std::chrono::steady_clock::now() + time,
                 .is_urgent = true,
-                .max_limit_wait = std::chrono::milliseconds(0)};
+                .max_limit_wait = std::chrono::milliseconds(0),
+                .is_wanted = is_wanted};
             auto result = co_await scorers_.call(std::move(call));
             if (result.answer && result.answer->status / 100 == 2) {
                 auto answer =
@@ -309,6 +311,7 @@
             co_return std::nullopt;
         }
     }
+    co_return std::nullopt;
 }
 
 } // namespace savorydock
--- a/drivers/batch/item_runner.hpp
+++ b/drivers/batch/item_runner.hpp
@@ -44,6 +44,9 @@
     using limit_handler =
         std::function<void(const run_task& task, std::optional<double> limit)>;
 
+    /// Asked before each request; once it returns false, none is sent any more.
+    using run_check = std::function<bool()>;
+
     /// Called when an upstream said that it leaves, or a run was refused
     /// because it had said so.
     using leaving_handler = std::function<void(const run_task& task)>;
@@ -56,9 +59,12 @@
 
     /// Runs an item until its stream ends. Cancelling the coroutine closes the
     /// connection, which makes the engine drop the run; `record` then holds
-    /// what was received so far.
-    boost::asio::awaitable<run_end> run(std::shared_ptr<const run_task> task,
-                                        std::shared_ptr<run_record> record);
+    /// what was received so far. A run that isn't wanted any more before its
+    /// request is sent ends as stopped.
+    boost::asio::awaitable<run_end> run(
+        std::shared_ptr<const run_task> task,
+        std::shared_ptr<run_record> record,
+        run_check is_wanted = [] { return true; });
 
     void on_limit(limit_handler handler) { on_limit_ = std::move(handler); }
     void on_leaving(leaving_handler handler) {
@@ -66,10 +72,11 @@
     }
 
     /// Scores a finished text. Retries until it has a score, the scorer has
-    /// failed as often as its route allows, or the coroutine is cancelled; the
-    /// last two return nothing.
-    boost::asio::awaitable<std::optional<std::string>>
-    score(std::shared_ptr<const run_task> task);
+    /// failed as often as its route allows, the score isn't wanted any more, or
+    /// the coroutine is cancelled; the last three return nothing.
+    boost::asio::awaitable<std::optional<std::string>> score(
+        std::shared_ptr<const run_task> task,
+        run_check is_wanted = [] { return true; });
 
 private:
     http_client& client_;
--- a/drivers/batch/run_host.cpp
+++ b/drivers/batch/run_host.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace savorydock {
 
@@ -338,7 +339,9 @@
                    " software=" + run->task->origin.software.text() +
                    " after_event=" + std::to_string(run->task->after_event));
     asio::co_spawn(
-        context_, runner_.run(run->task, run->record),
+        context_,
+        runner_.run(run->task, run->record,
+                    [this, run] { return is_wanted(*run); }),
         asio::bind_cancellation_slot(
             run->cancel.slot(),
             [this, run](const std::exception_ptr& error, run_end end) {
@@ -373,6 +376,9 @@
          .last_delta = end == run_end::oversized
                            ? run_delta{.ticket = run->task->ticket}
                            : run->record->take_delta(run->task->ticket)});
+    if (end == run_end::stopped && is_ended_(run->task->job)) {
+        update.ended_jobs.push_back(run->task->job);
+    }
     report_(run->planner, std::move(update));
 }
 
@@ -381,39 +387,53 @@
                "scoring=" + run->task->id + " job=" + run->task->job.text() +
                    " ticket=" + std::to_string(run->task->ticket));
     asio::co_spawn(
-        context_, runner_.score(run->task),
+        context_,
+        runner_.score(run->task, [this, run] { return is_wanted(*run); }),
         asio::bind_cancellation_slot(
             run->cancel.slot(), [this, run](const std::exception_ptr& error,
                                             std::optional<std::string> score) {
-                runs_.erase(run->task->ticket);
-                if (error || run->record->is_stopped) {
-                    log_.write(log_event::item_interrupted,
-                               "job=" + run->task->job.text() +
-                                   " scoring=" + run->task->id +
-                                   " ticket=" +
-                                   std::to_string(run->task->ticket) + " end=" +
-                                   to_word(run->record->is_stopped
-                                               ? run_end::stopped
-                                               : run_end::interrupted));
-                    return;
-                }
-                log_.write(log_event::item_scored,
-                           "job=" + run->task->job.text() +
-                               " scoring=" + run->task->id +
-                               " scored=" + (score ? "yes" : "no"));
-                if (score) {
-                    keep_result(*run, {.is_scoring = true,
-                                       .score = *score,
-                                       .text_ticket = run->task->text_ticket});
+                if (error) {
+                    score.reset();
                 }
-                runner_update update{.service = run->service};
-                update.scores.push_back({.ticket = run->task->ticket,
-                                         .has_score = score.has_value(),
-                                         .score = score.value_or("")});
-                report_(run->planner, std::move(update));
+                on_scoring_ended(run, std::move(score), error != nullptr);
             }));
 }
 
+void run_host::on_scoring_ended(const run_pointer& run,
+                                std::optional<std::string> score,
+                                bool is_interrupted) {
+    const bool is_ended = is_ended_(run->task->job);
+    runs_.erase(run->task->ticket);
+    if (is_interrupted || run->record->is_stopped || (!score && is_ended)) {
+        log_.write(
+            log_event::item_interrupted,
+            "job=" + run->task->job.text() + " scoring=" + run->task->id +
+                " ticket=" + std::to_string(run->task->ticket) + " end=" +
+                to_word(is_wanted(*run) ? run_end::interrupted
+                                        : run_end::stopped));
+        // No score: a planner that doesn't know the end would list the item as
+        // lost.
+        if (is_ended && !run->record->is_stopped) {
+            report_(run->planner,
+                    {.service = run->service, .ended_jobs = {run->task->job}});
+        }
+        return;
+    }
+    log_.write(log_event::item_scored, "job=" + run->task->job.text() +
+                                           " scoring=" + run->task->id +
+                                           " scored=" + (score ? "yes" : "no"));
+    if (score) {
+        keep_result(*run, {.is_scoring = true,
+                           .score = *score,
+                           .text_ticket = run->task->text_ticket});
+    }
+    runner_update update{.service = run->service};
+    update.scores.push_back({.ticket = run->task->ticket,
+                             .has_score = score.has_value(),
+                             .score = score.value_or("")});
+    report_(run->planner, std::move(update));
+}
+
 void run_host::stop(run_ticket ticket) {
     const auto found = runs_.find(ticket);
     if (found == runs_.end()) {
@@ -425,6 +445,33 @@
     run->cancel.emit(asio::cancellation_type::terminal);
 }
 
+bool run_host::is_wanted(const active_run& run) const {
+    return !run.record->is_stopped && !is_ended_(run.task->job);
+}
+
+void run_host::stop_ended_jobs() {
+    std::map<planner_key, std::set<job_id>> ended;
+    std::vector<run_ticket> tickets;
+    for (const auto& [ticket, run] : runs_) {
+        if (is_ended_(run->task->job)) {
+            ended[{run->planner, run->service}].insert(run->task->job);
+            tickets.push_back(ticket);
+        }
+    }
+    statistics_.stopped_after_end += tickets.size();
+    for (const run_ticket ticket : tickets) {
+        stop(ticket);
+    }
+    for (const auto& [planner, jobs] : ended) {
+        log_.write(log_event::ended_runs_stopped,
+                   "service=" + planner.second.text() +
+                       " planner=" + planner.first.text() +
+                       " jobs=" + std::to_string(jobs.size()));
+        report_(planner.first, {.service = planner.second,
+                                .ended_jobs = {jobs.begin(), jobs.end()}});
+    }
+}
+
 void run_host::schedule_reports() {
     if (is_timer_set_ || runs_.empty()) {
         return;
@@ -436,6 +483,7 @@
         if (!error) {
             const steady_time now = std::chrono::steady_clock::now();
             stop_orphans(now);
+            stop_ended_jobs();
             drop_old_results(now);
             report_events();
             schedule_reports();
--- a/drivers/batch/run_host.hpp
+++ b/drivers/batch/run_host.hpp
@@ -22,6 +22,9 @@
     std::size_t active = 0;
     std::uint64_t started = 0;
     std::uint64_t interrupted = 0;
+    /// Runs and scorings that were in progress when this instance noticed that
+    /// their job had ended.
+    std::uint64_t stopped_after_end = 0;
 };
 
 /// Runs items for the planners of all services, on this instance or others, and
@@ -29,7 +32,8 @@
 ///
 /// Runs outlive their planner: complete texts and scores are kept until they
 /// are listed, and the planner of a later term takes over all runs and results.
-/// Runs that no planner takes over are stopped.
+/// Runs that no planner takes over are stopped, and so are runs and scorings of
+/// jobs that this instance knows as ended, whether or not a planner says so.
 ///
 /// Not thread safe: all calls must come from one traffic thread.
 class run_host {
@@ -102,8 +106,18 @@
     void start_run(const run_pointer& run);
     void start_scoring(const run_pointer& run);
     void on_run_ended(const run_pointer& run, run_end end);
+    /// `is_interrupted`: the scoring failed in a way that says nothing about
+    /// its item.
+    void on_scoring_ended(const run_pointer& run,
+                          std::optional<std::string> score,
+                          bool is_interrupted);
+    /// Whether the run or scoring may send a request.
+    [[nodiscard]] bool is_wanted(const active_run& run) const;
     void report_events();
     void stop_orphans(steady_time now);
+    /// Stops what is in progress for ended jobs, and tells the planners of the
+    /// ends.
+    void stop_ended_jobs();
     void schedule_reports();
 
     boost::asio::io_context& context_;
--- a/drivers/front/plain_caller.cpp
+++ b/drivers/front/plain_caller.cpp
@@ -55,6 +55,10 @@
     return !call.is_allowed || call.is_allowed();
 }
 
+bool is_wanted(const plain_call_request& call) {
+    return !call.is_wanted || call.is_wanted();
+}
+
 } // namespace
 
 struct plain_caller::attempt_result {
@@ -116,8 +120,8 @@
         .body = call.request.body,
         .may_write =
             [this, &call, &upstream, &notice] {
-                const bool may_write =
-                    fleet_.pool.is_available(upstream.id) && is_allowed(call);
+                const bool may_write = fleet_.pool.is_available(upstream.id) &&
+                                       is_allowed(call) && is_wanted(call);
                 if (may_write) {
                     notice.on_written();
                 }
@@ -242,6 +246,11 @@
         }
         const upstream_entry& upstream = reserved->upstream;
         co_await wait_until(reserved->send_at);
+        if (!is_wanted(call)) {
+            result.reason = {result_code::not_run_cancelled,
+                             "the answer isn't needed any more"};
+            break;
+        }
         // Both may have changed while the call waited.
         if (!fleet_.pool.is_available(upstream.id) || is_blocked(call)) {
             continue;
--- a/drivers/front/plain_caller.hpp
+++ b/drivers/front/plain_caller.hpp
@@ -49,6 +49,10 @@
     /// Asked before each send until an upstream may have run the request: it
     /// isn't sent if this returns false. Always allowed if empty.
     std::function<bool()> is_allowed;
+    /// Asked before each send, also after an upstream may have run the request:
+    /// once it returns false, the call ends without another attempt. Always
+    /// wanted if empty.
+    std::function<bool()> is_wanted;
 };
 
 struct plain_call_result {
--- a/drivers/node/node_metrics.cpp
+++ b/drivers/node/node_metrics.cpp
@@ -112,6 +112,7 @@
     write("runs_active", statistics.runs.active);
     write("runs_started_total", statistics.runs.started);
     write("runs_interrupted_total", statistics.runs.interrupted);
+    write("runs_stopped_after_end_total", statistics.runs.stopped_after_end);
     for (std::size_t origin = 0; origin < result_origin_count; ++origin) {
         const std::string labels =
             "{origin=\"" +
--- a/tests/drivers/batch/run_host_test.cpp
+++ b/tests/drivers/batch/run_host_test.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <thread>
+
 using namespace savorydock;
 using namespace std::chrono_literals;
 
@@ -21,7 +24,7 @@
               [this](const instance_id&, runner_update one) {
                   updates.push_back(std::move(one));
               },
-              [this](const job_id& job) { return job == ended; }, log) {}
+              [this](const job_id& job) { return is_ended(job); }, log) {}
 
     /// By default nothing listens at the address, so a run that starts fails
     /// immediately.
@@ -47,6 +50,9 @@
     plain_caller scorers;
     item_runner runner;
     job_id ended{"ended"};
+    std::function<bool(const job_id&)> is_ended = [this](const job_id& job) {
+        return job == ended;
+    };
     store_revision term = 1;
     std::vector<runner_update> updates;
     run_host host;
@@ -212,6 +218,139 @@
     EXPECT_EQ(engine.connections(), 1U);
 }
 
+// Guards against runs that reach an engine after the end of their job: it
+// became known while the connection was being opened.
+TEST_F(run_host_test, item_whose_job_ends_before_its_request_is_not_sent) {
+    std::atomic<int> requests = 0;
+    raw_upstream engine([&](raw_connection& connection, std::size_t) {
+        while (!connection.read_request().empty()) {
+            ++requests;
+        }
+    });
+    is_ended = [checks = 0](const job_id&) mutable { return ++checks > 1; };
+    order(1, "open", to_text(engine.address()));
+    context.run_for(300ms);
+    EXPECT_EQ(requests, 0);
+    ASSERT_EQ(updates.size(), 1U);
+    EXPECT_EQ(updates[0].ends.at(0).end, run_end::stopped)
+        << "otherwise the planner would pause the engine";
+    EXPECT_EQ(updates[0].ended_jobs, std::vector<job_id>{job_id("open")});
+}
+
+// Guards against runs that hold their engine's slot after the end of their job:
+// the planner has forgotten them, or can't be reached.
+TEST_F(run_host_test, run_of_a_job_that_ends_is_stopped_without_an_order) {
+    raw_upstream engine([](raw_connection& connection, std::size_t) {
+        connection.read_request();
+        connection.write("HTTP/1.1 200 OK\r\nRequest-Id: i\r\n"
+                         "Weight-Versions: 1\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n");
+        connection.read_request();
+    });
+    order(1, "open", to_text(engine.address()));
+    context.run_for(100ms);
+    ended = job_id("open");
+    context.restart();
+    context.run_for(500ms);
+    ASSERT_FALSE(updates.empty());
+    EXPECT_EQ(updates.back().ends.at(0).end, run_end::stopped);
+    EXPECT_EQ(updates.front().ended_jobs, std::vector<job_id>{ended});
+    EXPECT_EQ(host.statistics().active, 0U);
+}
+
+namespace {
+
+/// How a scorer treats each call.
+struct scorer_behaviour {
+    std::string name;
+    std::string answer;
+    std::chrono::milliseconds delay{0};
+};
+
+/// Scorings of the job "open" at a scorer that never gives a score.
+class run_host_scoring_test
+    : public run_host_test,
+      public ::testing::WithParamInterface<scorer_behaviour> {
+public:
+    run_host_scoring_test() {
+        const service_name service("plain");
+        auto configuration = std::make_shared<fleet_configuration>();
+        configuration->routes = {{.name = "r",
+                                  .host = "h",
+                                  .prefix = "/s/",
+                                  .kind = request_kind::idempotent,
+                                  .services = {{.service = service}}}};
+        configuration->routes.front().max_attempts = 1'000;
+        configuration->services = {{.name = service}};
+        fleet.routes = std::make_shared<route_table>(configuration);
+        fleet.pool.set_upstreams({{.id = upstream_id("u"),
+                                   .service = service,
+                                   .address = scorer.address(),
+                                   .slots = 2}});
+    }
+
+    void order_scoring(run_ticket ticket) {
+        runner_command one{.service = service_name("e"), .term = term};
+        one.tasks.push_back({.ticket = ticket,
+                             .is_scoring = true,
+                             .job = job_id("open"),
+                             .id = "s",
+                             .host = "h",
+                             .path = "/s/1"});
+        host.on_order(instance_id("planner"), std::move(one));
+    }
+
+    /// Returns the number of calls that have reached the scorer, with those
+    /// that are still in its socket.
+    int calls() const {
+        std::this_thread::sleep_for(50ms);
+        return requests;
+    }
+
+    std::atomic<int> requests = 0;
+    raw_upstream scorer{[this](raw_connection& connection, std::size_t) {
+        while (!connection.read_request().empty()) {
+            ++requests;
+            std::this_thread::sleep_for(GetParam().delay);
+            connection.write("HTTP/1.1 " + GetParam().answer +
+                             "\r\nRequest-Id: s\r\nContent-Length: 0\r\n\r\n");
+        }
+    }};
+};
+
+} // namespace
+
+// Guards against scoring calls that reach a scorer long after the end of their
+// job: the planner had forgotten the scoring and ordered no stop.
+TEST_P(run_host_scoring_test, call_of_an_ended_job_is_not_repeated) {
+    order_scoring(1);
+    context.run_for(500ms);
+    ended = job_id("open");
+    const int before = calls();
+    EXPECT_GT(before, 0);
+    context.restart();
+    context.run_for(1'500ms);
+    EXPECT_EQ(calls(), before);
+    EXPECT_EQ(host.statistics().active, 0U);
+    bool is_end_reported = false;
+    for (const runner_update& update : updates) {
+        EXPECT_TRUE(update.scores.empty())
+            << "a planner that doesn't know the end would list the item as "
+               "lost";
+        is_end_reported =
+            is_end_reported || update.ended_jobs == std::vector<job_id>{ended};
+    }
+    EXPECT_TRUE(is_end_reported);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    scorers, run_host_scoring_test,
+    ::testing::Values(
+        scorer_behaviour{"full", "503 Service Unavailable\r\nNot-Executed: 1"},
+        scorer_behaviour{"failing", "503 Service Unavailable"},
+        scorer_behaviour{"slow", "503 Service Unavailable", 300ms}),
+    [](const auto& behaviour) { return behaviour.param.name; });
+
 TEST(run_record_test, reports_join_to_the_complete_text) {
     run_record record = run_record::resumed_after(
         {.text = "a\nb", .events = 2, .versions = {1}});
--- a/tests/drivers/front/plain_caller_test.cpp
+++ b/tests/drivers/front/plain_caller_test.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <gtest/gtest.h>
 
+#include <atomic>
+
 using namespace savorydock;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
@@ -36,7 +38,8 @@
                                    .organisation = organisation,
                                    .deadline =
                                        std::chrono::steady_clock::now() + time,
-                                   .guard = &guard};
+                                   .guard = &guard,
+                                   .is_wanted = is_wanted};
         return run_call(context, caller.call(std::move(request)));
     }
 
@@ -56,6 +59,7 @@
     }
 
     organisation_id organisation;
+    std::function<bool()> is_wanted;
     int starts = 0;
     asio::io_context context;
     null_logger log;
@@ -424,3 +428,29 @@
         EXPECT_EQ(result.answer->body, id);
     }
 }
+
+// Guards against calls that are repeated for seconds after nobody needs their
+// answer: the score of an item whose job has ended.
+TEST_F(plain_caller_test, call_that_is_not_wanted_any_more_is_not_repeated) {
+    std::atomic<int> requests = 0;
+    raw_upstream upstream([&](raw_connection& connection, std::size_t) {
+        std::string request = connection.read_request();
+        while (!request.empty()) {
+            ++requests;
+            connection.write(answer("503 Service Unavailable",
+                                    header_of(request, "Request-Id"), "", ""));
+            request = connection.read_request();
+        }
+    });
+    use(upstream);
+    route.kind = request_kind::idempotent;
+    route.max_attempts = 6;
+    is_wanted = [&] { return requests < 2; };
+    const auto repeated = call("a");
+    EXPECT_EQ(requests, 2);
+    EXPECT_TRUE(repeated.may_have_run);
+    const auto unsent = call("b");
+    EXPECT_EQ(requests, 2);
+    EXPECT_FALSE(unsent.may_have_run);
+    EXPECT_EQ(unsent.reason.code, result_code::not_run_cancelled);
+}
