Move kept results of runs into a class of their own

The bookkeeping of complete texts and scores that aren't listed yet decides without I/O, so it is in servers/batch now. Nothing changes: run_host_test and engine_driver_test pass as before.

--- a/drivers/batch/run_host.cpp
+++ b/drivers/batch/run_host.cpp
@@ -20,16 +20,6 @@
 /// expires and another instance claims the term within a second, so a takeover
 /// would have come by then.
 constexpr std::chrono::milliseconds planner_timeout{5'000};
-/// Results that are not released are dropped after this time; a new planner
-/// requests them within seconds.
-constexpr std::chrono::milliseconds result_retention{20'000};
-/// Maximum number of kept results. At about 10 KB each, they use a tenth of the
-/// smallest machine's memory.
-constexpr std::size_t max_kept_results = 1'500;
-
-/// Maximum size of all kept results.
-constexpr std::size_t max_kept_bytes = 24U << 20U;
-
 /// Limits that upstreams named are repeated to planners for this long, because
 /// a new planner doesn't know them.
 constexpr std::chrono::milliseconds limit_report_time{10'000};
@@ -45,10 +35,6 @@
                        });
 }
 
-std::size_t bytes_of(const held_run& result) {
-    return result.text.size() + result.score.size();
-}
-
 std::string to_word(run_end end) {
     switch (end) {
     case run_end::complete:
@@ -103,10 +89,10 @@
     const steady_time now = std::chrono::steady_clock::now();
     last_heard_at_[key] = now;
     for (const run_ticket ticket : order.released) {
-        drop_result(ticket);
+        kept_results_.release(ticket);
     }
     if (order.is_takeover) {
-        drop_old_results(now);
+        kept_results_.drop_old(now, is_ended_);
         hand_over(key, order.term);
     }
     if (order.is_probe) {
@@ -145,11 +131,7 @@
         // it.
         static_cast<void>(run->record->take_delta(ticket));
     }
-    for (const auto& [ticket, kept] : kept_results_) {
-        if (kept.service == planner.second) {
-            update.held.push_back(kept.result);
-        }
-    }
+    kept_results_.append_to(update.held, planner.second);
     // Scoring is cheap and idempotent, so the new planner starts it again.
     for (const run_ticket ticket : scorings) {
         stop(ticket);
@@ -162,43 +144,13 @@
 }
 
 void run_host::keep_result(const active_run& run, held_run result) {
-    const std::size_t bytes = bytes_of(result);
-    while (!kept_results_.empty() &&
-           (kept_results_.size() >= max_kept_results ||
-            kept_bytes_ + bytes > max_kept_bytes)) {
-        drop_result(kept_results_.begin()->first);
-    }
-    kept_bytes_ += bytes;
     result.ticket = run.task->ticket;
     result.job = run.task->job;
     result.id = run.task->id;
     result.upstream = run.task->upstream;
     result.has_ended = true;
-    kept_results_[run.task->ticket] = {.service = run.service,
-                                       .ended_at =
-                                           std::chrono::steady_clock::now(),
-                                       .result = std::move(result)};
-}
-
-void run_host::drop_result(run_ticket ticket) {
-    const auto kept = kept_results_.find(ticket);
-    if (kept != kept_results_.end()) {
-        kept_bytes_ -= bytes_of(kept->second.result);
-        kept_results_.erase(kept);
-    }
-}
-
-void run_host::drop_old_results(steady_time now) {
-    std::vector<run_ticket> old;
-    for (const auto& [ticket, kept] : kept_results_) {
-        if (now > kept.ended_at + result_retention ||
-            is_ended_(kept.result.job)) {
-            old.push_back(ticket);
-        }
-    }
-    for (const run_ticket ticket : old) {
-        drop_result(ticket);
-    }
+    kept_results_.keep(run.service, std::move(result),
+                       std::chrono::steady_clock::now());
 }
 
 void run_host::stop_all() {
@@ -484,7 +436,7 @@
             const steady_time now = std::chrono::steady_clock::now();
             stop_orphans(now);
             stop_ended_jobs();
-            drop_old_results(now);
+            kept_results_.drop_old(now, is_ended_);
             report_events();
             schedule_reports();
         }
--- a/drivers/batch/run_host.hpp
+++ b/drivers/batch/run_host.hpp
@@ -2,6 +2,7 @@
 
 #include "core/logger.hpp"
 #include "drivers/batch/item_runner.hpp"
+#include "servers/batch/kept_results.hpp"
 #include "servers/batch/run_message.hpp"
 
 #include <boost/asio/cancellation_signal.hpp>
@@ -77,13 +78,6 @@
     using run_pointer = std::shared_ptr<active_run>;
     using planner_key = std::pair<instance_id, service_name>;
 
-    /// A complete text or a score that may not be listed yet.
-    struct kept_result {
-        service_name service;
-        steady_time ended_at;
-        held_run result;
-    };
-
     /// What the latest answer of an upstream said about its request limit.
     struct limit_observation {
         service_name service;
@@ -100,8 +94,6 @@
     void stop(run_ticket ticket);
     void hand_over(const planner_key& planner, store_revision term);
     void keep_result(const active_run& run, held_run result);
-    void drop_result(run_ticket ticket);
-    void drop_old_results(steady_time now);
     void refuse_task(const planner_key& planner, const run_task& task);
     void start_run(const run_pointer& run);
     void start_scoring(const run_pointer& run);
@@ -127,9 +119,7 @@
     job_end_check is_ended_;
     logger& log_;
     std::map<run_ticket, run_pointer> runs_;
-    std::map<run_ticket, kept_result> kept_results_;
-    /// Size of the texts and scores in `kept_results_`.
-    std::size_t kept_bytes_ = 0;
+    kept_results kept_results_;
     std::map<upstream_id, limit_observation> limits_;
     /// The newest known planner term of each service.
     std::map<service_name, store_revision> terms_;
