Stop runs and scorings that a runner reports and its planner doesn't know

Runs of a lost runner that came back after the end held their engine's slots.

Cause: a planner that takes a runner for lost forgets its scorings and, after 15 s or the end of the job, its runs. It compared each report in one direction only, its own tickets that are missing at the runner. Only the planner's silence ends an orphan, and its heartbeats and probes keep it alive.

The planner now orders a runner to stop what it reports and the planner doesn't know. A ticket that was just ordered can't be taken for unknown, because a report lists only what has arrived. A report from before the answer to a takeover is left out, for 1.5 s at most, because the answer may be lost. A found run that isn't remembered is stopped, too. It needs no record of the job.

Metric: unknown_runs_stopped_total.

--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -114,7 +114,7 @@
                     "results are listed from a position on"},
     log_event_entry{unknown_runs_reported, info, "unknown_runs_reported",
                     "an instance reports runs or scorings that its planner "
-                    "doesn't know"},
+                    "doesn't know, and is ordered to stop them"},
     log_event_entry{ended_runs_stopped, info, "ended_runs_stopped",
                     "runs or scorings of ended jobs were still in progress "
                     "here and are stopped"},
--- a/drivers/batch/engine_driver.hpp
+++ b/drivers/batch/engine_driver.hpp
@@ -48,6 +48,9 @@
     store_revision term = 0;
     std::uint64_t results_listed = 0;
     std::uint64_t orders_sent = 0;
+    /// Runs and scorings that were stopped because the planner didn't know
+    /// them.
+    std::uint64_t unknown_runs_stopped = 0;
 };
 
 /// Connects the control of one engine service to the network and the store:
--- a/drivers/batch/engine_runners.cpp
+++ b/drivers/batch/engine_runners.cpp
@@ -205,9 +205,13 @@
 
 void engine_driver::execute_one(unknown_runs& command) {
     std::string tickets;
+    std::vector<run_ticket>& stopped = orders_[command.runner].stopped;
     for (const run_ticket ticket : command.tickets) {
         tickets += (tickets.empty() ? "" : ",") + std::to_string(ticket);
+        stopped.push_back(ticket);
+        lost_runs_.erase(ticket);
     }
+    statistics_.unknown_runs_stopped += command.tickets.size();
     log_.write(log_event::unknown_runs_reported,
                "service=" + options_.service.text() +
                    " runner=" + command.runner.text() + " tickets=" + tickets);
--- a/drivers/node/node_metrics.cpp
+++ b/drivers/node/node_metrics.cpp
@@ -140,6 +140,8 @@
         write("planner_term", engine.term, labels);
         write("results_listed_total", engine.results_listed, labels);
         write("orders_sent_total", engine.orders_sent, labels);
+        write("unknown_runs_stopped_total", engine.unknown_runs_stopped,
+              labels);
     }
     return out.str();
 }
--- a/servers/batch/item_planner.hpp
+++ b/servers/batch/item_planner.hpp
@@ -215,12 +215,13 @@
     /// An instance that was taken for lost reports progress of the run; the
     /// caller passes on the report afterwards. The run is taken up again if its
     /// text is complete, or not behind that of the run that replaced it. Either
-    /// this run or the replacement is stopped.
+    /// this run or the replacement is stopped. A run that is not remembered, or
+    /// whose job has ended, is stopped.
     void on_run_found(const run_delta& delta, bool is_complete, steady_time now,
                       planner_commands& out);
     /// An instance reports all runs and scorings that it has in progress for
-    /// this planner. Those that the planner doesn't know were given up when the
-    /// instance was taken for lost, or their stop was lost.
+    /// this planner. Those that the planner doesn't know are stopped: they were
+    /// given up when the instance was taken for lost, or their stop was lost.
     /// Precondition: the instance has reported the runs of earlier terms.
     void on_active_runs(const instance_id& runner,
                         const std::vector<run_ticket>& active,
--- a/servers/batch/item_planner_adoption.cpp
+++ b/servers/batch/item_planner_adoption.cpp
@@ -178,6 +178,9 @@
     const run_ticket ticket = delta.ticket;
     const auto found = lost_runs_.find(ticket);
     if (found == lost_runs_.end()) {
+        if (!runs_.contains(ticket)) {
+            out.emplace_back(stop_run{.ticket = ticket});
+        }
         return;
     }
     run_state run = std::move(found->second.run);
--- a/servers/batch/planner_command.hpp
+++ b/servers/batch/planner_command.hpp
@@ -201,7 +201,8 @@
     std::uint64_t events = 0;
 };
 
-/// An instance reports runs and scorings that the planner doesn't know.
+/// An instance reports runs and scorings that the planner doesn't know. It must
+/// stop them.
 struct unknown_runs {
     instance_id runner;
     std::vector<run_ticket> tickets;
--- a/tests/drivers/batch/engine_driver_test.cpp
+++ b/tests/drivers/batch/engine_driver_test.cpp
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -38,6 +39,22 @@
         return tasks;
     }
 
+    [[nodiscard]] std::vector<run_ticket> stops_of(const char* instance) {
+        std::vector<run_ticket> stops;
+        for (const runner_command& order : orders[instance_id(instance)]) {
+            stops.insert(stops.end(), order.stopped.begin(),
+                         order.stopped.end());
+        }
+        return stops;
+    }
+
+    [[nodiscard]] std::size_t probes_of(const char* instance) {
+        const auto& sent = orders[instance_id(instance)];
+        return static_cast<std::size_t>(
+            std::count_if(sent.begin(), sent.end(),
+                          [](const auto& order) { return order.is_probe; }));
+    }
+
     std::map<instance_id, std::vector<runner_command>> orders;
 };
 
@@ -192,6 +209,10 @@
 constexpr const char* two_items =
     R"({"id":"a","path":"/p","body":""},{"id":"b","path":"/p","body":""})";
 
+constexpr const char* item_with_scoring =
+    R"({"id":"a","path":"/p","body":"","scorer_url":)"
+    R"({"id":"s","host":"h","path":"/s/1","body":""}})";
+
 /// The parameter is when the job ends, after its planner began to load it.
 class job_end_while_loading_test
     : public engine_driver_test,
@@ -238,6 +259,52 @@
     EXPECT_EQ(transport.tasks_of("near").size(), 2U);
 }
 
+// Guards against calls of ended jobs, and runs that use a slot for nothing: the
+// planner took the runner for lost and gave up what it reports now.
+TEST_F(engine_driver_test, runs_that_the_planner_does_not_know_are_stopped) {
+    accept("j", two_items);
+    driver.on_jobs_changed();
+    ASSERT_TRUE(wait([&] { return transport.tasks_of("near").size() == 2; }));
+    runner_update report{.service = service_name("e"), .active = {7}};
+    for (const run_task& task : transport.tasks_of("near")) {
+        report.active.push_back(task.ticket);
+    }
+    driver.on_run_update(instance_id("near"),
+                         {.service = service_name("e"),
+                          .takeover_term = driver.statistics().term});
+    driver.on_run_update(instance_id("near"), report);
+    ASSERT_TRUE(wait([&] { return !transport.stops_of("near").empty(); }));
+    EXPECT_EQ(transport.stops_of("near"), std::vector<run_ticket>{7});
+}
+
+// Guards against runs that are stopped right before they are handed over: the
+// report was sent before the takeover arrived.
+TEST_F(engine_driver_test, report_before_the_answer_to_a_takeover_stops_none) {
+    const runner_update report{.service = service_name("e"), .active = {7}};
+    driver.on_run_update(instance_id("near"), report);
+    run(300ms);
+    EXPECT_TRUE(transport.stops_of("near").empty());
+    driver.on_run_update(instance_id("near"),
+                         {.service = service_name("e"),
+                          .takeover_term = driver.statistics().term,
+                          .held = {{.ticket = 7,
+                                    .job = job_id("j"),
+                                    .id = "a",
+                                    .upstream = upstream_id("u")}}});
+    driver.on_run_update(instance_id("near"), report);
+    run(300ms);
+    EXPECT_TRUE(transport.stops_of("near").empty())
+        << "its job may still be loaded";
+}
+
+TEST_F(engine_driver_test, unanswered_takeover_protects_no_runs_for_long) {
+    const runner_update report{.service = service_name("e"), .active = {7}};
+    ASSERT_TRUE(wait([&] {
+        driver.on_run_update(instance_id("near"), report);
+        return !transport.stops_of("near").empty();
+    }));
+}
+
 // Guards against items that never run again: the planner had regained its term,
 // and the instance that ran them was gone.
 TEST_F(engine_driver_test,
