Stop runs of jobs that ended before a planner took over

Cause: on_held_run stops runs of jobs that the planner knows as ended, but it learns of ends only for jobs that it has or is loading. A job that had ended before is never loaded, so its runs stayed in held_runs_, where they count as known.

The driver now tells the planner of ends with the runs, before them.

Evidence: engine_driver_test.held_run_of_a_job_that_had_ended_is_stopped waited 5 s for a stop before and passes now.

--- a/drivers/batch/engine_runners.cpp
+++ b/drivers/batch/engine_runners.cpp
@@ -62,8 +62,13 @@
                                     std::vector<held_run> held, bool has_more) {
     const steady_time now = std::chrono::steady_clock::now();
     std::set<run_ticket>& reported = reported_runs_[runner];
+    std::set<job_id> ended;
     for (const held_run& one : held) {
         reported.insert(one.ticket);
+        const auto record = jobs_.records().find(one.job);
+        if (record != jobs_.records().end() && record->second.is_ended) {
+            ended.insert(one.job);
+        }
         lost_runs_.erase(one.ticket);
         if (one.has_ended) {
             runners_.on_ended(one.ticket);
@@ -87,9 +92,13 @@
                        " reason=\"not reported at the takeover\"");
     }
     post_step(
-        [held = std::move(held), missing,
+        [held = std::move(held), ended = std::move(ended), missing,
          is_complete = unanswered_takeovers_.empty()](
             engine_control& control, steady_time at, engine_commands& out) {
+            // The planner never loads these jobs, so it isn't told otherwise.
+            for (const job_id& job : ended) {
+                control.planner().on_job_ended(job, out.planner);
+            }
             for (const held_run& one : held) {
                 control.planner().on_held_run(one, at, out.planner);
             }
--- a/tests/drivers/batch/engine_driver_test.cpp
+++ b/tests/drivers/batch/engine_driver_test.cpp
@@ -305,6 +305,21 @@
     }));
 }
 
+// Guards against runs that go on at a new planner because their job ended
+// before it.
+TEST_F(engine_driver_test, held_run_of_a_job_that_had_ended_is_stopped) {
+    end(accept("j", two_items));
+    driver.on_run_update(instance_id("near"),
+                         {.service = service_name("e"),
+                          .takeover_term = driver.statistics().term,
+                          .held = {{.ticket = 7,
+                                    .job = job_id("j"),
+                                    .id = "a",
+                                    .upstream = upstream_id("u")}}});
+    ASSERT_TRUE(wait([&] { return !transport.stops_of("near").empty(); }));
+    EXPECT_EQ(transport.stops_of("near"), std::vector<run_ticket>{7});
+}
+
 // Guards against items that never run again: the planner had regained its term,
 // and the instance that ran them was gone.
 TEST_F(engine_driver_test,
