Don't take a runner for lost because its scorings were stopped

After the end of a job, instances that had only scored it were taken for lost: they got no items until they answered a probe, up to 0.5 s later.

Cause: an instance reports the end of a run that it was told to stop, but none of a scoring. The planner's table kept the scoring as assigned, and an idle instance sends no reports.

The planner forgets a scoring when it orders its stop, and so does the table of runners now. If the order is lost, the instance reports the scoring as active and is told again, since the planner doesn't know it.

Ruled out: a report of the end by the runner.

Evidence: engine_driver_test.stopped_scoring_does_not_make_its_runner_lost saw a probe before.

--- a/drivers/batch/engine_runners.cpp
+++ b/drivers/batch/engine_runners.cpp
@@ -210,6 +210,9 @@
     if (!runner.is_empty()) {
         orders_[runner].stopped.push_back(command.ticket);
     }
+    if (command.is_scoring) {
+        runners_.on_ended(command.ticket);
+    }
 }
 
 void engine_driver::execute_one(unknown_runs& command) {
--- a/servers/batch/item_planner.cpp
+++ b/servers/batch/item_planner.cpp
@@ -27,7 +27,7 @@
         out.emplace_back(stop_run{.ticket = ticket});
     }
     for (const auto& [ticket, scoring] : scorings_) {
-        out.emplace_back(stop_run{.ticket = ticket});
+        out.emplace_back(stop_run{.ticket = ticket, .is_scoring = true});
     }
     has_term_ = false;
     runs_.clear();
@@ -200,7 +200,7 @@
         if (row.second.job != job) {
             return false;
         }
-        out.emplace_back(stop_run{.ticket = row.first});
+        out.emplace_back(stop_run{.ticket = row.first, .is_scoring = true});
         return true;
     });
     std::erase_if(to_score_,
--- a/servers/batch/planner_command.hpp
+++ b/servers/batch/planner_command.hpp
@@ -146,6 +146,8 @@
     run_ticket ticket = 0;
     /// The run made no progress for too long.
     bool is_stalled = false;
+    /// Instances report no end of a scoring that they were told to stop.
+    bool is_scoring = false;
     upstream_id upstream;
 };
 
--- a/tests/drivers/batch/engine_driver_test.cpp
+++ b/tests/drivers/batch/engine_driver_test.cpp
@@ -320,6 +320,29 @@
     EXPECT_EQ(transport.stops_of("near"), std::vector<run_ticket>{7});
 }
 
+// Guards against an instance that gets no items because it is taken for lost:
+// it reports no end of a scoring that was stopped, and then has nothing to
+// report.
+TEST_F(engine_driver_test, stopped_scoring_does_not_make_its_runner_lost) {
+    const job_record record = accept("j", item_with_scoring);
+    driver.on_jobs_changed();
+    ASSERT_TRUE(wait([&] { return transport.tasks_of("near").size() == 1; }));
+    const run_ticket ticket = transport.tasks_of("near")[0].ticket;
+    driver.on_run_update(instance_id("near"),
+                         {.service = service_name("e"),
+                          .ends = {{.ticket = ticket,
+                                    .end = run_end::complete,
+                                    .last_delta = {.ticket = ticket,
+                                                   .events = 1,
+                                                   .text = "t",
+                                                   .versions = {1}}}}});
+    ASSERT_TRUE(wait([&] { return transport.tasks_of("near").size() == 2; }));
+    end(record);
+    ASSERT_TRUE(wait([&] { return !transport.stops_of("near").empty(); }));
+    run(2'200ms);
+    EXPECT_EQ(transport.probes_of("near"), 0U);
+}
+
 // Guards against items that never run again: the planner had regained its term,
 // and the instance that ran them was gone.
 TEST_F(engine_driver_test,
