--- a/drivers/batch/engine_runners.cpp
+++ b/drivers/batch/engine_runners.cpp
@@ -316,17 +316,16 @@
                                      const runner_update& update,
                                      steady_time now) {
     std::vector<std::pair<run_delta, bool>> found;
-    const auto add = [&](const run_delta& delta, bool is_complete) {
-        if (lost_runs_.erase(delta.ticket) > 0) {
-            runners_.adopt(delta.ticket, runner, now);
-            found.emplace_back(delta, is_complete);
-        }
-    };
     for (const run_report& end : update.ends) {
-        add(end.last_delta, end.end == run_end::complete);
+        if (lost_runs_.erase(end.ticket) > 0) {
+            found.emplace_back(end.last_delta, end.end == run_end::complete);
+        }
     }
     for (const run_delta& delta : update.deltas) {
-        add(delta, false);
+        if (lost_runs_.erase(delta.ticket) > 0) {
+            runners_.adopt(delta.ticket, runner, now);
+            found.emplace_back(delta, false);
+        }
     }
     if (found.empty()) {
         return;
--- a/tests/drivers/batch/engine_driver_test.cpp
+++ b/tests/drivers/batch/engine_driver_test.cpp
@@ -343,6 +343,32 @@
     EXPECT_EQ(transport.probes_of("near"), 0U);
 }
 
+// Guards against the same after a runner that was taken for lost reports the
+// end of a run.
+TEST_F(engine_driver_test, found_run_that_has_ended_is_not_assigned_again) {
+    accept("j", R"({"id":"a","path":"/p","body":""})");
+    driver.on_jobs_changed();
+    ASSERT_TRUE(wait([&] { return transport.tasks_of("near").size() == 1; }));
+    ASSERT_TRUE(wait([&] { return transport.probes_of("near") > 0; }));
+    // The item must not start at the instance again, which wouldn't report it.
+    fleet.upstreams.clear();
+    driver.on_fleet_changed();
+    run(100ms);
+    const run_ticket ticket = transport.tasks_of("near")[0].ticket;
+    driver.on_run_update(instance_id("near"),
+                         {.service = service_name("e"),
+                          .ends = {{.ticket = ticket,
+                                    .end = run_end::complete,
+                                    .last_delta = {.ticket = ticket,
+                                                   .events = 1,
+                                                   .text = "t",
+                                                   .versions = {1}}}}});
+    run(100ms);
+    transport.orders.clear();
+    run(2'200ms);
+    EXPECT_EQ(transport.probes_of("near"), 0U);
+}
+
 // Guards against items that never run again: the planner had regained its term,
 // and the instance that ran them was gone.
 TEST_F(engine_driver_test,
