Build log lines of tickets without a false warning of GCC 12

The release build of the deploy file failed: GCC 12 takes the sum of a conditional literal and a temporary string for an overlapping copy (-Werror=restrict, at -O2 only). The strings are appended one by one.

--- a/drivers/batch/engine_runners.cpp
+++ b/drivers/batch/engine_runners.cpp
@@ -22,7 +22,8 @@
 std::string to_text(const std::vector<instance_id>& instances) {
     std::string text;
     for (const instance_id& instance : instances) {
-        text += (text.empty() ? "" : ",") + instance.text();
+        text += text.empty() ? "" : ",";
+        text += instance.text();
     }
     return text;
 }
@@ -219,7 +220,8 @@
     std::string tickets;
     std::vector<run_ticket>& stopped = orders_[command.runner].stopped;
     for (const run_ticket ticket : command.tickets) {
-        tickets += (tickets.empty() ? "" : ",") + std::to_string(ticket);
+        tickets += tickets.empty() ? "" : ",";
+        tickets += std::to_string(ticket);
         stopped.push_back(ticket);
         lost_runs_.erase(ticket);
     }
