End a scoring call when its route leads to another service

The route was looked up only between calls.

Each send now asks whether the current route leads to the same services, and the next call takes the current route.

Evidence: item_runner_test.scoring_follows_its_route_to_another_service saw 8 calls at the former service before, and 1 now.

--- a/drivers/batch/item_runner.cpp
+++ b/drivers/batch/item_runner.cpp
@@ -13,6 +13,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace savorydock {
 
 namespace asio = boost::asio;
@@ -122,6 +124,21 @@
                                          : run_end::interrupted;
 }
 
+/// Whether the current route, null if there is none, leads to all services of
+/// the route that was used.
+bool leads_to_services_of(const route_rule& used, const route_rule* current) {
+    return current != nullptr &&
+           std::all_of(used.services.begin(), used.services.end(),
+                       [current](const service_share& one) {
+                           return std::any_of(
+                               current->services.begin(),
+                               current->services.end(),
+                               [&one](const service_share& other) {
+                                   return other.service == one.service;
+                               });
+                       });
+}
+
 } // namespace
 
 item_runner::item_runner(http_client& client, plain_caller& scorers,
@@ -279,7 +296,12 @@
                 .deadline = std::chrono::steady_clock::now() + time,
                 .is_urgent = true,
                 .max_limit_wait = std::chrono::milliseconds(0),
-                .is_wanted = is_wanted};
+                .is_wanted = [&] {
+                    return is_wanted() &&
+                           leads_to_services_of(
+                               *route,
+                               fleet_.routes->find(task->host, task->path));
+                }};
             auto result = co_await scorers_.call(std::move(call));
             if (result.answer && result.answer->status / 100 == 2) {
                 auto answer =
--- a/tests/drivers/batch/item_runner_test.cpp
+++ b/tests/drivers/batch/item_runner_test.cpp
@@ -2,10 +2,13 @@
 #include "tests/fakes/raw_upstream.hpp"
 #include "tests/fakes/run_call.hpp"
 
+#include <boost/asio/steady_timer.hpp>
 #include <gtest/gtest.h>
 
 #include <array>
+#include <atomic>
 #include <cstdio>
+#include <thread>
 
 using namespace savorydock;
 using namespace std::chrono_literals;
@@ -49,6 +52,37 @@
         return end;
     }
 
+    /// Routes scoring calls to the service only.
+    void route_scoring_to(const char* service, std::uint32_t max_attempts) {
+        auto configuration = std::make_shared<fleet_configuration>();
+        configuration->routes = {{.name = "r",
+                                  .host = "h",
+                                  .prefix = "/s/",
+                                  .kind = request_kind::idempotent,
+                                  .services = {{service_name(service)}},
+                                  .max_attempts = max_attempts}};
+        configuration->services = {{.name = service_name(service)}};
+        fleet.routes = std::make_shared<route_table>(configuration);
+    }
+
+    static upstream_entry scorer_entry(const char* service,
+                                       const raw_upstream& scorer) {
+        return {.id = upstream_id(std::string("u-") + service),
+                .service = service_name(service),
+                .address = scorer.address(),
+                .slots = 2};
+    }
+
+    std::optional<std::string> score() {
+        return run_call(context, runner.score(std::make_shared<const run_task>(
+                                     run_task{.ticket = 1,
+                                              .is_scoring = true,
+                                              .job = job_id("j"),
+                                              .id = "s",
+                                              .host = "h",
+                                              .path = "/s/1"})));
+    }
+
     asio::io_context context;
     null_logger log;
     http_client client{context};
@@ -227,27 +261,37 @@
             return;
         }
     });
-    const service_name service("plain");
-    auto configuration = std::make_shared<fleet_configuration>();
-    configuration->routes = {{.name = "r",
-                              .host = "h",
-                              .prefix = "/s/",
-                              .kind = request_kind::idempotent,
-                              .services = {{.service = service}}}};
-    configuration->routes.front().max_attempts = 3;
-    configuration->services = {{.name = service}};
-    fleet.routes = std::make_shared<route_table>(configuration);
-    fleet.pool.set_upstreams({{.id = upstream_id("u"),
-                               .service = service,
-                               .address = scorer.address(),
-                               .slots = 2}});
-    const auto score =
-        run_call(context, runner.score(std::make_shared<const run_task>(
-                              run_task{.ticket = 1,
-                                       .is_scoring = true,
-                                       .job = job_id("j"),
-                                       .id = "s",
-                                       .host = "h",
-                                       .path = "/s/1"})));
-    EXPECT_EQ(score, "sound");
+    route_scoring_to("plain", 3);
+    fleet.pool.set_upstreams({scorer_entry("plain", scorer)});
+    EXPECT_EQ(score(), "sound");
+}
+
+// Guards against calls that reach the service of an older configuration for
+// seconds: one call is sent up to eight times.
+TEST_F(item_runner_test, scoring_follows_its_route_to_another_service) {
+    std::atomic<int> former_calls = 0;
+    raw_upstream former([&](raw_connection& connection, std::size_t) {
+        while (!connection.read_request().empty()) {
+            ++former_calls;
+            std::this_thread::sleep_for(200ms);
+            connection.write("HTTP/1.1 503 Service Unavailable\r\n"
+                             "Request-Id: s\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    raw_upstream current([](raw_connection& connection, std::size_t) {
+        while (!connection.read_request().empty()) {
+            connection.write("HTTP/1.1 200 OK\r\nRequest-Id: s\r\n"
+                             "Server-Stamp: sound\r\n"
+                             "Content-Length: 0\r\n\r\n");
+        }
+    });
+    fleet.pool.set_upstreams(
+        {scorer_entry("former", former), scorer_entry("current", current)});
+    route_scoring_to("former", 1'000);
+    asio::steady_timer change(context, 100ms);
+    change.async_wait([this](const boost::system::error_code&) {
+        route_scoring_to("current", 1'000);
+    });
+    EXPECT_EQ(score(), "sound");
+    EXPECT_EQ(former_calls, 1);
 }
