--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -10,6 +10,8 @@
 CONTACT_S = 3.0
 # Holders must not act in the order A, B, A within this time.
 LEASE_S = 3.0
+# The platform's bound on the time until service works again after all faults.
+RECOVERY_S = 15.0
 # How long after a result was read, at any instance, the others may lack it.
 SETTLE_S = 1.0
 # First tries at instances that are cut off from all upstreams must be served at
@@ -41,6 +43,7 @@
         self.read_at = {}
         self.jobs = {}
         self.jobs_of_items = {}
+        self.jobs_of_scores = {}
         self.refused_calls = set()
         self.active_faults = 0
         self.last_fault = 0.0
@@ -108,6 +111,12 @@
             self.fail(f"UNASKED: {request} with another body")
         if request in self.refused_calls:
             self.fail(f"REFUSED: {request} runs after its refusal")
+        job = self.jobs.get(self.jobs_of_scores.get(request))
+        ended = job["ended_at"] if job else 0.0
+        now = time.monotonic()
+        if ended and now > max(ended + CANCEL_S, self.faults_ended_at()):
+            self.fail(f"UNASKED: {request} {now - ended:.1f} s after the end "
+                      f"of job {job['id']}")
 
     def on_stamp(self, request, stamp):
         self.stamps[request].add(stamp)
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -50,6 +50,22 @@
         self.answer(200, 1)
         self.assertEqual(self.judge.violations, [])
 
+    def test_call_of_an_ended_job_is_caught(self):
+        self.judge.sent["score-" + ITEM] = b"x"
+        self.judge.jobs_of_scores["score-" + ITEM] = "j"
+        now = time.monotonic()
+        self.job["ended_at"] = now - CANCEL_S + 0.5
+        self.judge.on_call("score-" + ITEM, "/p", b"x")
+        self.job["ended_at"] = now - CANCEL_S - 0.1
+        self.judge.record_fault(1)
+        self.judge.on_call("score-" + ITEM, "/p", b"x")
+        self.judge.record_fault(-1)
+        self.judge.on_call("score-" + ITEM, "/p", b"x")
+        self.assertEqual(self.judge.violations, [])
+        self.judge.last_fault = now - CONTACT_S - 0.1
+        self.judge.on_call("score-" + ITEM, "/p", b"x")
+        self.assert_violation("UNASKED: score-" + ITEM)
+
     def test_empty_page_at_a_calm_instance_is_caught(self):
         self.page(self.row)
         now = time.monotonic()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,7 +10,6 @@
 import pathlib
 import random
 import shutil
-import signal
 import sys
 import tempfile
 import time
@@ -19,17 +18,17 @@
 import aiohttp
 from aiohttp import web
 
+from ended_jobs import EndedJobs
 from fault_play import FaultPlay
 from faults import Network, Node, Proxy
-from judge import CONTACT_S, Judge
+from judge import CONTACT_S, RECOVERY_S, Judge
+from planner_relay import PlannerRelay
 from readers import Readers
 from store import Store
-from workers import Worker, event_text, events_of
+from workers import SCORE_PATH, Worker, event_text, events_of
 
 SIZES = {"pair": (2, 1, 2), "small": (6, 3, 2), "usual": (6, 6, 4),
          "large": (24, 16, 8)}
-# The platform's bound on the time until service works again after all faults.
-RECOVERY_S = 15.0
 # The exit code of a drain that timed out with requests still open. It is
 # accepted, because store faults can delay requests beyond the timeout.
 DRAIN_TIMED_OUT = 4
@@ -66,6 +65,7 @@
         self.cut, self.networks = {}, []
         self.target_version = 1
         self.is_over = False
+        self.is_training = True
 
     async def serve(self, app, ip):
         runner = web.AppRunner(app, access_log=None)
@@ -196,6 +196,7 @@
             self.judge.jobs_of_items[item] = job["id"]
             score = "score-" + item
             self.judge.sent[score] = score.encode()
+            self.judge.jobs_of_scores[score] = job["id"]
             rows.append({
                 "id": item, "path": "/job/i", "headers": {
                     "Model": "m", "Token-Usage": "20,3000",
@@ -203,7 +204,7 @@
                 "body": base64.b64encode(item.encode()).decode(),
                 "tokens": 3020, "group": f"g{at // 4}",
                 "scorer_url": {
-                    "id": score, "host": "h.example", "path": "/safe/score",
+                    "id": score, "host": "h.example", "path": SCORE_PATH,
                     "body": base64.b64encode(score.encode()).decode()}})
         job["body"] = json.dumps({
             "step": self.target_version, "model": "m",
@@ -251,7 +252,7 @@
         return False
 
     async def run_trainer(self):
-        while not self.is_over:
+        while self.is_training:
             job = self.make_job(self.random.choice(JOB_SIZES))
             if await self.submit(job):
                 self.judge.counts["jobs"] += 1
@@ -324,43 +325,6 @@
             how, [is_served for is_cut, is_served in judged if is_cut],
             [is_served for is_cut, is_served in judged if not is_cut])
 
-    async def name_versions(self):
-        while True:
-            self.target_version += 1
-            await self.store.put("op/version/m", json.dumps(
-                {"model": "m", "version": self.target_version}))
-            await asyncio.sleep(0.5)
-
-    async def relay_planners(self, stops):
-        """Names versions all the time and stops each planner that has ordered
-        an engine, `stops` times. The one before it is killed while it still
-        exits, so that it starts again without a memory of its orders."""
-        namer = asyncio.ensure_future(self.name_versions())
-        stopped = None
-        for _ in range(stops):
-            planner, end = None, time.monotonic() + 2 * RECOVERY_S
-            while planner is None and time.monotonic() < end:
-                await asyncio.sleep(0.02)
-                holder = self.faults.planner()
-                if holder not in (None, stopped) and any(
-                        orders and orders[-1][1] == holder.name
-                        for orders in self.judge.orders.values()):
-                    planner = holder
-            if planner is None:
-                self.judge.fail("SOAK: no planner ordered an engine")
-                break
-            self.judge.record_fault(1, [planner.name])
-            planner.send(signal.SIGTERM)
-            if stopped:
-                stopped.send(signal.SIGKILL)
-            print(f"{time.monotonic() - self.begin:7.2f} planner "
-                  f"{planner.name} stopped", file=self.events)
-            self.judge.record_fault(-1, [planner.name])
-            self.judge.counts["planners stopped"] += 1
-            stopped = planner
-        await asyncio.sleep(CONTACT_S)
-        namer.cancel()
-
     async def supervise(self):
         while not self.is_over:
             for node in self.nodes:
@@ -434,7 +398,11 @@
         if self.options.cut_off:
             await self.cut_off(self.options.cut_off)
         if self.options.stop_planners:
-            await self.relay_planners(self.options.stop_planners)
+            await PlannerRelay(self).run(self.options.stop_planners)
+        if self.options.end_jobs:
+            self.is_training = False
+            await asyncio.gather(*tasks[1:3])
+            await EndedJobs(self, self.options.seed).run(self.options.end_jobs)
         await asyncio.sleep(2 * CONTACT_S)
         for task in tasks:
             task.cancel()
@@ -478,6 +446,9 @@
     parser.add_argument("--stop-planners", type=int, default=0, metavar="N",
                         help="after the faults, stop planners N times in "
                         "series while versions are named")
+    parser.add_argument("--end-jobs", type=int, default=0, metavar="N",
+                        help="after the faults, end N jobs while their "
+                        "scorings find no room and instances stand still")
     parser.add_argument("--size", choices=SIZES, default="usual")
     options = parser.parse_args()
     # Instances close streams during faults; aiohttp would log each of them.
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -10,6 +10,8 @@
 
 EVENT_TIME_S = 0.02
 LOAD_TIME_S = 0.5
+SLOW_FAILURE_S = 0.9
+SCORE_PATH = "/safe/score"
 # Bytes that are not UTF-8: a stray byte, an overlong form, a surrogate.
 DAMAGE = [b"\xff", b"\xc0\x80", b"\xed\xa0\x80"]
 # One in so many events of a worker that damages its answers is damaged.
@@ -41,6 +43,9 @@
         self.heartbeats = 0
         self.slowness = 1
         self.is_damaging = False
+        # None, full (all calls are refused as not run), failing or
+        # slow_failing (scoring calls get 503 as a failure, at once or late).
+        self.refusal = None
         self.events_made = 0
         self.tasks = set()
         self.reset_identity()
@@ -130,7 +135,7 @@
             return web.Response(status=500)
         if request.headers.get("Expect-Instance", self.id) != self.id:
             return self.refuse(421)
-        if self.running >= self.slots:
+        if self.running >= self.slots or self.refusal == "full":
             return self.refuse(503)
         if self.service == "engine" and self.is_loading():
             return self.refuse(503)
@@ -153,6 +158,10 @@
     async def call(self, request, body):
         request_id = request.headers["Request-Id"]
         self.judge.on_call(request_id, request.path, body)
+        if self.refusal and request.path == SCORE_PATH:
+            await asyncio.sleep(
+                SLOW_FAILURE_S if self.refusal == "slow_failing" else 0)
+            return web.Response(status=503, headers={"Request-Id": request_id})
         await asyncio.sleep(0.01 * self.slowness)
         stamp = "s-" + uuid.uuid4().hex[:8]
         self.judge.on_stamp(request_id, stamp)
