--- a/tests/drivers/batch/engine_driver_test.cpp
+++ b/tests/drivers/batch/engine_driver_test.cpp
@@ -182,6 +182,18 @@
                         }));
     }
 
+    /// The instance reports that the run has a complete text of one event.
+    void report_complete_text(const char* instance, run_ticket ticket) {
+        driver.on_run_update(instance_id(instance),
+                             {.service = service_name("e"),
+                              .ends = {{.ticket = ticket,
+                                        .end = run_end::complete,
+                                        .last_delta = {.ticket = ticket,
+                                                       .events = 1,
+                                                       .text = "t",
+                                                       .versions = {1}}}}});
+    }
+
     void end(job_record record) {
         record.is_ended = true;
         jobs.on_record(record.id, record);
@@ -328,14 +340,7 @@
     driver.on_jobs_changed();
     ASSERT_TRUE(wait([&] { return transport.tasks_of("near").size() == 1; }));
     const run_ticket ticket = transport.tasks_of("near")[0].ticket;
-    driver.on_run_update(instance_id("near"),
-                         {.service = service_name("e"),
-                          .ends = {{.ticket = ticket,
-                                    .end = run_end::complete,
-                                    .last_delta = {.ticket = ticket,
-                                                   .events = 1,
-                                                   .text = "t",
-                                                   .versions = {1}}}}});
+    report_complete_text("near", ticket);
     ASSERT_TRUE(wait([&] { return transport.tasks_of("near").size() == 2; }));
     end(record);
     ASSERT_TRUE(wait([&] { return !transport.stops_of("near").empty(); }));
@@ -355,14 +360,7 @@
     driver.on_fleet_changed();
     run(100ms);
     const run_ticket ticket = transport.tasks_of("near")[0].ticket;
-    driver.on_run_update(instance_id("near"),
-                         {.service = service_name("e"),
-                          .ends = {{.ticket = ticket,
-                                    .end = run_end::complete,
-                                    .last_delta = {.ticket = ticket,
-                                                   .events = 1,
-                                                   .text = "t",
-                                                   .versions = {1}}}}});
+    report_complete_text("near", ticket);
     run(100ms);
     transport.orders.clear();
     run(2'200ms);
