Keep the full interval between writes of stream records

Writes of stream records came up to a millisecond earlier than their interval allows, so that the store got slightly more calls than planned.

Cause: the rest of the interval was cut down to whole milliseconds. Each period was short by half a millisecond on average; the time of the last write hid it in that test. It is rounded up now.

Ruled out: timers that end early, and the bound of the test, which is the interval itself.

--- a/drivers/front/stream_ledger.cpp
+++ b/drivers/front/stream_ledger.cpp
@@ -141,7 +141,7 @@
             asio::co_spawn(context_, delete_old(), asio::detached);
         }
         const auto next = now + options_.write_interval();
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(
             next - std::chrono::steady_clock::now());
         if (left.count() > 0) {
             co_await pause(left);
--- a/tests/drivers/front/stream_ledger_test.cpp
+++ b/tests/drivers/front/stream_ledger_test.cpp
@@ -72,6 +72,17 @@
     EXPECT_GE(std::chrono::steady_clock::now() - begin, 2 * interval);
 }
 
+// Guards against writes that come up to a millisecond too early each, so that
+// the store gets more of them than its limit allows.
+TEST_F(stream_ledger_test, many_writes_keep_their_interval) {
+    interval = 20ms;
+    const auto begin = std::chrono::steady_clock::now();
+    record(8 * max_transaction_entries + 1);
+    ASSERT_TRUE(
+        wait([&] { return stored == 8 * max_transaction_entries + 1; }));
+    EXPECT_GE(std::chrono::steady_clock::now() - begin, 8 * interval);
+}
+
 TEST_F(stream_ledger_test, records_are_deleted_after_their_streams) {
     record(40);
     ASSERT_TRUE(wait([&] { return stored == 40; }));
